--- a/spoolcrank/_runtime.py
+++ b/spoolcrank/_runtime.py
@@ -38,9 +38,11 @@
         self._stopping = False
         self._ended = threading.Event()
 
-    def serve(self, listen: Address, answer: Answerer) -> WebServer:
-        """Listen on `IP:PORT` for HTTP."""
-        web: WebServer = WebServer(split_address(listen), answer, self.timers).register(self)
+    def serve(self, listen: Address, answer: Answerer, channel: str = "web") -> WebServer:
+        """Listen on `IP:PORT` for HTTP; each address of a process has its own channel."""
+        web: WebServer = WebServer(split_address(listen), answer, self.timers, channel).register(
+            self
+        )
         return web
 
     def on_stop(self, stop: Callable[[Callable[[], None]], None]) -> None:
--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -112,8 +112,10 @@
     channel = "web"
     secure = False
 
-    def __init__(self, bind: tuple[str, int], answer: Answerer, timers: Timers) -> None:
-        super().__init__()
+    def __init__(
+        self, bind: tuple[str, int], answer: Answerer, timers: Timers, channel: str = "web"
+    ) -> None:
+        super().__init__(channel=channel)
         self._answer = answer
         self._timers = timers
         self._incoming: dict[socket.socket, _Incoming] = {}
--- /dev/null
+++ b/spoolcrank/dispatcher.py
@@ -0,0 +1,383 @@
+"""Carry the leader's decisions out: read the log, write records, order runners.
+
+Every instance has one. It claims the leadership when the leader is silent, builds the
+scheduler's state from the records, and hands on what the decisions ask for.
+"""
+
+import time
+from collections.abc import Callable, Mapping
+
+from spoolcrank._timers import Timers
+from spoolcrank.keyed_log import (
+    LEADER_KEY,
+    KeyedLog,
+    KeyedRecord,
+    RecordKind,
+    cancel_key,
+    job_of_key,
+    kind_of,
+    progress_key,
+)
+from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
+from spoolcrank.leadership import SELF_FENCE_S, Leadership, decode_claim
+from spoolcrank.log_follower import LogFollower
+from spoolcrank.orders import Answered, Look, Order, OrderResult, Pace, Start, Stop
+from spoolcrank.run_control import (
+    look_answered,
+    look_failed,
+    looks_due,
+    start_answered,
+    stop_answered,
+    tick,
+)
+from spoolcrank.runner_port import Looked, RunnerPort
+from spoolcrank.runner_state import RunnerEntry
+from spoolcrank.scheduler import Batch, RoutePolicy, Scheduler
+from spoolcrank.store_port import Append, Appended, LogPort, WriterFence
+from spoolcrank.telemetry import Telemetry
+from spoolcrank.workflow import RouteName, RunnerId, decode_job, decode_progress, encode
+
+TICK_S = 0.1
+"""Between two looks at what time alone makes due, s; a tenth of the shortest such time."""
+
+GATHER_S = 0.004
+"""What happens within so long is decided and written together, s; one answer of the store."""
+
+STALE_LIST_S = 1.2
+"""Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
+below the 2 s after which a leaving runner must get no start."""
+
+GRAVE = frozenset(
+    {
+        "start-refused",
+        "stop-refused",
+        "runner-silent",
+        "runner-gone",
+        "runner-unlisted",
+        "runner-distrusted",
+        "task-hangs",
+        "run-released",
+        "job-ended",
+        "end-not-ours",
+        "run-not-ours",
+    }
+)
+"""Notes that are left out last."""
+
+
+class Dispatcher:
+    """The scheduler's hands in one instance."""
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        log: LogPort,
+        follower: LogFollower,
+        runner_follower: LogFollower,
+        runner_of: Callable[[str, bytes], RunnerEntry],
+        runners: RunnerPort,
+        timers: Timers,
+        telemetry: Telemetry,
+    ) -> None:
+        self.leadership = leadership
+        self.scheduler: Scheduler | None = None
+        self._log = log
+        self._follower = follower
+        self._runner_follower = runner_follower
+        self._runner_of = runner_of
+        self._runners = runners
+        self._timers = timers
+        self._telemetry = telemetry
+        self._writer: LeaderWriter | None = None
+        self._claiming = False
+        self._woken = False
+        self._leaving: Callable[[], None] | None = None
+        self._routes: Mapping[RouteName, RoutePolicy] = {}
+        timers.every(TICK_S, self._tick)
+
+    def set_routes(self, routes: Mapping[RouteName, RoutePolicy]) -> None:
+        """Take the queues of the configuration in force."""
+        self._routes = routes
+        if self.scheduler is not None:
+            self.scheduler.routes = dict(routes)
+            self._wake()
+
+    def leave(self, done: Callable[[], None]) -> None:
+        """Give the leadership up, if it is held, and tell when that is kept."""
+        self._leaving = done
+        if self.scheduler is None:
+            self._left()
+        else:
+            self._wake()
+
+    def _left(self) -> None:
+        done, self._leaving = self._leaving, None
+        if done is not None:
+            done()
+
+    # Records
+
+    def on_news(self, records: list[KeyedRecord]) -> None:
+        """Take records of the scheduler's log."""
+        now = time.monotonic()
+        for record in records:
+            kind = kind_of(record.key)
+            if kind is RecordKind.LEADER:
+                self._on_claim(record, now)
+            elif kind is RecordKind.PROGRESS:
+                self.leadership.heard(now)
+            elif self.scheduler is not None and record.value:
+                self._on_wish(self.scheduler, record, kind, now)
+
+    def _on_wish(
+        self, scheduler: Scheduler, record: KeyedRecord, kind: RecordKind | None, now: float
+    ) -> None:
+        job = job_of_key(record.key)
+        if kind is RecordKind.JOB:
+            self._add_job(scheduler, record, now)
+        elif kind is RecordKind.CANCEL:
+            self._telemetry.log("cancel-read", job=job, offset=record.offset)
+            scheduler.cancel(job, now)
+        self._wake()
+
+    def _add_job(self, scheduler: Scheduler, record: KeyedRecord, now: float) -> None:
+        job = job_of_key(record.key)
+        copy = self._follower.copy
+        progress = copy.value(progress_key(job))
+        scheduler.add_job(
+            job,
+            decode_job(record.value),
+            record.offset,
+            decode_progress(progress) if progress else None,
+            bool(copy.value(cancel_key(job))),
+            now,
+            time.time() * 1000.0,
+        )
+        self._telemetry.log("job-read", job=job, offset=record.offset, resumed=bool(progress))
+
+    # Leadership
+
+    def _on_claim(self, record: KeyedRecord, now: float) -> None:
+        claim = decode_claim(record.value)
+        if not self.leadership.read_claim(claim, now):
+            return
+        self._telemetry.log(
+            "leader",
+            grave=True,
+            term=claim.term,
+            leader=claim.instance,
+            resigned=claim.resigned,
+            offset=record.offset,
+        )
+        if self.scheduler is not None:
+            self._step_down("a newer claim was read")
+        if self.leadership.leads and self._follower.copy.loaded:
+            self._take_over(claim.term, now)
+
+    def _take_over(self, term: int, now: float) -> None:
+        self._follower.eager = True
+        self._writer = LeaderWriter(
+            self._log, self._timers, time.monotonic, term, self._on_writer_lost
+        )
+        scheduler = Scheduler(term, now)
+        scheduler.routes = dict(self._routes)
+        self.scheduler = scheduler
+        self.leadership.confirmed(now)
+        self._runner_follower.begin()
+        copy = self._follower.copy
+        for key, record in list(copy.newest.items()):
+            if record.value and kind_of(key) is RecordKind.JOB:
+                self._add_job(scheduler, record, now)
+        self._telemetry.log("took-over", grave=True, term=term, jobs=len(scheduler.jobs))
+        self._wake()
+
+    def _on_writer_lost(self, why: str) -> None:
+        self._step_down(f"the store refused a write: {why}")
+
+    def _step_down(self, why: str) -> None:
+        if self.scheduler is None:
+            return
+        self._telemetry.log("stepped-down", grave=True, term=self.scheduler.term, why=why)
+        self.leadership.give_up(self.scheduler.term)
+        self.scheduler = None
+        self._follower.eager = False
+        self._runner_follower.pause()
+        if self._writer is not None:
+            self._writer.close()
+        self._left()
+
+    def _claim(self, now: float) -> None:
+        claim = self.leadership.next_claim()
+        self._claiming = True
+        self._follower.eager = True
+        self._telemetry.log(
+            "claims",
+            grave=True,
+            term=claim.term,
+            silent_s=round(now - self.leadership.heard_at, 2),
+            offset=self._follower.copy.next_offset,
+        )
+        fence = WriterFence(claim.term, FIRST_SEQUENCE)
+        record = KeyedRecord(LEADER_KEY, encode(claim))
+        append = Append([record], fence, self._follower.copy.next_offset)
+
+        def claimed(got: Appended) -> None:
+            self._claiming = False
+            self.leadership.heard(time.monotonic())
+            self._telemetry.log("claim-answered", grave=True, outcome=got.outcome.value)
+            if self.scheduler is None:
+                self._follower.eager = False
+            self._follower.hurry()
+
+        self._log.append(append, claimed)
+
+    # The loop
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        if self._follower.contact:
+            self.leadership.in_contact(now)
+        else:
+            self.leadership.lost_contact()
+        if self.scheduler is None:
+            ready = self._follower.copy.loaded and not self._claiming and self._leaving is None
+            if ready and self.leadership.duty(now).claim:
+                self._claim(now)
+            return
+        if self.leadership.may_extend(now):
+            tick(self.scheduler, now)
+            self.scheduler.drop_ended(now)
+        self._work()
+
+    def _wake(self) -> None:
+        if not self._woken:
+            self._woken = True
+            self._timers.after(GATHER_S, self._work)
+
+    def _work(self) -> None:
+        self._woken = False
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        now = time.monotonic()
+        listed_at = self._runner_follower.copy.read_at
+        may_place = self._leaving is None and self._runner_follower.copy.loaded
+        if may_place and now - listed_at <= STALE_LIST_S:
+            scheduler.place(now, time.time() * 1000.0)
+        self._write(scheduler, now)
+        self._order(scheduler, now)
+
+    def _write(self, scheduler: Scheduler, now: float) -> None:
+        writer = self._writer
+        if writer is None or writer.busy or writer.closed:
+            return
+        batch = scheduler.take_batch()
+        if batch is not None:
+            self.leadership.wrote_at = now
+            if not batch.records:
+                scheduler.batch_kept(batch, now)
+                return
+            append = Append(batch.records)
+            writer.write(Writing(append, lambda sent_at: self._on_kept(batch, sent_at)))
+        elif self._leaving is not None:
+            self._write_claim(writer, resigned=True)
+        elif self.leadership.duty(now).heartbeat:
+            self.leadership.wrote_at = now
+            self._write_claim(writer, resigned=False)
+
+    def _write_claim(self, writer: LeaderWriter, resigned: bool) -> None:
+        claim = self.leadership.own_claim(resigned)
+
+        def kept(sent_at: float) -> None:
+            self.leadership.confirmed(sent_at)
+            if resigned:
+                self._step_down("leaving")
+
+        writer.write(Writing(Append([KeyedRecord(LEADER_KEY, encode(claim))]), kept))
+
+    def _on_kept(self, batch: Batch, sent_at: float) -> None:
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        now = time.monotonic()
+        self.leadership.confirmed(sent_at)
+        if now - sent_at > SELF_FENCE_S / 2:
+            self._step_down("a write was confirmed too late")
+            return
+        scheduler.batch_kept(batch, now)
+        self._work()
+
+    # Orders
+
+    def _order(self, scheduler: Scheduler, now: float) -> None:
+        may_extend = self.leadership.may_extend(now)
+        scheduler.orders += looks_due(scheduler, now, may_extend)
+        orders, scheduler.orders = scheduler.orders, []
+        for order in orders:
+            self._send(scheduler, order)
+        self._tell(scheduler)
+
+    def _send(self, scheduler: Scheduler, order: Order) -> None:
+        if isinstance(order, Look):
+            self._look(scheduler, order)
+        elif isinstance(order, Start):
+            self._start(scheduler, order)
+        elif isinstance(order, Stop):
+            self._stop(scheduler, order)
+        else:
+            self._pace(order)
+
+    def _look(self, scheduler: Scheduler, order: Look) -> None:
+        asked_at = time.monotonic()
+
+        def looked(got: Looked) -> None:
+            now = time.monotonic()
+            if got.report is not None:
+                look_answered(scheduler, order, got.report, asked_at, now)
+            else:
+                look_failed(scheduler, order, got.result, now)
+                self._check_outranked(scheduler, got.result)
+            if self.scheduler is scheduler:
+                self._wake()
+
+        self._runners.look(order, looked)
+
+    def _start(self, scheduler: Scheduler, order: Start) -> None:
+        def started(got: Answered) -> None:
+            start_answered(scheduler, order, got, time.monotonic())
+            self._check_outranked(scheduler, got.result)
+            if self.scheduler is scheduler and got.result is not OrderResult.DONE:
+                self._wake()
+
+        self._runners.start(order, started)
+
+    def _stop(self, scheduler: Scheduler, order: Stop) -> None:
+        self._runners.stop(
+            order, lambda got: stop_answered(scheduler, order, got, time.monotonic())
+        )
+
+    def _pace(self, order: Pace) -> None:
+        self._runners.pace(order, lambda got: None)
+
+    def _check_outranked(self, scheduler: Scheduler, result: OrderResult) -> None:
+        if result is OrderResult.OUTRANKED and self.scheduler is scheduler:
+            self._step_down("a runner has seen a higher fence")
+
+    def _tell(self, scheduler: Scheduler) -> None:
+        notes, scheduler.notes = scheduler.notes, []
+        for note in notes:
+            self._telemetry.log(note.name, grave=note.name in GRAVE, **note.fields)
+
+    # Runners
+
+    def on_runner_news(self, copy: KeyedLog) -> None:
+        """Take a change of the runners' entries."""
+        if self.scheduler is None or not copy.loaded:
+            return
+        entries: dict[RunnerId, RunnerEntry] = {}
+        for key, record in copy.newest.items():
+            if record.value:
+                entry = self._runner_of(key, record.value)
+                entries[entry.id] = entry
+        self.scheduler.list_runners(entries, time.monotonic())
+        self._wake()
--- /dev/null
+++ b/spoolcrank/job_intake.py
@@ -0,0 +1,167 @@
+"""Take jobs and wishes to cancel in at any instance, and say where jobs stand.
+
+A job is accepted once its record is on the log. Until a store's answer says otherwise, a
+record that was sent may be on it, now or later; then the job is neither accepted nor refused.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from spoolcrank._timers import Timers
+from spoolcrank.errors import ErrorKind
+from spoolcrank.ids import JobId
+from spoolcrank.job_index import JobIndex
+from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key
+from spoolcrank.log_follower import LogFollower
+from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort
+from spoolcrank.workflow import FINAL, JobPhase, JobRecord, encode
+
+GATHER_S = 0.002
+"""Records that come within so long share an append, s; half of the store's answer time."""
+
+RETRY_S = 0.08
+"""After an append that the store turned away, s."""
+
+KEEP_TRYING_S = 0.5
+"""A record that the store surely did not take is given up after so long, s; other instances
+may be served meanwhile, and the client's next attempt reaches one."""
+
+UNSURE_S = 1.7
+"""A record that may be on the log is given up as unknown after so long, s; two calls."""
+
+FRESH_S = 0.05
+"""A copy read so recently answers without another read, s."""
+
+MAX_BATCH_BYTES = 1 << 20
+"""Of one append, bytes; half of what the store takes."""
+
+
+class Wish(Enum):
+    """What a client was told of its wish."""
+
+    KEPT = "kept"
+    NOT_KEPT = "not-kept"
+    UNKNOWN = "unknown"
+
+
+@dataclass
+class _Pending:
+    record: KeyedRecord
+    done: Callable[[Wish], None]
+    since: float
+    unsure: bool = False
+
+
+class JobIntake:
+    """The door of one instance for jobs."""
+
+    def __init__(
+        self,
+        log: LogPort,
+        follower: LogFollower,
+        index: JobIndex,
+        timers: Timers,
+        clock: Callable[[], float],
+    ) -> None:
+        self._log = log
+        self._follower = follower
+        self._index = index
+        self._timers = timers
+        self._clock = clock
+        self._pending: list[_Pending] = []
+        self._flying = False
+        self._gathering = False
+
+    @property
+    def busy(self) -> int:
+        """Return how many wishes have no answer yet."""
+        return len(self._pending) + (1 if self._flying else 0)
+
+    def submit(self, job: JobId, record: JobRecord, done: Callable[[Wish], None]) -> None:
+        """Keep a job; the same id again is the same job."""
+        if self._index.phase(job) is not None:
+            done(Wish.KEPT)
+            return
+        self._keep(KeyedRecord(job_key(job), encode(record)), done)
+
+    def cancel(self, job: JobId, done: Callable[[Wish | ErrorKind], None]) -> None:
+        """Keep the wish to cancel a job."""
+
+        def known(phase: JobPhase | ErrorKind) -> None:
+            if isinstance(phase, ErrorKind):
+                done(phase)
+            elif phase in FINAL:
+                done(Wish.KEPT)
+            else:
+                self._keep(KeyedRecord(cancel_key(job), b"1"), done)
+
+        if self._index.phase(job) is not None:
+            known(self._index.phase(job) or JobPhase.PENDING)
+        else:
+            self.state(job, known)
+
+    def state(self, job: JobId, done: Callable[[JobPhase | ErrorKind], None]) -> None:
+        """Tell where a job stands now, from a copy read after the question came."""
+        phase = self._index.phase(job)
+        fresh = self._clock() - self._follower.copy.read_at <= FRESH_S
+        if phase is not None and (fresh or phase in FINAL):
+            done(phase)
+            return
+
+        def refreshed(ok: bool) -> None:
+            newer = self._index.phase(job)
+            if newer is not None:
+                done(newer)
+            else:
+                done(ErrorKind.NO_SUCH_JOB if ok else ErrorKind.LOG_UNAVAILABLE)
+
+        self._follower.refresh(refreshed)
+
+    # Keeping records
+
+    def _keep(self, record: KeyedRecord, done: Callable[[Wish], None]) -> None:
+        self._pending.append(_Pending(record, done, self._clock()))
+        if not self._gathering and not self._flying:
+            self._gathering = True
+            self._timers.after(GATHER_S, self._send)
+
+    def _send(self) -> None:
+        self._gathering = False
+        if self._flying or not self._pending:
+            return
+        batch: list[_Pending] = []
+        size = 0
+        while self._pending and (not batch or size < MAX_BATCH_BYTES):
+            batch.append(self._pending.pop(0))
+            size += len(batch[-1].record.value)
+        self._flying = True
+        append = Append([one.record for one in batch])
+        self._log.append(append, lambda got: self._on_appended(batch, got))
+
+    def _on_appended(self, batch: list[_Pending], got: Appended) -> None:
+        self._flying = False
+        if got.outcome is AppendOutcome.KEPT:
+            for place, one in enumerate(batch):
+                record = one.record._replace(offset=got.offset + place)
+                self._follower.copy.apply(record)
+                self._index.take(record)
+                one.done(Wish.KEPT)
+        else:
+            self._try_again(batch, got)
+        if self._pending and not self._gathering:
+            self._gathering = True
+            delay_s = GATHER_S if got.outcome is AppendOutcome.KEPT else RETRY_S
+            self._timers.after(delay_s, self._send)
+
+    def _try_again(self, batch: list[_Pending], got: Appended) -> None:
+        now = self._clock()
+        left = []
+        for one in batch:
+            one.unsure = one.unsure or got.outcome is AppendOutcome.UNKNOWN
+            limit_s = UNSURE_S if one.unsure else KEEP_TRYING_S
+            if now - one.since < limit_s:
+                left.append(one)
+            else:
+                one.done(Wish.UNKNOWN if one.unsure else Wish.NOT_KEPT)
+        self._pending = left + self._pending
--- /dev/null
+++ b/spoolcrank/leader_writer.py
@@ -0,0 +1,84 @@
+"""Write the leader's records in order: one append at a time, repeated until it is known.
+
+Repeating is safe, as the store gives a repeated sequence its first answer again, and nothing
+of an earlier term is taken any more.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from spoolcrank._timers import Timers
+from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort, WriterFence
+
+RETRY_S = 0.08
+"""Before an append is sent again, s."""
+
+
+class Writing(NamedTuple):
+    """One append of the leader; `kept` is told with the time when it was first sent."""
+
+    append: Append
+    kept: Callable[[float], None]
+
+
+class LeaderWriter:
+    """The appends of one term."""
+
+    def __init__(
+        self,
+        log: LogPort,
+        timers: Timers,
+        clock: Callable[[], float],
+        term: int,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._log = log
+        self._timers = timers
+        self._clock = clock
+        self._term = term
+        self._sequence = FIRST_SEQUENCE
+        self._on_lost = on_lost
+        self.busy = False
+        self.closed = False
+        self.stuck_since: float | None = None
+
+    def write(self, writing: Writing) -> None:
+        """Append; only while not `busy`."""
+        self.busy = True
+        self._sequence += 1
+        fence = WriterFence(self._term, self._sequence)
+        self._send(writing._replace(append=writing.append._replace(fence=fence)), self._clock())
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self.closed = True
+
+    def _send(self, writing: Writing, first_at: float) -> None:
+        if self.closed:
+            return
+        sent_at = self._clock()
+
+        def appended(got: Appended) -> None:
+            if not self.closed:
+                self._on_appended(writing, first_at, sent_at, got)
+
+        self._log.append(writing.append, appended)
+
+    def _on_appended(
+        self, writing: Writing, first_at: float, sent_at: float, got: Appended
+    ) -> None:
+        if got.outcome is AppendOutcome.KEPT:
+            self.busy = False
+            self.stuck_since = None
+            writing.kept(sent_at)
+        elif got.outcome in (AppendOutcome.NOT_KEPT, AppendOutcome.UNKNOWN):
+            if self.stuck_since is None:
+                self.stuck_since = first_at
+            self._timers.after(RETRY_S, lambda: self._send(writing, first_at))
+        else:
+            self.closed = True
+            self._on_lost(got.outcome.value)
+
+
+FIRST_SEQUENCE = 1
+"""The sequence of the claim itself; the leader's records follow."""
--- /dev/null
+++ b/spoolcrank/log_follower.py
@@ -0,0 +1,177 @@
+"""Keep a copy of a keyed log up to date: load the newest records, then read on."""
+
+from collections.abc import Callable
+
+from spoolcrank._timers import Timers
+from spoolcrank.keyed_log import KeyedLog, KeyedRecord
+from spoolcrank.store_port import LogPort, NewestPage, ReadOutcome, Records
+
+EAGER_GAP_S = 0.004
+"""An eager follower reads on after so long, s; what comes close together costs one read."""
+
+LAZY_GAP_S = 0.3
+"""A lazy follower reads on after so long, s; a state may be asked for at any time, and then it
+reads at once."""
+
+WAIT_MS = 700
+"""A read waits so long for a record, ms; with the store's call time below the 2 s in which a
+configuration must be in force."""
+
+RETRY_S = 0.15
+"""After a read that failed, s."""
+
+News = Callable[[list[KeyedRecord]], None]
+Refreshed = Callable[[bool], None]
+
+
+class LogFollower:
+    """Reads one keyed log into a copy and tells what is new."""
+
+    def __init__(
+        self,
+        log: LogPort,
+        timers: Timers,
+        clock: Callable[[], float],
+        on_news: News,
+        on_contact: Callable[[bool, str], None],
+    ) -> None:
+        self.copy = KeyedLog()
+        self.eager = False
+        self.contact = False
+        self._log = log
+        self._timers = timers
+        self._clock = clock
+        self._on_news = on_news
+        self._on_contact = on_contact
+        self._generation = 0
+        self._page_end = -1
+        self._reading = False
+        self._refreshing = False
+        self._asked: list[Refreshed] = []
+
+    def begin(self) -> None:
+        """Start to follow, or start anew."""
+        self._generation += 1
+        self.copy.reset()
+        self._page_end = -1
+        self._load("")
+
+    def pause(self) -> None:
+        """Stop reading; the copy is out of date from now on."""
+        self._generation += 1
+        self.copy.reset()
+
+    def hurry(self) -> None:
+        """Read at once where the next read was put off."""
+        if self.copy.loaded and not self._reading:
+            self._generation += 1
+            self._read()
+
+    def refresh(self, done: Refreshed) -> None:
+        """Bring the copy up to now; `done` is told whether that worked."""
+        if not self.copy.loaded:
+            done(False)
+            return
+        self._asked.append(done)
+        if not self._refreshing:
+            self._refresh()
+
+    # Loading
+
+    def _load(self, after_key: str) -> None:
+        generation = self._generation
+        asked_at = self._clock()
+
+        def loaded(page: NewestPage) -> None:
+            if generation == self._generation:
+                self._on_page(page, after_key, asked_at)
+
+        self._log.newest(after_key, loaded)
+
+    def _on_page(self, page: NewestPage, after_key: str, asked_at: float) -> None:
+        self._tell_contact(page.ok, page.detail)
+        if not page.ok:
+            self._later(RETRY_S, lambda: self._load(after_key))
+            return
+        if self._page_end < 0:
+            self._page_end = page.end
+        records = self.copy.load_page(page.records)
+        if page.more and page.records:
+            self._on_news(records)
+            self._load(page.records[-1].key)
+            return
+        self.copy.loaded_to(self._page_end)
+        self.copy.read_at = max(self.copy.read_at, asked_at)
+        self._on_news(records)
+        self._read()
+
+    # Reading on
+
+    def _read(self) -> None:
+        generation = self._generation
+        asked_at = self._clock()
+        self._reading = True
+
+        def got(records: Records) -> None:
+            if generation == self._generation:
+                self._reading = False
+                self._on_records(records, asked_at)
+
+        self._log.read(self.copy.next_offset, WAIT_MS, got)
+
+    def _on_records(self, got: Records, asked_at: float) -> None:
+        generation = self._generation
+        if not self._take(got, asked_at):
+            return
+        if generation != self._generation:
+            return
+        if got.outcome is ReadOutcome.FAILED:
+            self._later(RETRY_S, self._read)
+        elif self.eager:
+            self._later(EAGER_GAP_S, self._read)
+        else:
+            self._later(LAZY_GAP_S if got.records else 0.0, self._read)
+
+    def _take(self, got: Records, asked_at: float) -> bool:
+        """Take a read's result; returns whether the copy still stands."""
+        self._tell_contact(got.outcome is not ReadOutcome.FAILED, got.detail)
+        if got.outcome is ReadOutcome.EXPIRED or (
+            got.outcome is ReadOutcome.OK and got.end < self.copy.next_offset
+        ):
+            self.begin()
+            return False
+        if got.outcome is ReadOutcome.OK:
+            news = self.copy.extend(got.records, asked_at)
+            self._on_news(news)
+        return True
+
+    def _refresh(self) -> None:
+        self._refreshing = True
+        asked, self._asked = self._asked, []
+        asked_at = self._clock()
+
+        def got(records: Records) -> None:
+            self._refreshing = False
+            ok = records.outcome is ReadOutcome.OK
+            if self.copy.loaded:
+                self._take(records, asked_at)
+            for done in asked:
+                done(ok)
+            if self._asked:
+                self._refresh()
+
+        self._log.read(self.copy.next_offset, 0, got)
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        generation = self._generation
+
+        def act() -> None:
+            if generation == self._generation:
+                action()
+
+        self._timers.after(delay_s, act)
+
+    def _tell_contact(self, contact: bool, detail: str) -> None:
+        if contact != self.contact:
+            self.contact = contact
+            self._on_contact(contact, detail)
--- /dev/null
+++ b/spoolcrank/platform/daemon.py
@@ -0,0 +1,184 @@
+"""Assemble the daemon of one instance on the platform."""
+
+import os
+import signal
+import time
+from collections.abc import Callable
+
+from spoolcrank._runtime import Runtime
+from spoolcrank._web import HttpReply, HttpRequest, Reply
+from spoolcrank.dispatcher import Dispatcher
+from spoolcrank.ids import Address, Incarnation, unique
+from spoolcrank.job_index import JobIndex
+from spoolcrank.job_intake import JobIntake
+from spoolcrank.keyed_log import KeyedRecord
+from spoolcrank.leadership import Leadership
+from spoolcrank.log_follower import LogFollower
+from spoolcrank.platform.clients import ClientDoor
+from spoolcrank.platform.documents import configuration_of, runner_of
+from spoolcrank.platform.runners import PlatformRunners
+from spoolcrank.platform.settings import FILE_VARIABLE, PlatformSettings, read_settings
+from spoolcrank.platform.store import StoreLog
+from spoolcrank.routes import RouteTable
+from spoolcrank.scheduler import RoutePolicy
+from spoolcrank.telemetry import Telemetry
+from spoolcrank.workflow import RouteName
+
+JOBS = "jobs"
+"""The log of the scheduler's own records."""
+
+OPERATOR = "op"
+RUNNERS = "servers"
+_CONFIGURATION_KEY = "config"
+_READY_PATH = "/api/readyz"
+
+OUT_OF_TOUCH_S = 1.5
+"""An instance that the store has not answered for so long calls itself not ready, s."""
+
+LINGER_S = 2.5
+"""After the signal to stop, new connections are taken for so long, s: the balancer asks each
+second and goes by two answers."""
+
+STOP_CHECK_S = 0.05
+STOP_SPARE_S = 1.0
+"""Left of the grace when the process ends whatever is unanswered, s."""
+
+
+class PlatformDaemon:
+    """One instance: takes jobs in, and schedules when it leads."""
+
+    def __init__(self, runtime: Runtime, cfg: PlatformSettings, metrics_port: int) -> None:
+        self._runtime = runtime
+        self._cfg = cfg
+        self._routes: RouteTable | None = None
+        self._stopping = False
+        timers, http = runtime.timers, runtime.http
+        self.telemetry = Telemetry(timers, cfg.instance_id)
+        self._touched_at = -OUT_OF_TOUCH_S
+        log = StoreLog(http, cfg.store, JOBS)
+        self.index = JobIndex()
+        self.follower = self._follow(log, self._on_job_news, JOBS)
+        self._configuration = self._follow(
+            StoreLog(http, cfg.store, OPERATOR), self._on_operator_news, OPERATOR
+        )
+        self._runners = self._follow(
+            StoreLog(http, cfg.store, RUNNERS), self._on_runner_news, RUNNERS
+        )
+        self.intake = JobIntake(log, self.follower, self.index, timers, time.monotonic)
+        incarnation = Incarnation(unique(cfg.instance_id))
+        self.dispatcher = Dispatcher(
+            Leadership(cfg.instance_id, incarnation, time.monotonic()),
+            log,
+            self.follower,
+            self._runners,
+            runner_of,
+            PlatformRunners(http),
+            timers,
+            self.telemetry,
+        )
+        door = ClientDoor(self.intake, self.index, lambda: self._routes, self.telemetry)
+        self._clients = runtime.serve(cfg.clients, door.answer, "clients")
+        self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
+        runtime.on_stop(self._stop)
+        self.telemetry.log("start", grave=True, incarnation=incarnation, clients=cfg.clients)
+        self._configuration.begin()
+        self.follower.begin()
+
+    def _follow(
+        self, log: StoreLog, on_news: Callable[[list[KeyedRecord]], None], name: str
+    ) -> LogFollower:
+        def on_contact(contact: bool, detail: str) -> None:
+            event = "store-regained" if contact else "store-lost"
+            self.telemetry.log(event, grave=True, log=name, detail=detail)
+
+        return LogFollower(log, self._runtime.timers, time.monotonic, on_news, on_contact)
+
+    # What was read
+
+    def _on_job_news(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            self.index.take(record)
+        self.dispatcher.on_news(records)
+
+    def _on_operator_news(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.key == _CONFIGURATION_KEY and record.value:
+                self._on_configuration(configuration_of(record.value), record.offset)
+
+    def _on_configuration(self, table: RouteTable, offset: int) -> None:
+        if self._routes is not None and table.version <= self._routes.version:
+            return
+        self._routes = table
+        policies: dict[RouteName, RoutePolicy] = {
+            one.name: RoutePolicy(one.service, one.priority, one.max_attempts)
+            for one in table.routes
+        }
+        self.dispatcher.set_routes(policies)
+        self.telemetry.log(
+            "configuration",
+            grave=True,
+            version=table.version,
+            offset=offset,
+            routes=len(table.routes),
+        )
+
+    def _on_runner_news(self, records: list[KeyedRecord]) -> None:
+        if records:
+            self.dispatcher.on_runner_news(self._runners.copy)
+
+    # Standing
+
+    def _answer_ready(self, req: HttpRequest, reply: Reply) -> None:
+        ok = req.path == _READY_PATH and self.ready
+        reply(HttpReply(200 if ok else 503, {}, b""))
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether clients should be sent here."""
+        touched_at = max(self.follower.copy.read_at, self._configuration.copy.read_at)
+        in_touch = time.monotonic() - touched_at <= OUT_OF_TOUCH_S
+        loaded = self.follower.copy.loaded and self._routes is not None
+        return loaded and in_touch and not self._stopping
+
+    def _stop(self, finish: Callable[[], None]) -> None:
+        begun_at = time.monotonic()
+        self._stopping = True
+        self._clients.close_after_answers()
+        self.telemetry.log("stopping", grave=True, unanswered=self._clients.unanswered)
+        left = [False]
+
+        def on_left() -> None:
+            left[0] = True
+
+        def check() -> None:
+            since = time.monotonic() - begun_at
+            quiet = left[0] and self._clients.unanswered == 0 and since >= LINGER_S
+            if quiet or since >= self._cfg.grace_s - STOP_SPARE_S:
+                self.telemetry.log("stop", grave=True, after_s=round(since, 2))
+                self.telemetry.flush()
+                finish()
+                return
+            self._runtime.timers.after(STOP_CHECK_S, check)
+
+        self.dispatcher.leave(on_left)
+        check()
+
+    def reload(self) -> None:
+        """Read the settings file again; what cannot change while running is only logged."""
+        cfg = read_settings(os.environ[FILE_VARIABLE])
+        self.telemetry.log("reload", grave=True, changed=cfg != self._cfg)
+        self._cfg = cfg._replace(clients=self._cfg.clients, ready=self._cfg.ready)
+
+
+def run(metrics_port: int) -> None:
+    """Run the daemon until it is told to stop."""
+    cfg = read_settings(os.environ[FILE_VARIABLE])
+    runtime = Runtime()
+    daemon = PlatformDaemon(runtime, cfg, metrics_port)
+    signal.signal(signal.SIGHUP, lambda number, frame: runtime.post(daemon.reload))
+    runtime.run_here()
+
+
+def address_on(ip: str, port: int) -> Address:
+    """Return `IP:PORT`."""
+    return Address(f"{ip}:{port}")
--- /dev/null
+++ b/spoolcrank/platform/settings.py
@@ -0,0 +1,75 @@
+"""Decode the settings file that the platform places for each process."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from spoolcrank.errors import ErrorKind, Refusal, SettingsError
+from spoolcrank.ids import Address, AvailabilityZone, InstanceId
+
+FILE_VARIABLE = "SPOOLCRANK_NODE_FILE"
+
+
+class _Listen(msgspec.Struct):
+    front: Address
+    ready: Address
+
+
+class _Store(msgspec.Struct):
+    address: Address
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = msgspec.field(name="graceS", default=6.0)
+
+
+class _File(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+class PlatformSettings(NamedTuple):
+    """What one instance is told at its start.
+
+    Attributes:
+        instance_id: its name.
+        ip: its address.
+        availability_zone: where it stands.
+        clients: where clients reach it.
+        ready: where the balancer asks whether it takes requests.
+        store: the store's address.
+        grace_s: from the signal to stop until it is killed, seconds.
+    """
+
+    instance_id: InstanceId
+    ip: str
+    availability_zone: AvailabilityZone
+    clients: Address
+    ready: Address
+    store: Address
+    grace_s: float
+
+
+_decode = msgspec.json.Decoder(_File).decode
+
+
+def read_settings(path: str) -> PlatformSettings:
+    """Read the file; raises SettingsError naming the field that is wrong or missing."""
+    try:
+        raw = _decode(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError) as exc:
+        raise SettingsError(Refusal(ErrorKind.BAD_SETTINGS, f"{path}: {exc}")) from exc
+    return PlatformSettings(
+        InstanceId(raw.node),
+        raw.ip,
+        AvailabilityZone(raw.zone),
+        raw.listen.front,
+        raw.listen.ready,
+        raw.platform.address,
+        raw.bounds.grace_s,
+    )
--- /dev/null
+++ b/spoolcrank/run_control.py
@@ -0,0 +1,332 @@
+"""Bring the runs of one leader to a known state: orders answered, refused or unanswered.
+
+A call without an answer may have been carried out, and may still be, seconds later. So a run
+counts as gone only when its runner listed its end, when a stop of it was taken and a later
+look shows neither run nor end, when the runner's life is over, or when every lease that
+was granted to it has passed.
+"""
+
+from spoolcrank.orders import (
+    Answered,
+    EndedRow,
+    Look,
+    OrderResult,
+    Report,
+    RunningRow,
+    Start,
+    Stop,
+)
+from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.scheduler import INHERITED_S, Scheduler
+from spoolcrank.workflow import FINAL, TaskKey
+
+START_TRIES = 2
+"""A start without an answer is sent so often before it is stopped instead; most that were
+carried out answer the second time."""
+
+RETRY_ORDER_S = 0.15
+"""Between two sendings of the same order, s; several times an answer's usual time."""
+
+LOOK_WAIT_MS = 1000
+"""A look at a busy runner waits so long for an end, ms; a fifth of the lease."""
+
+IDLE_LOOK_S = 1.5
+"""Between looks at a runner without runs, s; below the time after which it counts as stale."""
+
+SILENT_LOOK_S = 0.4
+"""Between looks at a runner that does not answer, s."""
+
+ABSENT_S = 1.0
+"""A run that was taken but that looks asked so much later do not show is lost, s."""
+
+HUNG_AFTER = 3.0
+"""A task without progress for so many times its estimate stands still."""
+
+HUNG_LEAST_S = 2.5
+"""No task counts as standing still before so long, s; reports come each second."""
+
+
+# Looks
+
+
+def looks_due(state: Scheduler, now: float, may_extend: bool) -> list[Look]:
+    """Return the looks to send now, one at a time for each runner."""
+    looks = []
+    for runner in state.runners.values():
+        if runner.looking or runner.gone or not runner.entry.address:
+            continue
+        if runner.seen_next > runner.seen or not _look_is_due(runner, now):
+            continue
+        looks.append(_look(state, runner, now, may_extend))
+    return looks
+
+
+def _look_is_due(runner: RunnerState, now: float) -> bool:
+    since = now - runner.looked_at
+    if runner.silent_since is not None:
+        return since >= SILENT_LOOK_S
+    if not runner.adopted:
+        return True
+    if runner.runs:
+        return True
+    return runner.listed and since >= IDLE_LOOK_S
+
+
+def _look(state: Scheduler, runner: RunnerState, now: float, may_extend: bool) -> Look:
+    runner.looking = True
+    runner.looked_at = now
+    until_ms = None
+    if runner.adopted and runner.runs and may_extend:
+        until_ms = runner.grant(now)
+    calm = runner.adopted and runner.silent_since is None and runner.runs
+    return Look(state.target(runner), runner.seen, until_ms, LOOK_WAIT_MS if calm else 0)
+
+
+def look_answered(
+    state: Scheduler, look: Look, report: Report, asked_at: float, now: float
+) -> None:
+    """Take a runner's lists."""
+    runner = state.runners.get(look.target.runner)
+    if runner is None or runner.gone:
+        return
+    runner.looking = False
+    was_silent = runner.silent_since
+    runner.heard(report.clock_ms, asked_at, now)
+    if was_silent is not None:
+        state.note("runner-answers", runner=runner.id, silent_s=round(now - was_silent, 2))
+    for end in report.ended:
+        _take_end(state, runner, end, now)
+    present = {(row.task, row.run) for row in report.running}
+    for row in report.running:
+        _take_running(state, runner, row, now)
+    if not runner.adopted:
+        _adopt(state, runner, present, now)
+    _check_absent(state, runner, present, asked_at, now)
+
+
+def _take_end(state: Scheduler, runner: RunnerState, row: EndedRow, now: float) -> None:
+    if row.number <= runner.seen_next:
+        return
+    runner.seen_next = row.number
+    run = runner.runs.get(row.task)
+    if run is None or run.number != row.run:
+        state.note("end-not-ours", task=row.task, run=row.run, runner=runner.id, how=row.how.value)
+        return
+    _judge_runner(state, runner, run, row, now)
+    state.end_run(row.task, runner, row.how, row.saved, now)
+
+
+def _judge_runner(
+    state: Scheduler, runner: RunnerState, run: Run, row: EndedRow, now: float
+) -> None:
+    if row.how.value == "done":
+        runner.trust()
+    elif row.how.value == "failed":
+        runner.odd_failures += 1
+        if runner.odd_failures >= 2:
+            runner.distrust(now)
+            state.note("runner-distrusted", runner=runner.id, failures=runner.odd_failures)
+
+
+def _take_running(state: Scheduler, runner: RunnerState, row: RunningRow, now: float) -> None:
+    run = runner.runs.get(row.task)
+    if run is None or run.number != row.run:
+        state.note("run-not-ours", task=row.task, run=row.run, runner=runner.id)
+        state.orders.append(Stop(state.target(runner), row.task, row.run))
+        return
+    if run.stage in (RunStage.ORDERED, RunStage.UNSURE):
+        run.stage = RunStage.RUNNING
+        run.since = now
+    if row.percent != run.percent:
+        run.percent = row.percent
+        run.moved_at = now
+    if run.serves:
+        run.tail_ms = row.figure
+    job = state.jobs.get(row.task.job)
+    if job is None or not job.has(row.task):
+        return
+    if row.saved:
+        job.task(row.task).saved = row.saved
+    if job.phase in FINAL and run.stage is RunStage.RUNNING:
+        state.stop_run(row.task, runner.id, now)
+
+
+def _adopt(
+    state: Scheduler, runner: RunnerState, present: set[tuple[TaskKey, int]], now: float
+) -> None:
+    """Take a runner over: under our fence no older order is carried out there any more."""
+    runner.adopted = True
+    runner.granted_known = True
+    runner.grant(now)
+    state.note("runner-adopted", runner=runner.id, running=len(present), bound=len(runner.runs))
+    for key, run in list(runner.runs.items()):
+        if run.stage is RunStage.UNSURE and (key, run.number) not in present:
+            state.release(key, runner, "never started there", now)
+
+
+def _check_absent(
+    state: Scheduler,
+    runner: RunnerState,
+    present: set[tuple[TaskKey, int]],
+    asked_at: float,
+    now: float,
+) -> None:
+    for key, run in list(runner.runs.items()):
+        if (key, run.number) in present or run.in_flight:
+            continue
+        if run.stage is RunStage.RUNNING and asked_at - run.since >= ABSENT_S:
+            state.release(key, runner, "not listed any more", now)
+        elif run.stage is RunStage.STOPPING and run.tries == 0 and asked_at > run.since:
+            state.release(key, runner, "stopped", now)
+
+
+def look_failed(state: Scheduler, look: Look, result: OrderResult, now: float) -> None:
+    """Take note that a look got no lists."""
+    runner = state.runners.get(look.target.runner)
+    if runner is None:
+        return
+    runner.looking = False
+    if result is OrderResult.OTHER_LIFE:
+        state.lose_runner(runner, "another life answers", now)
+        return
+    if runner.silent_since is None:
+        state.note("runner-silent", runner=runner.id, result=result.value, runs=len(runner.runs))
+    runner.missed(now)
+
+
+# Starts
+
+
+def start_answered(state: Scheduler, start: Start, answered: Answered, now: float) -> None:
+    """Go on with a run whose start was answered, refused, or not answered."""
+    runner = state.runners.get(start.target.runner)
+    run = runner.runs.get(start.task) if runner is not None else None
+    if runner is None or run is None or run.number != start.run:
+        return
+    run.in_flight = False
+    result = answered.result
+    if result is not OrderResult.DONE:
+        state.note(
+            "start-refused",
+            task=start.task,
+            run=start.run,
+            runner=runner.id,
+            result=result.value,
+            tries=run.tries,
+        )
+    if result is OrderResult.OTHER_LIFE:
+        state.lose_runner(runner, "another life answers", now)
+    elif run.stage is RunStage.STOPPING:
+        return
+    elif result is OrderResult.DONE:
+        _start_taken(state, start, runner, run, now)
+    elif result is OrderResult.UNKNOWN:
+        run.stage = RunStage.UNSURE
+        run.since = now
+        runner.missed(now)
+    elif run.tries > 1:
+        state.stop_run(start.task, runner.id, now)
+    else:
+        _never_started(state, start, runner, result, now)
+
+
+def _start_taken(state: Scheduler, start: Start, runner: RunnerState, run: Run, now: float) -> None:
+    run.stage = RunStage.RUNNING
+    run.since = now
+    run.moved_at = now
+    job = state.jobs.get(start.task.job)
+    if job is not None and job.phase in FINAL:
+        state.stop_run(start.task, runner.id, now)
+
+
+def _never_started(
+    state: Scheduler, start: Start, runner: RunnerState, result: OrderResult, now: float
+) -> None:
+    if result is OrderResult.NOT_DONE:
+        runner.missed(now)
+    elif result is OrderResult.OUTRANKED:
+        runner.adopted = False
+    else:
+        runner.distrust(now)
+    job = state.jobs.get(start.task.job)
+    if job is not None and job.has(start.task):
+        job.task(start.task).refused_by = runner.id
+    state.release(start.task, runner, f"start refused: {result.value}", now)
+
+
+# Stops
+
+
+def stop_answered(state: Scheduler, stop: Stop, answered: Answered, now: float) -> None:
+    """Go on with a run that was told to stop."""
+    runner = state.runners.get(stop.target.runner)
+    run = runner.runs.get(stop.task) if runner is not None else None
+    if runner is None:
+        return
+    if answered.result is OrderResult.OTHER_LIFE:
+        state.lose_runner(runner, "another life answers", now)
+        return
+    if run is None or run.number != stop.run or run.stage is not RunStage.STOPPING:
+        return
+    run.in_flight = False
+    run.since = now
+    if answered.result is OrderResult.DONE:
+        run.tries = 0
+    else:
+        state.note(
+            "stop-refused",
+            task=stop.task,
+            run=stop.run,
+            runner=runner.id,
+            result=answered.result.value,
+        )
+
+
+# Time
+
+
+def tick(state: Scheduler, now: float) -> None:
+    """Do what time alone makes due: lapsed leases, orders to send again, tasks that hang."""
+    for runner in list(state.runners.values()):
+        if runner.silent_since is not None or not runner.adopted:
+            _check_lapsed(state, runner, now)
+        for key, run in list(runner.runs.items()):
+            _tick_run(state, runner, key, run, now)
+
+
+def _check_lapsed(state: Scheduler, runner: RunnerState, now: float) -> None:
+    never_reached = not runner.adopted and now - state.began_at > INHERITED_S
+    if not never_reached and not runner.surely_ended(now):
+        return
+    for key in list(runner.runs):
+        state.release(key, runner, "every lease has passed", now)
+
+
+def _tick_run(state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float) -> None:
+    if run.in_flight or not runner.adopted:
+        return
+    if run.stage is RunStage.UNSURE and now - run.since >= RETRY_ORDER_S:
+        if run.tries < START_TRIES and key.job in state.jobs:
+            state.order_start(key, runner, run, now)
+        else:
+            state.stop_run(key, runner.id, now)
+    elif run.stage is RunStage.STOPPING and run.tries > 0 and now - run.since >= RETRY_ORDER_S:
+        run.since = now
+        state.order_stop(key, runner, run)
+    elif run.stage is RunStage.RUNNING and not run.lasting:
+        _check_hung(state, runner, key, run, now)
+
+
+def _check_hung(state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float) -> None:
+    job = state.jobs.get(key.job)
+    if job is None or runner.silent_since is not None or run.percent < 0:
+        return
+    estimate_s = job.record.workflow.steps[key.step].estimate_ms / 1000.0
+    patience_s = max(HUNG_LEAST_S, estimate_s * HUNG_AFTER)
+    if run.fills and run.pace < 100:
+        return
+    if now - max(run.moved_at, run.since) >= patience_s:
+        state.note("task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent)
+        runner.distrust(now)
+        job.task(key).refused_by = runner.id
+        state.stop_run(key, runner.id, now)
--- /dev/null
+++ b/spoolcrank/runner_state.py
@@ -0,0 +1,239 @@
+"""Keep what the leader knows of one runner: its clock, its lease, its room, its runs.
+
+A runner may be silent, late or replaced at any time. Everything here is written so that a
+task counts as possibly running until the runner itself, or the passing of every lease that
+was ever granted to it, says otherwise.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from spoolcrank.ids import Address, AvailabilityZone, ServiceName
+from spoolcrank.workflow import Demand, RunnerId, TaskKey
+
+LEASE_MS = 5000
+"""What one order grants, ms: a takeover (under 3 s) and a look (1 s) must fit into it."""
+
+CLOCK_DRIFT = 0.02
+"""A runner's clock may be so much slower than ours; stated by the platform."""
+
+FRESH_S = 2.5
+"""A runner that has not answered for so long gets no new work, s; two looks and a pause."""
+
+DISTRUST_S = 4.0
+"""A runner that failed oddly gets no new work for so long, s; doubled up to MAX_DISTRUST_S."""
+
+MAX_DISTRUST_S = 16.0
+"""Upper bound of the distrust, s; a runner that mends is tried again within it."""
+
+
+class RunnerEntry(NamedTuple):
+    """What a runner says of itself in the platform's store.
+
+    Attributes:
+        id: of this life of the runner; a restart brings a new one.
+        address: where it takes orders.
+        availability_zone: where it stands.
+        service: whose work it runs.
+        room: what it can hold in all.
+        labels: its kind, its rack and the like.
+        leaving: it takes no new work.
+    """
+
+    id: RunnerId
+    address: Address
+    availability_zone: AvailabilityZone
+    service: ServiceName
+    room: Demand
+    labels: frozenset[str]
+    leaving: bool
+
+
+def unlisted(runner: RunnerId, service: ServiceName) -> RunnerEntry:
+    """Return the entry of a runner that only the records of a job still name."""
+    nowhere = Address("")
+    return RunnerEntry(
+        runner, nowhere, AvailabilityZone(""), service, Demand(), frozenset(), leaving=True
+    )
+
+
+class RunStage(Enum):
+    """How far the order of one run has come."""
+
+    RECORDED = "recorded"
+    ORDERED = "ordered"
+    UNSURE = "unsure"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass
+class Run:
+    """One run that may be on a runner.
+
+    Attributes:
+        number: rises with each start of the task.
+        stage: how far its order has come.
+        demand: what counts against the room.
+        wanted_millicores: what it would use if it could, counted or not.
+        since: when the stage began, monotonic seconds.
+        percent: newest progress or pace, -1 before the first report.
+        moved_at: when `percent` last changed.
+        tries: orders sent so far in this stage.
+        tail_ms: newest tail latency of a task that serves, 0 if unknown.
+        pace: percent at which it may work.
+    """
+
+    number: int
+    stage: RunStage
+    demand: Demand
+    wanted_millicores: int
+    since: float
+    fills: bool = False
+    serves: bool = False
+    lasting: bool = False
+    percent: int = -1
+    moved_at: float = 0.0
+    tries: int = 0
+    tail_ms: float = 0.0
+    pace: int = 100
+    in_flight: bool = False
+
+
+@dataclass
+class RunnerState:
+    """One life of a runner as the leader sees it.
+
+    Attributes:
+        adopted: it has answered under this leader's fence, so older orders are void there.
+        gone: it does not exist any more; nothing runs on it.
+        listed: its entry stands in the store.
+        granted_ms: the latest time, on the runner's clock, that any order may keep it alive to.
+        granted_known: whether `granted_ms` covers what earlier leaders granted too.
+        seen: ends up to this number are recorded and may be forgotten by the runner.
+        seen_next: as `seen`, once what is being recorded now is kept.
+        silent_since: when it stopped answering; None while it answers.
+    """
+
+    entry: RunnerEntry
+    adopted: bool = False
+    gone: bool = False
+    listed: bool = True
+    clock_ms: float = 0.0
+    clock_at: float = -1.0
+    answered_at: float = -1.0
+    granted_ms: float = 0.0
+    granted_known: bool = False
+    seen: int = 0
+    seen_next: int = 0
+    silent_since: float | None = None
+    looking: bool = False
+    looked_at: float = -1.0
+    distrusted_until: float = -1.0
+    distrust_s: float = 0.0
+    odd_failures: int = 0
+    runs: dict[TaskKey, Run] = field(default_factory=dict)
+    used_millicores: int = 0
+    used_memory_mb: int = 0
+    used_accelerators: int = 0
+    filled_millicores: int = 0
+    serving: int = 0
+
+    @property
+    def id(self) -> RunnerId:
+        """Return the id of this life."""
+        return self.entry.id
+
+    def heard(self, clock_ms: float, asked_at: float, now: float) -> None:
+        """Take the runner's clock from an answer to a call sent at `asked_at`."""
+        if self.clock_at < 0 or clock_ms >= self.clock_lower(now):
+            self.clock_ms = clock_ms
+            self.clock_at = now
+        self.answered_at = max(self.answered_at, asked_at)
+        self.silent_since = None
+
+    def missed(self, now: float) -> None:
+        """Take note that a call got no answer."""
+        if self.silent_since is None:
+            self.silent_since = now
+
+    def clock_lower(self, now: float) -> float:
+        """Return what the runner's clock shows at least, ms."""
+        return self.clock_ms + (now - self.clock_at) * 1000.0 * (1.0 - CLOCK_DRIFT)
+
+    def grant(self, now: float) -> int:
+        """Return until when, on the runner's clock, an order sent now may grant; notes it.
+
+        While the runner is silent nothing more is granted, so that its runs surely end.
+        """
+        if self.silent_since is None:
+            self.granted_ms = max(self.granted_ms, float(int(self.clock_lower(now)) + LEASE_MS))
+        return int(self.granted_ms)
+
+    def surely_ended(self, now: float) -> bool:
+        """Tell whether every lease ever granted to this life has passed."""
+        if self.gone:
+            return True
+        if self.clock_at < 0 or not self.granted_known:
+            return False
+        return self.clock_lower(now) > self.granted_ms
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new work may go there."""
+        return (
+            self.adopted
+            and self.listed
+            and not self.gone
+            and not self.entry.leaving
+            and self.silent_since is None
+            and now - self.answered_at <= FRESH_S
+            and now >= self.distrusted_until
+        )
+
+    def distrust(self, now: float) -> None:
+        """Give the runner no work for a while, longer each time."""
+        if now < self.distrusted_until:
+            return
+        self.distrust_s = min(MAX_DISTRUST_S, max(DISTRUST_S, self.distrust_s * 2))
+        self.distrusted_until = now + self.distrust_s
+
+    def trust(self) -> None:
+        """Take note of work done well."""
+        self.distrust_s = 0.0
+        self.odd_failures = 0
+
+    def add(self, key: TaskKey, run: Run) -> None:
+        """Count a run against the room."""
+        self.runs[key] = run
+        self._count(run, 1)
+
+    def remove(self, key: TaskKey) -> Run | None:
+        """Free what a run took; returns the run."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self._count(run, -1)
+        return run
+
+    def _count(self, run: Run, sign: int) -> None:
+        self.used_millicores += sign * run.demand.millicores
+        self.used_memory_mb += sign * run.demand.memory_mb
+        self.used_accelerators += sign * run.demand.accelerators
+        if run.fills:
+            self.filled_millicores += sign * run.wanted_millicores
+        if run.serves:
+            self.serving += sign
+
+    def fits(self, demand: Demand) -> bool:
+        """Tell whether a demand fits into the room that is left."""
+        room = self.entry.room
+        return (
+            self.used_millicores + demand.millicores <= room.millicores
+            and self.used_memory_mb + demand.memory_mb <= room.memory_mb
+            and self.used_accelerators + demand.accelerators <= room.accelerators
+        )
+
+    @property
+    def idle_millicores(self) -> int:
+        """Return what neither counted tasks nor fillers want; below 0 when fillers share."""
+        return self.entry.room.millicores - self.used_millicores - self.filled_millicores
--- /dev/null
+++ b/spoolcrank/scheduler.py
@@ -0,0 +1,524 @@
+"""Schedule jobs on runners: the state of the leader and what it decides, without any I/O.
+
+A start goes out only after its record is kept, and an end may be forgotten by its runner only
+after that. So whatever this process leaves half done, its successor finds in the records or
+on the runners.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from spoolcrank.ids import JobId, ServiceName
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
+from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
+from spoolcrank.leadership import SELF_FENCE_S
+from spoolcrank.orders import EndKind, Order, Start, Stop, Target
+from spoolcrank.packing import Wish, choose
+from spoolcrank.runner_state import (
+    CLOCK_DRIFT,
+    LEASE_MS,
+    Run,
+    RunnerEntry,
+    RunnerState,
+    RunStage,
+    unlisted,
+)
+from spoolcrank.workflow import (
+    FINAL,
+    JobPhase,
+    JobRecord,
+    Phase,
+    Progress,
+    RouteName,
+    RunnerId,
+    TaskKey,
+    encode,
+)
+
+INHERITED_S = (SELF_FENCE_S + LEASE_MS / 1000.0) * (1.0 + CLOCK_DRIFT) + 0.5
+"""A runner that this leader never reached runs nothing any more after so long, s: an earlier
+leader extends for SELF_FENCE_S at most, by LEASE_MS at most."""
+
+MISSES = 8
+"""A pass over waiting work ends for a kind of task after so many that found no place; trying
+all of a long queue costs more than a place that is found a pass later."""
+
+KEEP_ENDED_S = 150.0
+"""Records of an ended job are dropped after so long, s; states are asked for 120 s."""
+
+RETRY_S = 0.1
+"""A lasting task that failed starts again after so long, s; at once would spin."""
+
+
+class RoutePolicy(NamedTuple):
+    """What the configuration in force says of one queue."""
+
+    service: ServiceName
+    priority: int
+    max_attempts: int
+
+
+class Note(NamedTuple):
+    """One decision to be logged, with what decided it."""
+
+    name: str
+    fields: dict[str, Any]
+
+
+class Batch(NamedTuple):
+    """What is to be kept in one append, and what follows once it is.
+
+    Attributes:
+        records: to be appended.
+        starts: to be ordered once the records are kept.
+        seen: per runner, the ends that may be forgotten then.
+    """
+
+    records: list[KeyedRecord]
+    starts: list[tuple[RunnerId, TaskKey, int]]
+    seen: dict[RunnerId, int]
+
+
+class Scheduler:
+    """What one leader knows and decides during its term."""
+
+    def __init__(self, term: int, now: float) -> None:
+        self.term = term
+        self.began_at = now
+        self.jobs: dict[JobId, JobState] = {}
+        self.runners: dict[RunnerId, RunnerState] = {}
+        self.routes: dict[RouteName, RoutePolicy] = {}
+        self.orders: list[Order] = []
+        self.notes: list[Note] = []
+        self._ready: dict[JobId, None] = {}
+        self._dirty: dict[JobId, None] = {}
+        self._starts: list[tuple[RunnerId, TaskKey, int]] = []
+        self._ended: list[tuple[float, JobId]] = []
+        self._timed: dict[JobId, None] = {}
+        self._drops: list[KeyedRecord] = []
+
+    def note(self, name: str, **fields: Any) -> None:
+        """Keep one decision for the log."""
+        self.notes.append(Note(name, fields))
+
+    # Jobs
+
+    def add_job(
+        self,
+        job_id: JobId,
+        record: JobRecord,
+        order: int,
+        progress: Progress | None,
+        cancelled: bool,
+        now: float,
+        time_of_day_ms: float,
+    ) -> None:
+        """Take a job from the records, with what earlier leaders did of it."""
+        if job_id in self.jobs:
+            return
+        job = JobState(job_id, record, order)
+        if progress is not None:
+            job.restore(progress)
+        self.jobs[job_id] = job
+        for key, task in job.bound():
+            self._inherit(key, task, job)
+        if job.phase in FINAL:
+            self._ended.append((now, job_id))
+            return
+        if record.workflow.rounds:
+            self._timed[job_id] = None
+        job.open_due(time_of_day_ms)
+        self._ready[job_id] = None
+        if cancelled:
+            self.cancel(job_id, now)
+
+    def _inherit(self, key: TaskKey, task: TaskState, job: JobState) -> None:
+        runner = self.runners.get(task.runner)
+        if runner is None:
+            runner = RunnerState(unlisted(task.runner, job.record.service), listed=False)
+            self.runners[task.runner] = runner
+        runner.add(key, self._new_run(job, key, task.run, RunStage.UNSURE, self.began_at))
+
+    def _new_run(
+        self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float
+    ) -> Run:
+        spec = job.record.workflow.steps[key.step]
+        return Run(
+            number,
+            stage,
+            spec.demand,
+            spec.millicores,
+            now,
+            fills=spec.fills,
+            serves=spec.target_ms > 0,
+            lasting=spec.lasting,
+        )
+
+    def cancel(self, job_id: JobId, now: float) -> None:
+        """End a job at its submitter's wish."""
+        job = self.jobs.get(job_id)
+        if job is None or job.phase in FINAL:
+            return
+        self._end_job(job, JobPhase.CANCELLED, now)
+
+    def _end_job(self, job: JobState, phase: JobPhase, now: float) -> None:
+        job.phase = phase
+        self._dirty[job.id] = None
+        self._ready.pop(job.id, None)
+        self._timed.pop(job.id, None)
+        self._ended.append((now, job.id))
+        self.note("job-ended", job=job.id, phase=phase.value)
+        for key, task in list(job.bound()):
+            self.stop_run(key, task.runner, now)
+
+    def service_of(self, job: JobState) -> ServiceName:
+        """Return the service whose runners take a job now."""
+        policy = self.routes.get(job.record.route)
+        return policy.service if policy is not None else job.record.service
+
+    def _max_attempts(self, job: JobState) -> int:
+        policy = self.routes.get(job.record.route)
+        return policy.max_attempts if policy is not None else job.record.max_attempts
+
+    def _rank(self, job: JobState) -> tuple[int, int, int]:
+        policy = self.routes.get(job.record.route)
+        priority = policy.priority if policy is not None else job.record.priority
+        return (priority, 0 if job.lasting else 1, job.order)
+
+    # Runners
+
+    def list_runners(self, entries: Mapping[RunnerId, RunnerEntry], now: float) -> None:
+        """Take the whole list of runners as the store has it now."""
+        addresses = {entry.address: entry.id for entry in entries.values()}
+        for entry in entries.values():
+            self._list_runner(entry, now)
+        for runner in list(self.runners.values()):
+            if runner.id in entries:
+                continue
+            if runner.listed:
+                runner.listed = False
+                self.note("runner-unlisted", runner=runner.id, runs=len(runner.runs))
+            if runner.entry.address in addresses:
+                self.lose_runner(runner, "another life at its address", now)
+            elif not runner.runs and runner.silent_since is not None:
+                del self.runners[runner.id]
+
+    def _list_runner(self, entry: RunnerEntry, now: float) -> None:
+        held = self.runners.get(entry.id)
+        if held is None:
+            self.runners[entry.id] = RunnerState(entry)
+            self.note("runner-listed", runner=entry.id, leaving=entry.leaving)
+            return
+        if held.entry.leaving != entry.leaving:
+            self.note("runner-leaving", runner=entry.id, leaving=entry.leaving)
+        held.entry = entry
+        held.listed = True
+
+    def lose_runner(self, runner: RunnerState, why: str, now: float) -> None:
+        """Take note that a life of a runner is over and nothing runs on it."""
+        if not runner.gone:
+            runner.gone = True
+            self.note("runner-gone", runner=runner.id, why=why, runs=len(runner.runs))
+        for key in list(runner.runs):
+            self.release(key, runner, "runner gone", now)
+
+    def target(self, runner: RunnerState) -> Target:
+        """Return where orders to a runner go."""
+        return Target(runner.id, runner.entry.address, self.term)
+
+    # Runs
+
+    def release(self, key: TaskKey, runner: RunnerState, why: str, now: float) -> None:
+        """Free a run that surely is not, and never will be, on its runner."""
+        run = runner.remove(key)
+        job = self.jobs.get(key.job)
+        if run is None or job is None or not job.has(key):
+            return
+        task = job.task(key)
+        if task.phase is Phase.BOUND and task.runner == runner.id and task.run == run.number:
+            self.note("run-released", task=key, run=run.number, runner=runner.id, why=why)
+            self._wait_again(job, key, task)
+
+    def _wait_again(self, job: JobState, key: TaskKey, task: TaskState) -> None:
+        task.phase = Phase.WAITING
+        task.runner = NO_RUNNER
+        job.rounds[key.round].steps[key.step].waiting[key.number] = None
+        self._dirty[job.id] = None
+        if job.phase not in FINAL:
+            self._ready[job.id] = None
+
+    def end_run(
+        self, key: TaskKey, runner: RunnerState, how: EndKind, saved: str, now: float
+    ) -> None:
+        """Take note of an end that a runner listed."""
+        run = runner.remove(key)
+        job = self.jobs.get(key.job)
+        if run is None or job is None or not job.has(key):
+            return
+        task = job.task(key)
+        if task.phase is not Phase.BOUND or task.run != run.number:
+            return
+        self.note("run-ended", task=key, run=run.number, runner=runner.id, how=how.value)
+        task.saved = saved or task.saved
+        step = job.rounds[key.round].steps[key.step]
+        self._dirty[job.id] = None
+        if how is EndKind.DONE and not step.spec.lasting:
+            self._finish_task(job, key, step, task, now)
+            return
+        if how is EndKind.FAILED:
+            task.refused_by = runner.id
+            if step.spec.lasting:
+                task.not_before = now + RETRY_S
+        self._wait_again(job, key, task)
+        if how is EndKind.FAILED and not step.spec.lasting:
+            self._count_failure(job, step, task, now)
+
+    def _count_failure(self, job: JobState, step: StepState, task: TaskState, now: float) -> None:
+        counted = step.tasks[0] if step.spec.gang else task
+        counted.failures += 1
+        if counted.failures >= self._max_attempts(job) and job.phase not in FINAL:
+            self._end_job(job, JobPhase.FAILED, now)
+
+    def _finish_task(
+        self, job: JobState, key: TaskKey, step: StepState, task: TaskState, now: float
+    ) -> None:
+        if step.spec.gang:
+            step.finish_all()
+        else:
+            task.phase = Phase.DONE
+            task.runner = NO_RUNNER
+            task.saved = ""
+            step.done += 1
+        if not step.finished or job.phase in FINAL:
+            return
+        self._ready[job.id] = None
+        job.close_rounds()
+        if job.all_done:
+            self._end_job(job, JobPhase.COMPLETED, now)
+
+    def stop_run(self, key: TaskKey, runner_id: RunnerId, now: float) -> None:
+        """Order a run to stop; its end is listed, or it never starts."""
+        runner = self.runners.get(runner_id)
+        run = runner.runs.get(key) if runner is not None else None
+        if runner is None or run is None:
+            return
+        if run.stage is RunStage.RECORDED:
+            self.release(key, runner, "not ordered yet", now)
+            return
+        if run.stage is RunStage.STOPPING:
+            return
+        run.stage = RunStage.STOPPING
+        run.since = now
+        run.tries = 0
+        self.order_stop(key, runner, run)
+
+    def order_stop(self, key: TaskKey, runner: RunnerState, run: Run) -> None:
+        """Send the stop of a run."""
+        run.tries += 1
+        run.in_flight = True
+        self.orders.append(Stop(self.target(runner), key, run.number))
+
+    def order_start(self, key: TaskKey, runner: RunnerState, run: Run, now: float) -> None:
+        """Send the start of a run whose record is kept."""
+        job = self.jobs[key.job]
+        task = job.task(key)
+        run.tries += 1
+        run.in_flight = True
+        payload = job.record.workflow.payload
+        until_ms = runner.grant(now)
+        target = self.target(runner)
+        self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
+
+    # Placing
+
+    def place(self, now: float, time_of_day_ms: float) -> None:
+        """Bind waiting tasks to runners that have room."""
+        for job_id in list(self._timed):
+            self._open_due(self.jobs[job_id], time_of_day_ms)
+        pools = self._pools(now)
+        misses: dict[tuple[ServiceName, bool], int] = {}
+        for job in sorted((self.jobs[job_id] for job_id in self._ready), key=self._rank):
+            self._place_job(job, pools, misses, now)
+
+    def _open_due(self, job: JobState, time_of_day_ms: float) -> None:
+        before = len(job.rounds)
+        job.open_due(time_of_day_ms)
+        if len(job.rounds) != before:
+            self._ready[job.id] = None
+
+    def _pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
+        pools: dict[ServiceName, list[RunnerState]] = {}
+        for runner in self.runners.values():
+            if runner.usable(now):
+                pools.setdefault(runner.entry.service, []).append(runner)
+        return pools
+
+    def _place_job(
+        self,
+        job: JobState,
+        pools: Mapping[ServiceName, list[RunnerState]],
+        misses: dict[tuple[ServiceName, bool], int],
+        now: float,
+    ) -> None:
+        service = self.service_of(job)
+        runners = pools.get(service, [])
+        still_waits = False
+        for held in list(job.rounds.values()):
+            for number, step in list(held.ready()):
+                kind = (service, step.spec.fills)
+                if misses.get(kind, 0) >= MISSES:
+                    still_waits = True
+                    continue
+                if not self._place_step(job, held.number, number, step, runners, now):
+                    misses[kind] = misses.get(kind, 0) + 1
+                    still_waits = True
+        if not still_waits:
+            self._ready.pop(job.id, None)
+
+    def _place_step(
+        self,
+        job: JobState,
+        round_number: int,
+        number: int,
+        step: StepState,
+        runners: list[RunnerState],
+        now: float,
+    ) -> bool:
+        if step.spec.gang:
+            return self._place_gang(job, round_number, number, step, runners, now)
+        held = step.per_runner() if step.spec.max_per_instance else {}
+        for index in list(step.waiting):
+            task = step.tasks[index]
+            if task.not_before > now:
+                return False
+            runner = choose(Wish(step.spec, held, task.refused_by), runners)
+            if runner is None:
+                return False
+            held[runner.id] = held.get(runner.id, 0) + 1
+            self._bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
+        return True
+
+    def _place_gang(
+        self,
+        job: JobState,
+        round_number: int,
+        number: int,
+        step: StepState,
+        runners: list[RunnerState],
+        now: float,
+    ) -> bool:
+        if len(step.waiting) < len(step.tasks):
+            return False
+        racks = [""]
+        if step.spec.same_rack:
+            racks = sorted({label for one in runners for label in one.entry.labels}) + racks
+        run = max(task.run for task in step.tasks) + 1
+        for rack in racks:
+            if self._place_members(job, round_number, number, step, runners, rack, run, now):
+                return True
+        return False
+
+    def _place_members(
+        self,
+        job: JobState,
+        round_number: int,
+        number: int,
+        step: StepState,
+        runners: list[RunnerState],
+        rack: str,
+        run: int,
+        now: float,
+    ) -> bool:
+        held: dict[RunnerId, int] = {}
+        chosen: list[tuple[RunnerState, TaskKey]] = []
+        for index in range(len(step.tasks)):
+            key = TaskKey(job.id, round_number, number, index)
+            runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners)
+            if runner is None:
+                break
+            held[runner.id] = held.get(runner.id, 0) + 1
+            runner.add(key, self._new_run(job, key, run, RunStage.RECORDED, now))
+            chosen.append((runner, key))
+        for runner, key in chosen:
+            runner.remove(key)
+        if len(chosen) < len(step.tasks):
+            return False
+        saved = next((task.saved for task in step.tasks if task.saved), "")
+        for runner, key in chosen:
+            job.task(key).saved = saved
+            self._bind(job, key, run, runner, now)
+        return True
+
+    def _bind(
+        self, job: JobState, key: TaskKey, number: int, runner: RunnerState, now: float
+    ) -> None:
+        step = job.rounds[key.round].steps[key.step]
+        task = step.tasks[key.number]
+        step.waiting.pop(key.number, None)
+        task.phase = Phase.BOUND
+        task.run = number
+        task.runner = runner.id
+        job.begun = True
+        if job.phase is JobPhase.PENDING:
+            job.phase = JobPhase.RUNNING
+        runner.add(key, self._new_run(job, key, number, RunStage.RECORDED, now))
+        self._dirty[job.id] = None
+        self._starts.append((runner.id, key, number))
+        self.note(
+            "task-bound",
+            task=key,
+            run=number,
+            runner=runner.id,
+            idle_millicores=runner.idle_millicores,
+            report_age_ms=round((now - runner.answered_at) * 1000),
+        )
+
+    # Records
+
+    def take_batch(self) -> Batch | None:
+        """Return what has to be kept now, or None; a later batch waits for this one."""
+        seen = {one.id: one.seen_next for one in self.runners.values() if one.seen_next > one.seen}
+        if not (self._dirty or self._drops or seen):
+            return None
+        records = [
+            KeyedRecord(progress_key(job_id), encode(self.jobs[job_id].progress()))
+            for job_id in self._dirty
+        ]
+        batch = Batch(records + self._drops, self._starts, seen)
+        self._dirty = {}
+        self._starts = []
+        self._drops = []
+        return batch
+
+    def batch_kept(self, batch: Batch, now: float) -> None:
+        """Go on with what waited for a batch to be kept."""
+        for runner_id, seen in batch.seen.items():
+            runner = self.runners.get(runner_id)
+            if runner is not None:
+                runner.seen = max(runner.seen, seen)
+        for runner_id, key, number in batch.starts:
+            runner = self.runners.get(runner_id)
+            run = runner.runs.get(key) if runner is not None else None
+            if runner is None or run is None or run.number != number:
+                continue
+            if run.stage is RunStage.RECORDED:
+                run.stage = RunStage.ORDERED
+                run.since = now
+                self.order_start(key, runner, run, now)
+
+    def drop_ended(self, now: float) -> None:
+        """Drop the records of jobs that ended long ago and hold no run any more."""
+        kept: list[tuple[float, JobId]] = []
+        for ended_at, job_id in self._ended:
+            job = self.jobs[job_id]
+            if now - ended_at < KEEP_ENDED_S or next(job.bound(), None) is not None:
+                kept.append((ended_at, job_id))
+                continue
+            del self.jobs[job_id]
+            keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
+            self._drops += [KeyedRecord(key, b"") for key in keys]
+        self._ended = kept
+
+    def waiting_jobs(self) -> Iterable[JobState]:
+        """Return the jobs that have tasks waiting for a place."""
+        return (self.jobs[job_id] for job_id in self._ready)
--- /dev/null
+++ b/spoolcrank/workflow.py
@@ -0,0 +1,202 @@
+"""Describe jobs of several steps, as they are submitted and as they are stored.
+
+Amounts are whole numbers so that sums over an instance are exact: processors in thousandths
+of a core, memory in megabytes.
+"""
+
+from enum import Enum
+from typing import NamedTuple, NewType
+
+import msgspec
+
+from spoolcrank.ids import JobId, ServiceName
+
+RunnerId = NewType("RunnerId", str)
+RouteName = NewType("RouteName", str)
+MAX_ROUNDS = 1000
+
+
+class Demand(NamedTuple):
+    """What one task takes of its instance: millicores, megabytes, accelerators."""
+
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One step of a workflow: equal tasks that become ready together.
+
+    Attributes:
+        count: number of tasks.
+        millicores, memory_mb, accelerators: what each task takes.
+        estimate_ms: a rough guess of a task's time.
+        after: numbers of the earlier steps that must have finished.
+        checkpoints: the task can resume from what it saved.
+        gang: the tasks work only all together.
+        same_rack: the gang is slow over more than one rack.
+        label: what the instance must carry, empty for any.
+        data_rack: the rack where the tasks are quick, empty for any.
+        max_per_instance: how many tasks of the step one instance may hold, 0 for any number.
+        copies: copies of a task may run side by side.
+        lasting: the tasks run until the job is cancelled.
+        image: tasks of one image behave alike.
+        target_ms: bound on the tail latency of a task that serves, 0 for none.
+        fills: the processors do not count; the task gets what others leave.
+        may_be_away: tasks of a lasting step that may be away at once by our doing, -1 unset.
+    """
+
+    count: int
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_instance: int = 0
+    copies: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_be_away: int = -1
+
+    @property
+    def demand(self) -> Demand:
+        """Return what counts against the instance's room."""
+        return Demand(0 if self.fills else self.millicores, self.memory_mb, self.accelerators)
+
+
+class Workflow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job of several steps as its submitter gave it.
+
+    Attributes:
+        payload: handed to the runners as it is.
+        steps: in the submitter's order; a step names only earlier ones in `after`.
+        rounds: how often the steps run; 0 for once, at once.
+        first_at_ms: time of day when round 0 falls due, milliseconds since 1970.
+        interval_ms: between two rounds.
+    """
+
+    payload: str
+    steps: tuple[Step, ...]
+    rounds: int = 0
+    first_at_ms: int = 0
+    interval_ms: int = 0
+
+    def problem(self) -> str:
+        """Return what makes the workflow impossible to accept, or ''."""
+        if not self.steps:
+            return "steps: at least one is needed"
+        for number, step in enumerate(self.steps):
+            if step.count < 1:
+                return f"steps.{number}.count: must be at least 1"
+            if any(not 0 <= earlier < number for earlier in step.after):
+                return f"steps.{number}: may wait for earlier steps only"
+        if not 0 <= self.rounds <= MAX_ROUNDS:
+            return f"rounds: must be from 0 to {MAX_ROUNDS}"
+        return ""
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The stored record of an accepted job: written before its submitter is answered.
+
+    Attributes:
+        route: the queue it came in by.
+        service: whose runners were to run it when it came in.
+        priority: 0 is first.
+        max_attempts: failed runs of one task that fail the job.
+        objective_ms: fixed part of the time in which it should finish.
+        stretch: times its longest chain of work that are added to the objective.
+        workflow: what to do.
+    """
+
+    route: RouteName
+    service: ServiceName
+    priority: int
+    max_attempts: int
+    objective_ms: int
+    stretch: float
+    workflow: Workflow
+
+
+class TaskKey(NamedTuple):
+    """One task of a job: round, step and the task's number within it count from 0."""
+
+    job: JobId
+    round: int
+    step: int
+    number: int
+
+
+class Phase(Enum):
+    """Where one task stands."""
+
+    WAITING = 0
+    BOUND = 1
+    DONE = 2
+
+
+class JobPhase(Enum):
+    """Where a whole job stands, as its submitter is told."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
+
+
+class TaskMark(msgspec.Struct, array_like=True, omit_defaults=True):
+    """The stored state of one task that is no longer untouched.
+
+    Attributes:
+        index: within its step.
+        phase: a `Phase` value.
+        run: number of its newest run, 0 before the first.
+        runner: where it is bound; empty unless bound.
+        saved: its newest checkpoint.
+        failures: runs that ended by failing.
+    """
+
+    index: int
+    phase: int
+    run: int = 0
+    runner: str = ""
+    saved: str = ""
+    failures: int = 0
+
+
+class StepMark(msgspec.Struct, array_like=True, omit_defaults=True):
+    """The stored state of one step of one round; `done` stands for all its tasks."""
+
+    round: int
+    step: int
+    done: bool = False
+    tasks: tuple[TaskMark, ...] = ()
+
+
+class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
+    """The stored state of one job, whole; written by the scheduler in charge only.
+
+    Attributes:
+        phase: a `JobPhase` value.
+        steps: those that are no longer untouched.
+        rounds_done: rounds from the first that are done and left out of `steps`.
+    """
+
+    phase: str
+    steps: tuple[StepMark, ...] = ()
+    rounds_done: int = 0
+
+
+encode = msgspec.json.Encoder().encode
+decode_job = msgspec.json.Decoder(JobRecord).decode
+decode_progress = msgspec.json.Decoder(Progress).decode
