--- /dev/null
+++ b/spoolcrank/contention.py
@@ -0,0 +1,88 @@
+"""Learn which fillers slow which serving tasks, and how far they may be put together.
+
+The logarithm of a serving task's tail latency over its target is taken as a sum: a base for
+its image, plus for each filler beside it a weight of the pair of images times the share of
+the instance's processors that the filler uses. Weights are learnt from the reports by a
+Kalman filter with a diagonal covariance; a pair never seen counts as the prior says.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+PRIOR_WEIGHT = 4.0
+"""Weight of a pair never seen. Measured on two sites: about half of the pairs have 5 to 14,
+the others about 0."""
+
+PRIOR_VARIANCE = 16.0
+"""Of the weight of a pair never seen; from the same spread."""
+
+NOISE_VARIANCE = 0.15
+"""Of one report's logarithm around the sum; load swings by about 0.4."""
+
+FORGETTING = 0.002
+"""Added to a weight's variance by each report that bears on it: weights drift in minutes."""
+
+BASE_GAIN = 0.02
+"""Share of a report's residual that moves the base of its image."""
+
+PRIOR_BASE = math.log(0.35)
+"""Base of an image never seen alone; measured medians are 0.33 to 0.4 of the target."""
+
+LARGEST_RESIDUAL = 1.2
+"""A report further off moves the weights no more than this; single spikes reach 3."""
+
+LEAST_SHARE = 0.005
+"""A filler that uses less of the instance teaches nothing."""
+
+
+@dataclass(slots=True)
+class _Weight:
+    mean: float = PRIOR_WEIGHT
+    variance: float = PRIOR_VARIANCE
+
+
+class Contention:
+    """What one leader has learnt of the pairs of images."""
+
+    def __init__(self) -> None:
+        self._weights: dict[tuple[str, str], _Weight] = {}
+        self._bases: dict[str, float] = {}
+
+    def weight(self, serving: str, filler: str) -> float:
+        """Return the weight of a pair."""
+        held = self._weights.get((serving, filler))
+        return held.mean if held is not None else PRIOR_WEIGHT
+
+    def base(self, serving: str) -> float:
+        """Return the usual logarithm of tail over target of an image alone."""
+        return self._bases.get(serving, PRIOR_BASE)
+
+    def effect(self, serving: str, fillers: Iterable[tuple[str, float]]) -> float:
+        """Return what fillers add to the logarithm; each is an image and its share."""
+        return sum(self.weight(serving, image) * share for image, share in fillers)
+
+    def learn(self, serving: str, ratio: float, fillers: dict[str, float]) -> None:
+        """Take one report.
+
+        Args:
+            serving: the image of the task that serves.
+            ratio: its tail latency over its target.
+            fillers: share of the instance that each filler image used beside it.
+        """
+        if ratio <= 0:
+            return
+        seen = {image: share for image, share in fillers.items() if share >= LEAST_SHARE}
+        expected = self.base(serving) + self.effect(serving, seen.items())
+        residual = math.log(ratio) - expected
+        residual = max(-LARGEST_RESIDUAL, min(LARGEST_RESIDUAL, residual))
+        self._bases[serving] = self.base(serving) + BASE_GAIN * residual
+        weights = {image: self._weights.setdefault((serving, image), _Weight()) for image in seen}
+        spread = NOISE_VARIANCE + sum(
+            weights[image].variance * share * share for image, share in seen.items()
+        )
+        for image, share in seen.items():
+            held = weights[image]
+            gain = held.variance * share / spread
+            held.mean = max(0.0, held.mean + gain * residual)
+            held.variance = held.variance * (1.0 - gain * share) + FORGETTING
--- /dev/null
+++ b/spoolcrank/pacing.py
@@ -0,0 +1,108 @@
+"""Hold fillers back where the tail of what serves beside them nears its target."""
+
+from collections.abc import Iterator
+
+from spoolcrank.orders import Pace
+from spoolcrank.packing import SMALL_EFFECT
+from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import TaskKey
+
+PRESSED = 0.85
+"""A tail over this share of its target slows the fillers that cause it."""
+
+RELAXED = 0.6
+"""Fillers get faster again while every tail is below this share of its target."""
+
+SETTLE_S = 0.7
+"""Between two changes of one filler's pace, s: its effect shows in the report after next."""
+
+LEAST_PACE = 5
+"""A filler that is held back works at this share at least, percent; it keeps its place."""
+
+PACE_UP = 30
+"""Faster again in steps of so many percent."""
+
+MOVE_AFTER_S = 1.5
+"""A filler that worked at half its pace or less for so long moves with its checkpoint, s."""
+
+
+def learn(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Take a runner's newest figures into what is learnt of pairs."""
+    shares = runner.filler_shares(now)
+    for run in runner.runs.values():
+        if run.serves and run.tail_ms > 0 and run.percent == 100:
+            state.contention.learn(run.image, run.tail_ms / run.target_ms, shares)
+
+
+def set_paces(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Slow fillers down, or let them work faster, by the tails beside them."""
+    pressed = _most_pressed(runner)
+    if pressed is None:
+        return
+    ratio = pressed.tail_ms / pressed.target_ms
+    if ratio >= PRESSED:
+        _slow_down(state, runner, pressed, ratio, now)
+    elif ratio <= RELAXED:
+        _speed_up(state, runner, now)
+    _move_slow(state, runner, now)
+
+
+def _most_pressed(runner: RunnerState) -> Run | None:
+    serving = [run for run in runner.runs.values() if run.serves and run.tail_ms > 0]
+    return max(serving, key=lambda run: run.tail_ms / run.target_ms, default=None)
+
+
+def _fillers(runner: RunnerState) -> Iterator[tuple[TaskKey, Run]]:
+    for key, run in runner.runs.items():
+        if run.fills and run.stage is RunStage.RUNNING:
+            yield key, run
+
+
+def _effect(state: Scheduler, runner: RunnerState, serving: Run, run: Run) -> float:
+    share = runner.share(run.wanted_millicores * run.pace / 100.0)
+    return state.contention.weight(serving.image, run.image) * share
+
+
+def _slow_down(
+    state: Scheduler, runner: RunnerState, pressed: Run, ratio: float, now: float
+) -> None:
+    causes = [
+        (key, run)
+        for key, run in _fillers(runner)
+        if _effect(state, runner, pressed, run) > SMALL_EFFECT
+    ]
+    if not causes and ratio >= 1.0:
+        causes = list(_fillers(runner))
+    for key, run in causes:
+        if run.pace > LEAST_PACE and now - run.paced_at >= SETTLE_S:
+            pace = LEAST_PACE if ratio >= 1.0 else max(LEAST_PACE, run.pace // 2)
+            _pace(state, runner, key, run, pace, now)
+
+
+def _speed_up(state: Scheduler, runner: RunnerState, now: float) -> None:
+    for key, run in _fillers(runner):
+        if run.pace < 100 and now - run.paced_at >= SETTLE_S:
+            _pace(state, runner, key, run, min(100, run.pace + PACE_UP), now)
+            return
+
+
+def _pace(
+    state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, pace: int, now: float
+) -> None:
+    run.pace = pace
+    run.paced_at = now
+    if pace > 50:
+        run.slow_since = None
+    elif run.slow_since is None:
+        run.slow_since = now
+    state.orders.append(Pace(state.target(runner), key, run.number, pace))
+    state.note("paced", task=key, run=run.number, runner=runner.id, percent=pace)
+
+
+def _move_slow(state: Scheduler, runner: RunnerState, now: float) -> None:
+    for key, run in list(_fillers(runner)):
+        slow = run.slow_since is not None and now - run.slow_since >= MOVE_AFTER_S
+        if slow and run.checkpoints:
+            state.note("moved", task=key, run=run.number, runner=runner.id, percent=run.percent)
+            state.stop_run(key, runner.id, now)
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -1,22 +1,32 @@
 """Choose the runner for a waiting task.
 
-Tasks that serve are packed onto few runners, fillers go where none serve, and short counted
-tasks take what fillers would not get. So what fills and what serves seldom meet.
+Tasks that serve are packed together by image, so that most fillers find runners where they
+slow nothing; fillers go where the tails of what serves stay under their targets; short
+counted tasks take what fillers would not get.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from spoolcrank.contention import Contention
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.workflow import RunnerId, Step
 
-SERVING_SHARE = 0.85
-"""Packing stops when counted work takes this share of a runner's processors; the rest absorbs
-load that swings, and short counted tasks."""
+SERVING_SHARE = 0.9
+"""Packing stops when counted work takes this share of a runner's processors; the rest is for
+short counted tasks."""
 
-FILL_SHARE = 0.9
-"""A filler starts where at least this share of what it wants is left over; below it, waiting
-for a free place ends sooner than sharing one."""
+FILL_SHARE = 0.8
+"""A filler starts where at least this share of what it wants is likely left over; below it,
+waiting for a free place ends sooner than sharing one."""
+
+TAIL_SHARE = 0.7
+"""A filler may bring the tail of what serves to this share of its target; alone, tails swing
+from 0.35 to 0.85 of it."""
+
+SMALL_EFFECT = 0.06
+"""A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
 
 
 class Wish(NamedTuple):
@@ -35,14 +45,16 @@
     rack: str = ""
 
 
-def choose(wish: Wish, runners: Iterable[RunnerState]) -> RunnerState | None:
+def choose(
+    wish: Wish, runners: Iterable[RunnerState], contention: Contention, now: float
+) -> RunnerState | None:
     """Return the runner for a task, or None if it has to wait."""
     best: RunnerState | None = None
     best_score: tuple[float, ...] = ()
     for runner in runners:
         if not _allowed(wish, runner):
             continue
-        score = _score(wish, runner)
+        score = _score(wish, runner, contention, now)
         if score and (best is None or score > best_score):
             best, best_score = runner, score
     return best
@@ -70,27 +82,63 @@
     return not step.max_per_instance or wish.held.get(runner.id, 0) < step.max_per_instance
 
 
-def _score(wish: Wish, runner: RunnerState) -> tuple[float, ...]:
+def _score(
+    wish: Wish, runner: RunnerState, contention: Contention, now: float
+) -> tuple[float, ...]:
     step = wish.step
     near = 1.0 if not step.data_rack or step.data_rack in runner.entry.labels else 0.0
     fresh = 0.0 if runner.id == wish.avoid else 1.0
     if step.fills:
-        return _score_filler(step, runner, fresh, near)
+        return _score_filler(step, runner, contention, now, (fresh, near))
     if step.target_ms or step.lasting:
-        return _score_serving(step, runner, fresh, near)
-    alone = 1.0 if runner.serving else 0.0
-    return (fresh, near, alone, float(runner.idle_millicores))
-
-
-def _score_filler(step: Step, runner: RunnerState, fresh: float, near: float) -> tuple[float, ...]:
+        return _score_serving(step, runner, contention, now, (fresh, near))
+    beside_serving = 1.0 if runner.serving else 0.0
+    return (fresh, near, beside_serving, float(runner.idle_millicores))
+
+
+def _score_filler(
+    step: Step,
+    runner: RunnerState,
+    contention: Contention,
+    now: float,
+    first: tuple[float, ...],
+) -> tuple[float, ...]:
     if runner.idle_millicores < step.millicores * FILL_SHARE:
         return ()
-    apart = 0.0 if runner.serving else 1.0
-    return (fresh, apart, near, float(runner.idle_millicores))
+    effect = worst_effect(step.image, runner.share(step.millicores), runner, contention)
+    if effect > SMALL_EFFECT and not _tails_allow(step, runner, contention, now):
+        return ()
+    harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
+    return (*first, harmless, -effect, float(runner.idle_millicores))
+
+
+def worst_effect(image: str, share: float, runner: RunnerState, contention: Contention) -> float:
+    """Return the most that a filler would add to any serving task's logarithm there."""
+    return max(
+        (contention.weight(serving, image) * share for serving in runner.serving), default=0.0
+    )
+
+
+def _tails_allow(step: Step, runner: RunnerState, contention: Contention, now: float) -> bool:
+    shares = runner.filler_shares(now)
+    shares[step.image] = shares.get(step.image, 0.0) + runner.share(step.millicores)
+    limit = math.log(TAIL_SHARE)
+    return all(
+        contention.base(serving) + contention.effect(serving, shares.items()) <= limit
+        for serving in runner.serving
+    )
 
 
-def _score_serving(step: Step, runner: RunnerState, fresh: float, near: float) -> tuple[float, ...]:
+def _score_serving(
+    step: Step,
+    runner: RunnerState,
+    contention: Contention,
+    now: float,
+    first: tuple[float, ...],
+) -> tuple[float, ...]:
     after = runner.used_millicores + step.millicores
     roomy = 1.0 if after <= runner.entry.room.millicores * SERVING_SHARE else 0.0
-    joined = 1.0 if runner.serving else 0.0
-    return (fresh, near, roomy, joined, -float(runner.filled_millicores), float(after))
+    shares = runner.filler_shares(now)
+    pressed = contention.effect(step.image, shares.items())
+    others = len(runner.serving) - (1 if step.image in runner.serving else 0)
+    return (*first, roomy, -round(pressed, 1), -float(others), float(after))
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -16,6 +16,7 @@
     Start,
     Stop,
 )
+from spoolcrank.pacing import learn, set_paces
 from spoolcrank.runner_state import Run, RunnerState, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
 from spoolcrank.workflow import FINAL, TaskKey
@@ -102,6 +103,8 @@
     if not runner.adopted:
         _adopt(state, runner, present, now)
     _check_absent(state, runner, present, asked_at, now)
+    learn(state, runner, now)
+    set_paces(state, runner, now)
 
 
 def _take_end(state: Scheduler, runner: RunnerState, row: EndedRow, now: float) -> None:
@@ -142,6 +145,8 @@
         run.moved_at = now
     if run.serves:
         run.tail_ms = row.figure
+    else:
+        run.used_millicores = row.figure
     job = state.jobs.get(row.task.job)
     if job is None or not job.has(row.task):
         return
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -24,6 +24,13 @@
 DISTRUST_S = 4.0
 """A runner that failed oddly gets no new work for so long, s; doubled up to MAX_DISTRUST_S."""
 
+SERVING_USE = 0.6
+"""Share of its declared processors that a serving task is taken to use; measured are 0.48 with
+swings of half of that."""
+
+REPORT_LAG_S = 0.8
+"""A report covers the last half second, and comes up to that later, s."""
+
 MAX_DISTRUST_S = 16.0
 """Upper bound of the distrust, s; a runner that mends is tried again within it."""
 
@@ -82,7 +89,10 @@
         moved_at: when `percent` last changed.
         tries: orders sent so far in this stage.
         tail_ms: newest tail latency of a task that serves, 0 if unknown.
+        used_millicores: newest use of any other task, 0 if unknown.
         pace: percent at which it may work.
+        paced_at: when that was set last.
+        slow_since: since when it works at half its pace or less; None at more.
     """
 
     number: int
@@ -90,16 +100,26 @@
     demand: Demand
     wanted_millicores: int
     since: float
+    image: str = ""
     fills: bool = False
-    serves: bool = False
+    target_ms: float = 0.0
     lasting: bool = False
+    checkpoints: bool = False
     percent: int = -1
     moved_at: float = 0.0
     tries: int = 0
     tail_ms: float = 0.0
+    used_millicores: float = 0.0
     pace: int = 100
+    paced_at: float = 0.0
+    slow_since: float | None = None
     in_flight: bool = False
 
+    @property
+    def serves(self) -> bool:
+        """Tell whether it has users of its own and a target for them."""
+        return self.target_ms > 0
+
 
 @dataclass
 class RunnerState:
@@ -138,7 +158,8 @@
     used_memory_mb: int = 0
     used_accelerators: int = 0
     filled_millicores: int = 0
-    serving: int = 0
+    serving_millicores: int = 0
+    serving: dict[str, int] = field(default_factory=dict)
 
     @property
     def id(self) -> RunnerId:
@@ -222,7 +243,12 @@
         if run.fills:
             self.filled_millicores += sign * run.wanted_millicores
         if run.serves:
-            self.serving += sign
+            self.serving_millicores += sign * run.demand.millicores
+            held = self.serving.get(run.image, 0) + sign
+            if held:
+                self.serving[run.image] = held
+            else:
+                self.serving.pop(run.image, None)
 
     def fits(self, demand: Demand) -> bool:
         """Tell whether a demand fits into the room that is left."""
@@ -235,5 +261,24 @@
 
     @property
     def idle_millicores(self) -> int:
-        """Return what neither counted tasks nor fillers want; below 0 when fillers share."""
-        return self.entry.room.millicores - self.used_millicores - self.filled_millicores
+        """Return what is likely left for one more filler; below 0 when fillers share."""
+        unused = int(self.serving_millicores * (1.0 - SERVING_USE))
+        counted = self.used_millicores - unused
+        return self.entry.room.millicores - counted - self.filled_millicores
+
+    def share(self, millicores: float) -> float:
+        """Return an amount of processors as a share of the room."""
+        return millicores / max(1, self.entry.room.millicores)
+
+    def filler_shares(self, now: float) -> dict[str, float]:
+        """Return what fillers of each image use, as shares of the room.
+
+        One that began less than REPORT_LAG_S ago counts with all that it wants.
+        """
+        shares: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.fills:
+                young = now - run.since < REPORT_LAG_S or run.stage is not RunStage.RUNNING
+                used = run.wanted_millicores * run.pace / 100.0 if young else run.used_millicores
+                shares[run.image] = shares.get(run.image, 0.0) + self.share(used)
+        return shares
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
+from spoolcrank.contention import Contention
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
@@ -88,6 +89,7 @@
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
         self.routes: dict[RouteName, RoutePolicy] = {}
+        self.contention = Contention()
         self.orders: list[Order] = []
         self.notes: list[Note] = []
         self._ready: dict[JobId, None] = {}
@@ -149,9 +151,11 @@
             spec.demand,
             spec.millicores,
             now,
+            image=spec.image,
             fills=spec.fills,
-            serves=spec.target_ms > 0,
+            target_ms=spec.target_ms,
             lasting=spec.lasting,
+            checkpoints=spec.checkpoints,
         )
 
     def cancel(self, job_id: JobId, now: float) -> None:
@@ -391,7 +395,7 @@
             task = step.tasks[index]
             if task.not_before > now:
                 return False
-            runner = choose(Wish(step.spec, held, task.refused_by), runners)
+            runner = choose(Wish(step.spec, held, task.refused_by), runners, self.contention, now)
             if runner is None:
                 return False
             held[runner.id] = held.get(runner.id, 0) + 1
@@ -433,7 +437,7 @@
         chosen: list[tuple[RunnerState, TaskKey]] = []
         for index in range(len(step.tasks)):
             key = TaskKey(job.id, round_number, number, index)
-            runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners)
+            runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners, self.contention, now)
             if runner is None:
                 break
             held[runner.id] = held.get(runner.id, 0) + 1
