Order nothing to a runner that was not taken over; contain a leader's own errors

Change: stops wait for the runner to be taken over; an unexpected error makes the leader step down, so that the next builds its state from the records; log lines leave whole.

--- a/spoolcrank/_timers.py
+++ b/spoolcrank/_timers.py
@@ -39,11 +39,14 @@
         return timer
 
     def every(self, period_s: float, action: Callable[[], None]) -> None:
-        """Run `action` again and again, `period_s` seconds after each end."""
+        """Run `action` again and again, `period_s` seconds after each start.
+
+        An action that raises ends nothing but itself: circuits reports it.
+        """
 
         def again() -> None:
-            action()
             self.after(period_s, again)
+            action()
 
         self.after(period_s, again)
 
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import time
+import traceback
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
@@ -134,13 +135,14 @@
     ) -> None:
         job = job_of_key(record.key)
         if kind is RecordKind.JOB:
-            self._add_job(scheduler, record, now)
+            resumed = self._add_job(scheduler, record, now)
+            self._telemetry.log("job-read", job=job, offset=record.offset, resumed=resumed)
         elif kind is RecordKind.CANCEL:
             self._telemetry.log("cancel-read", job=job, offset=record.offset)
             scheduler.cancel(job, now)
         self._wake()
 
-    def _add_job(self, scheduler: Scheduler, record: KeyedRecord, now: float) -> None:
+    def _add_job(self, scheduler: Scheduler, record: KeyedRecord, now: float) -> bool:
         job = job_of_key(record.key)
         copy = self._follower.copy
         progress = copy.value(progress_key(job))
@@ -153,7 +155,7 @@
             now,
             time.time() * 1000.0,
         )
-        self._telemetry.log("job-read", job=job, offset=record.offset, resumed=bool(progress))
+        return bool(progress)
 
     # Leadership
 
@@ -259,6 +261,14 @@
         scheduler = self.scheduler
         if scheduler is None:
             return
+        try:
+            self._decide(scheduler)
+        except Exception:
+            # The state in memory is in doubt; the next leader builds its own from the records.
+            self._telemetry.log("internal-error", grave=True, trace=traceback.format_exc())
+            self._step_down("an error of its own")
+
+    def _decide(self, scheduler: Scheduler) -> None:
         now = time.monotonic()
         listed_at = self._runner_follower.copy.read_at
         may_place = self._leaving is None and self._runner_follower.copy.loaded
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -165,7 +165,8 @@
     runner.grant(now)
     state.note("runner-adopted", runner=runner.id, running=len(present), bound=len(runner.runs))
     for key, run in list(runner.runs.items()):
-        if run.stage is RunStage.UNSURE and (key, run.number) not in present:
+        inherited = run.stage in (RunStage.UNSURE, RunStage.STOPPING)
+        if inherited and (key, run.number) not in present:
             state.release(key, runner, "never started there", now)
 
 
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -317,8 +317,10 @@
         self.order_stop(key, runner, run)
 
     def order_stop(self, key: TaskKey, runner: RunnerState, run: Run) -> None:
-        """Send the stop of a run."""
+        """Send the stop of a run; one not taken over yet is told once it is."""
         run.tries += 1
+        if not runner.adopted:
+            return
         run.in_flight = True
         self.orders.append(Stop(self.target(runner), key, run.number))
 
--- a/spoolcrank/telemetry.py
+++ b/spoolcrank/telemetry.py
@@ -29,6 +29,9 @@
 HELD_BYTES = 1 << 18
 """What waits for a slow reader, bytes; beyond it lines are left out."""
 
+ATOMIC_BYTES = 4096
+"""What one write to a pipe moves whole or not at all, bytes; from POSIX as Linux has it."""
+
 STDOUT = 1
 
 _encode = msgspec.json.Encoder(enc_hook=str).encode
@@ -91,15 +94,21 @@
         if self.left_out != self._told_left_out:
             self._told_left_out = self.left_out
             eliot.log_message(message_type="lines-left-out", in_all=self.left_out)
-        if not self._held:
-            return
-        block = b"".join(self._held)
-        try:
-            written = os.write(self._out, block)
-        except BlockingIOError:
-            return
-        except OSError:
-            written = len(block)
-        rest = block[written:]
-        self._held = [rest] if rest else []
-        self._held_bytes = len(rest)
+        while self._held:
+            count, block = self._block()
+            try:
+                os.write(self._out, block)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.left_out += count
+            del self._held[:count]
+            self._held_bytes -= len(block)
+
+    def _block(self) -> tuple[int, bytes]:
+        """Return how many lines come next, and their bytes: a pipe takes them whole or not."""
+        count, size = 1, len(self._held[0])
+        while count < len(self._held) and size + len(self._held[count]) <= ATOMIC_BYTES:
+            size += len(self._held[count])
+            count += 1
+        return count, b"".join(self._held[:count])
