--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -1,10 +1,12 @@
 """Answer the platform's clients: jobs in, states and counts out, cancels."""
 
 import string
+import time
 from collections.abc import Callable
 
 from spoolcrank._web import HttpReply, HttpRequest, Reply, json_reply, refusal_reply
 from spoolcrank.errors import ErrorKind, Refusal, SpoolcrankError
+from spoolcrank.figures import Figures
 from spoolcrank.ids import JobId
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import JobIntake, Wish
@@ -29,7 +31,9 @@
         index: JobIndex,
         routes: Callable[[], RouteTable | None],
         telemetry: Telemetry,
+        figures: Figures,
     ) -> None:
+        self._figures = figures
         self._intake = intake
         self._index = index
         self._routes = routes
@@ -37,6 +41,15 @@
 
     def answer(self, req: HttpRequest, reply: Reply) -> None:
         """Answer one request."""
+        came_at = time.monotonic()
+
+        def timed(answer: HttpReply) -> None:
+            self._figures.time(f"{req.method} {answer.status}", time.monotonic() - came_at)
+            reply(answer)
+
+        self._dispatch(req, timed)
+
+    def _dispatch(self, req: HttpRequest, reply: Reply) -> None:
         table = self._routes()
         if table is None:
             self._refuse(req, reply, ErrorKind.NOT_READY, "no configuration was read yet")
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -8,6 +8,7 @@
 from spoolcrank._runtime import Runtime
 from spoolcrank._web import HttpReply, HttpRequest, Reply
 from spoolcrank.dispatcher import Dispatcher
+from spoolcrank.figures import TEXT_TYPE, Figures
 from spoolcrank.ids import Address, Incarnation, unique
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import JobIntake
@@ -53,7 +54,9 @@
         self._routes: RouteTable | None = None
         self._stopping = False
         timers, http = runtime.timers, runtime.http
+        self.figures = Figures()
         self.telemetry = Telemetry(timers, cfg.instance_id)
+        self.telemetry.count = self.figures.count
         self._touched_at = -OUT_OF_TOUCH_S
         log = StoreLog(http, cfg.store, JOBS)
         self.index = JobIndex()
@@ -76,9 +79,12 @@
             timers,
             self.telemetry,
         )
-        door = ClientDoor(self.intake, self.index, lambda: self._routes, self.telemetry)
+        door = ClientDoor(
+            self.intake, self.index, lambda: self._routes, self.telemetry, self.figures
+        )
         self._clients = runtime.serve(cfg.clients, door.answer, "clients")
         self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
+        runtime.serve(address_on(cfg.ip, metrics_port), self._answer_metrics, "metrics")
         runtime.on_stop(self._stop)
         self.telemetry.log("start", grave=True, incarnation=incarnation, clients=cfg.clients)
         self._configuration.begin()
@@ -132,6 +138,19 @@
         ok = req.path == _READY_PATH and self.ready
         reply(HttpReply(200 if ok else 503, {}, b""))
 
+    def _answer_metrics(self, req: HttpRequest, reply: Reply) -> None:
+        scheduler = self.dispatcher.scheduler
+        self.figures.gauge("leads", float(scheduler is not None))
+        self.figures.gauge("log_offset", self.follower.copy.next_offset)
+        self.figures.gauge("configuration", self._routes.version if self._routes else 0)
+        self.figures.gauge("lines_left_out", self.telemetry.left_out)
+        self.figures.gauge("unanswered", self._clients.unanswered)
+        if scheduler is not None:
+            self.figures.gauge("jobs", len(scheduler.jobs))
+            self.figures.gauge("runs", sum(len(one.runs) for one in scheduler.runners.values()))
+            self.figures.gauge("jobs_waiting", sum(1 for _ in scheduler.waiting_jobs()))
+        reply(HttpReply(200, {"Content-Type": TEXT_TYPE}, self.figures.text()))
+
     @property
     def ready(self) -> bool:
         """Tell whether clients should be sent here."""
--- /dev/null
+++ b/tests/test_fleet_machine.py
@@ -0,0 +1,249 @@
+"""A state machine over the product's own parts under random faults, and what it must find."""
+
+from typing import Any
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from spoolcrank import job_intake, run_control
+from spoolcrank.ids import JobId
+from spoolcrank.job_intake import Wish
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.scheduler import Batch, Scheduler
+from spoolcrank.workflow import FINAL, JobPhase, Step
+from tests.fleet_world import World, small
+
+STEPS = (
+    Step(count=3, millicores=1000, memory_mb=100, estimate_ms=600),
+    Step(count=2, millicores=1000, memory_mb=100, estimate_ms=600, after=(0,)),
+)
+HEAL_S = 40.0
+SHORT = st.floats(0.05, 1.0)
+LONG = st.floats(1.0, 9.0)
+
+
+class Faults(RuleBasedStateMachine):
+    """Jobs, cancels, kills, freezes, cuts and a bad store, in any order."""
+
+    @initialize(seed=st.integers(0, 1 << 16))
+    def begin(self, seed: int) -> None:
+        self.world: World = small(instances=3, runners=3, seed=seed)
+        self.told: dict[str, list[Wish]] = {}
+        self.cancelled: set[str] = set()
+        self.births = 0
+
+    def instance(self, pick: int) -> Any:
+        names = sorted(self.world.instances)
+        return self.world.instances[names[pick % len(names)]] if names else None
+
+    @rule(pick=st.integers(0, 5))
+    def submit(self, pick: int) -> None:
+        instance = self.instance(pick)
+        if instance is not None:
+            job = f"{len(self.told):04x}"
+            self.told[job] = instance.submit(job, *STEPS)
+        self.world.run(0.05)
+
+    @rule(pick=st.integers(0, 5), which=st.integers(0, 50))
+    def submit_again(self, pick: int, which: int) -> None:
+        instance = self.instance(pick)
+        if instance is not None and self.told:
+            job = sorted(self.told)[which % len(self.told)]
+            self.told[job] += instance.submit(job, *STEPS)
+        self.world.run(0.05)
+
+    @rule(pick=st.integers(0, 5), which=st.integers(0, 50))
+    def cancel(self, pick: int, which: int) -> None:
+        instance = self.instance(pick)
+        if instance is not None and self.told:
+            job = sorted(self.told)[which % len(self.told)]
+            self.cancelled.add(job)
+            instance.intake.cancel(JobId(job), lambda told: None)
+
+    @rule(seconds=SHORT)
+    def wait(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(seconds=LONG)
+    def wait_long(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(leader=st.booleans(), pick=st.integers(0, 5))
+    def kill(self, leader: bool, pick: int) -> None:
+        victim = self.world.leader() if leader else self.instance(pick)
+        if victim is None:
+            return
+        victim.kill()
+        self.births += 1
+        self.world.add_instance(f"entry-{chr(97 + self.births % 26)}{self.births}")
+
+    @rule(leader=st.booleans(), pick=st.integers(0, 5), seconds=LONG)
+    def freeze(self, leader: bool, pick: int, seconds: float) -> None:
+        victim = self.world.leader() if leader else self.instance(pick)
+        if victim is not None:
+            victim.freeze(seconds)
+
+    @rule(pick=st.integers(0, 5), all_of_it=st.booleans())
+    def store_away(self, pick: int, all_of_it: bool) -> None:
+        instance = self.instance(pick)
+        if all_of_it:
+            self.world.store.silent = True
+        elif instance is not None:
+            self.world.store.turned_away.add(instance.name)
+
+    @rule(lost=st.sampled_from([0.0, 0.3]), late=st.sampled_from([0.0, 0.2]))
+    def store_lossy(self, lost: float, late: float) -> None:
+        self.world.store.lose_share = lost
+        self.world.store.late_share = late
+
+    @rule()
+    def store_back(self) -> None:
+        self.world.store.silent = False
+        self.world.store.turned_away.clear()
+
+    @rule(share=st.sampled_from([0.0, 0.2, 0.5]))
+    def late_orders(self, share: float) -> None:
+        self.world.late_orders = share
+
+    @rule(late=st.sampled_from([0.5, 1.0]), seconds=st.floats(0.02, 0.3))
+    def leader_dies_with_orders_on_their_way(self, late: float, seconds: float) -> None:
+        self.world.late_orders = late
+        self.submit(0)
+        self.world.run(seconds)
+        self.kill(True, 0)
+        self.world.late_orders = 0.0
+
+    @rule(seconds=st.floats(0.02, 0.3), first=st.booleans())
+    def leader_dies_and_a_runner_is_cut_off(self, seconds: float, first: bool) -> None:
+        self.submit(0)
+        self.world.run(seconds)
+        runner = [one for one in self.world.runners.values() if one.alive][0 if first else -1]
+        names = [*self.world.instances, *(f"entry-{chr(97 + n % 26)}{n}" for n in range(40))]
+        self.world.unreachable.update((name, runner.name) for name in names)
+        self.kill(True, 0)
+
+    @rule(pick=st.integers(0, 9))
+    def crash_runner(self, pick: int) -> None:
+        alive = [one for one in self.world.runners.values() if one.alive]
+        runner = alive[pick % len(alive)]
+        runner.crash()
+        self.world.add_runner(runner.name)
+
+    @rule(pick=st.integers(0, 9), leader=st.booleans())
+    def cut_runner(self, pick: int, leader: bool) -> None:
+        alive = [one for one in self.world.runners.values() if one.alive]
+        runner = alive[pick % len(alive)]
+        instance = self.world.leader() if leader else self.instance(pick)
+        if instance is not None:
+            self.world.unreachable.add((instance.name, runner.name))
+
+    @rule()
+    def mend_cuts(self) -> None:
+        self.world.unreachable.clear()
+
+    @invariant()
+    def nothing_is_broken(self) -> None:
+        if hasattr(self, "world"):
+            assert self.world.broken == []
+
+    def teardown(self) -> None:
+        if hasattr(self, "world"):
+            self._heal()
+            assert self.world.broken == []
+            self._check_jobs()
+
+    def _heal(self) -> None:
+        world = self.world
+        world.store.silent = False
+        world.store.turned_away.clear()
+        world.store.lose_share = world.store.late_share = world.late_orders = 0.0
+        world.unreachable.clear()
+        world.run(HEAL_S)
+
+    def _check_jobs(self) -> None:
+        one = next(iter(self.world.instances.values()))
+        for job, told in self.told.items():
+            phase = one.index.phase(JobId(job))
+            if Wish.KEPT in told:
+                assert phase in FINAL, f"{job} was accepted and is {phase}"
+                if job not in self.cancelled:
+                    assert phase is JobPhase.COMPLETED, f"{job} is {phase}"
+            if told and all(wish is Wish.NOT_KEPT for wish in told):
+                assert phase is None, f"{job} was refused and is {phase}"
+
+
+def run_machine(examples: int, steps: int) -> None:
+    from hypothesis.stateful import run_state_machine_as_test
+
+    run_state_machine_as_test(
+        Faults,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            print_blob=False,
+            report_multiple_bugs=False,
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_promises_hold_under_random_faults() -> None:
+    run_machine(examples=50, steps=25)
+
+
+def _no_fence(self: Scheduler, runner: RunnerState) -> Any:
+    from spoolcrank.orders import Target
+
+    return Target(runner.id, runner.entry.address, 1)
+
+
+_take_batch = Scheduler.take_batch
+
+
+def _seen_first(self: Scheduler) -> Batch | None:
+    for runner in self.runners.values():
+        runner.seen = runner.seen_next
+    return _take_batch(self)
+
+
+_bind = Scheduler._bind
+
+
+def _same_number(self: Scheduler, job: Any, key: Any, number: int, *rest: Any) -> None:
+    _bind(self, job, key, 1, *rest)
+
+
+MUTATIONS = {
+    "the fence is not raised": (Scheduler, "target", _no_fence),
+    "ends are forgotten before they are kept": (Scheduler, "take_batch", _seen_first),
+    "an unknown append counts as refused": (job_intake, "Wish", None),
+    "leases count as over too early": (run_control, "INHERITED_S", 0.5),
+    "leases of silent runners count as over at once": (
+        RunnerState,
+        "surely_ended",
+        lambda self, now: True,
+    ),
+    "run numbers are used again": (Scheduler, "_bind", _same_number),
+}
+
+
+@pytest.mark.parametrize("name", list(MUTATIONS))
+def test_taking_a_mechanism_out_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    owner, attribute, change = MUTATIONS[name]
+    if attribute == "Wish":
+
+        def try_again(self: Any, batch: Any, got: Any) -> None:
+            for one in batch:
+                one.done(Wish.NOT_KEPT)
+
+        monkeypatch.setattr(job_intake.JobIntake, "_try_again", try_again)
+    else:
+        monkeypatch.setattr(owner, attribute, change)
+    with pytest.raises(BaseException):  # noqa: B017 -- hypothesis raises groups
+        run_machine(examples=100, steps=30)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,298 @@
+"""The adapter: what goes over the wire, how it is read, and the deploy files."""
+
+import json
+import os
+import struct
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from spoolcrank._http import Failed, HttpCall, HttpResult
+from spoolcrank.errors import ErrorKind, SettingsError, SpoolcrankError
+from spoolcrank.figures import Figures
+from spoolcrank.ids import Address, JobId
+from spoolcrank.keyed_log import KeyedRecord
+from spoolcrank.orders import EndKind, Look, OrderResult, Start, Target
+from spoolcrank.platform.documents import configuration_of, runner_of, workflow_of
+from spoolcrank.platform.runners import PlatformRunners
+from spoolcrank.platform.settings import read_settings
+from spoolcrank.platform.store import StoreLog
+from spoolcrank.store_port import Append, AppendOutcome, ReadOutcome, WriterFence
+from spoolcrank.telemetry import HELD_BYTES, Telemetry
+from spoolcrank.workflow import Demand, RunnerId, TaskKey
+
+ROOT = Path(__file__).parent.parent
+STORE = Address("10.0.0.9:80")
+
+
+class Http:
+    """Answers each call with what the test says."""
+
+    def __init__(self, result: HttpResult) -> None:
+        self.result = result
+        self.calls: list[HttpCall] = []
+
+    def send(self, call: HttpCall, done: Any) -> None:
+        self.calls.append(call)
+        done(self.result)
+
+
+def answer(status: int, body: Any = b"") -> HttpResult:
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return HttpResult(None, status, {}, raw)
+
+
+def appended(result: HttpResult) -> AppendOutcome:
+    told: list[Any] = []
+    StoreLog(Http(result), STORE, "jobs").append(Append([KeyedRecord("k", b"v")]), told.append)
+    return told[0].outcome
+
+
+def test_an_append_is_framed_and_carries_its_conditions() -> None:
+    http = Http(answer(200, {"offset": 7, "end": 9}))
+    told: list[Any] = []
+    records = [KeyedRecord("p/a", b"one"), KeyedRecord("p/b", b"")]
+    log = StoreLog(http, STORE, "jobs")
+    log.append(Append(records, WriterFence(3, 5), at=7), told.append)
+    call = http.calls[0]
+    assert call.path == (
+        "/api/log-append?topic=keyed.jobs&part=0&at=7&producer=leader&epoch=3&callSeq=5"
+    )
+    assert call.body == b"\x00\x00\x00\x07\x03p/aone\x00\x00\x00\x04\x03p/b"
+    assert told[0].offset == 7
+
+
+@pytest.mark.parametrize(
+    ("result", "outcome"),
+    [
+        (answer(200, {"offset": 1, "end": 2}), AppendOutcome.KEPT),
+        (answer(409, {"reason": "fenced"}), AppendOutcome.FENCED),
+        (answer(409, {"reason": "seq"}), AppendOutcome.OUT_OF_ORDER),
+        (answer(412, {"end": 4}), AppendOutcome.MOVED),
+        (answer(503), AppendOutcome.NOT_KEPT),
+        (answer(429), AppendOutcome.NOT_KEPT),
+        (answer(507), AppendOutcome.NOT_KEPT),
+        (HttpResult(Failed.NOT_SENT, sent=False), AppendOutcome.NOT_KEPT),
+        (HttpResult(Failed.TIMED_OUT), AppendOutcome.UNKNOWN),
+        (HttpResult(Failed.CUT), AppendOutcome.UNKNOWN),
+    ],
+)
+def test_an_append_without_an_answer_is_never_called_refused(
+    result: HttpResult, outcome: AppendOutcome
+) -> None:
+    assert appended(result) is outcome
+
+
+def test_a_read_gives_records_with_their_offsets() -> None:
+    body = struct.pack(">QQ", 12, 3) + b"\x00\x00\x00\x04\x01kab\x00\x00\x00\x02\x01k"
+    told: list[Any] = []
+    StoreLog(Http(answer(200, body)), STORE, "op").read(10, 700, told.append)
+    assert told[0].records == (KeyedRecord("k", b"ab", 10), KeyedRecord("k", b"", 11))
+    assert told[0].end == 12
+    StoreLog(Http(answer(410, {"first": 99})), STORE, "op").read(10, 0, told.append)
+    assert told[1].outcome is ReadOutcome.EXPIRED
+
+
+def test_the_newest_records_are_listed_by_pages() -> None:
+    page = {"items": [{"key": "a", "value": "b25l", "offset": 4}], "more": True, "end": 6}
+    told: list[Any] = []
+    http = Http(answer(200, page))
+    StoreLog(http, STORE, "op").newest("0", told.append)
+    assert http.calls[0].path.endswith("&afterRev=0")
+    assert told[0].records == (KeyedRecord("a", b"one", 4),)
+    assert told[0].more
+
+
+def started(result: HttpResult) -> OrderResult:
+    told: list[Any] = []
+    target = Target(RunnerId("i-1"), Address("10.0.0.1:80"), 4)
+    order = Start(target, TaskKey(JobId("ab"), 0, 1, 2), 3, "text", "", 900)
+    PlatformRunners(Http(result)).start(order, told.append)
+    return told[0].result
+
+
+@pytest.mark.parametrize(
+    ("result", "expected"),
+    [
+        (answer(200, {"clockMs": 5}), OrderResult.DONE),
+        (answer(409, {"reason": "fence"}), OrderResult.OUTRANKED),
+        (answer(409, {"reason": "old"}), OrderResult.SUPERSEDED),
+        (answer(409, {"reason": "late"}), OrderResult.LATE),
+        (answer(409, {"reason": "room"}), OrderResult.NO_ROOM),
+        (answer(421), OrderResult.OTHER_LIFE),
+        (answer(503), OrderResult.UNHEALTHY),
+        (answer(400), OrderResult.REJECTED),
+        (HttpResult(Failed.NOT_SENT, sent=False), OrderResult.NOT_DONE),
+        (HttpResult(Failed.TIMED_OUT), OrderResult.UNKNOWN),
+    ],
+)
+def test_a_start_without_an_answer_is_never_called_undone(
+    result: HttpResult, expected: OrderResult
+) -> None:
+    assert started(result) is expected
+
+
+def test_a_look_reads_both_lists() -> None:
+    lists = {
+        "clockMs": 482113,
+        "running": [["ab.0.1.17", 2, "00bb", 41, 12.5]],
+        "ended": [[58, "ab.0.1.9", 1, "done", ""]],
+    }
+    told: list[Any] = []
+    http = Http(answer(200, lists))
+    look = Look(Target(RunnerId("i-1"), Address("10.0.0.1:80"), 4), 57, 486000, 1000)
+    PlatformRunners(http).look(look, told.append)
+    sent = json.loads(http.calls[0].body)
+    assert sent == {"fence": 4, "lastSeen": 57, "deadlineMs": 486000, "waitMs": 1000}
+    assert http.calls[0].headers["Spoolcrank-Expect-Instance"] == "i-1"
+    report = told[0].report
+    assert report.running[0].task == TaskKey(JobId("ab"), 0, 1, 17)
+    assert report.running[0].figure == 12.5
+    assert report.ended[0].how is EndKind.DONE
+
+
+def test_a_job_is_decoded_once_into_telling_fields() -> None:
+    body = {
+        "spec": "text",
+        "steps": [
+            {"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 900, "affinity": "r1-3"},
+            {"count": 2, "afterRev": [0], "savesProgress": True, "antiAffinity": 1},
+        ],
+        "unknown": 1,
+    }
+    flow = workflow_of(json.dumps(body).encode())
+    assert flow.steps[0].demand == Demand(500, 256, 0)
+    assert flow.steps[0].data_rack == "r1-3"
+    assert flow.steps[1].after == (0,)
+    assert flow.steps[1].checkpoints
+    assert flow.steps[1].max_per_instance == 1
+
+
+@pytest.mark.parametrize(
+    ("body", "kind"),
+    [
+        (b"{", ErrorKind.BAD_JSON),
+        (b'{"steps": 3}', ErrorKind.BAD_FIELD),
+        (b'{"spec": "x"}', ErrorKind.BAD_FIELD),
+        (b'{"steps": [{"count": 1, "afterRev": [0]}]}', ErrorKind.BAD_FIELD),
+    ],
+)
+def test_a_wrong_job_is_refused_by_name(body: bytes, kind: ErrorKind) -> None:
+    with pytest.raises(SpoolcrankError) as caught:
+        workflow_of(body)
+    assert caught.value.refusal.kind is kind
+
+
+def test_a_request_takes_the_longest_prefix_of_its_host() -> None:
+    route = {"host": "A.example", "service": "s", "maxAttempts": 4, "sloMs": 250}
+    routes = [
+        {**route, "name": "short", "pathPrefix": "/x/"},
+        {**route, "name": "long", "pathPrefix": "/x/y/"},
+    ]
+    table = configuration_of(json.dumps({"version": 7, "routes": routes}).encode())
+    assert table.version == 7
+    assert [table.match("a.example:80", path).name for path in ("/x/1", "/x/y/1")] == [
+        "short",
+        "long",
+    ]
+    assert table.match("b.example", "/x/1") is None
+    assert table.match("a.example", "/z") is None
+
+
+def test_a_runners_entry_tells_room_labels_and_leaving() -> None:
+    raw = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "state": "draining",
+        "capacity": {"cpu": 16000, "memMb": 32768},
+        "labels": ["a", "r1-3"],
+    }
+    entry = runner_of("i-1", json.dumps(raw).encode())
+    assert entry.room == Demand(16000, 32768, 0)
+    assert entry.leaving
+    assert "r1-3" in entry.labels
+
+
+def settings_text(**changes: Any) -> str:
+    whole = {
+        "node": "front-1",
+        "ip": "10.0.0.1",
+        "zone": "a",
+        "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+        "platform": {"address": "10.0.0.9:80"},
+        "later": 1,
+    }
+    return json.dumps({**whole, **changes})
+
+
+def test_settings_ignore_unknown_fields_and_name_a_wrong_one(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(settings_text())
+    assert read_settings(str(path)).store == "10.0.0.9:80"
+    path.write_text(settings_text(listen={"front": 3, "ready": "10.0.0.1:81"}))
+    with pytest.raises(SettingsError, match=r"listen\.front"):
+        read_settings(str(path))
+
+
+def test_requirements_are_pinned_in_step_with_the_project() -> None:
+    from packaging.requirements import Requirement
+
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    lines = (ROOT / "requirements.txt").read_text().splitlines()
+    pinned = {}
+    for line in lines:
+        name, _, version = line.partition("==")
+        assert version, f"{line} is not pinned"
+        pinned[name.lower().replace("_", "-")] = version
+    for text in project["dependencies"]:
+        wanted = Requirement(text)
+        assert wanted.specifier.contains(pinned[wanted.name.lower()]), text
+
+
+def test_the_deploy_file_names_the_metrics_port_that_is_served() -> None:
+    from spoolcrank.__main__ import METRICS_PORT, SERVE
+
+    role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["scheduler"]
+    assert role["metrics"] == f"{METRICS_PORT}/metrics"
+    assert role["run"] == f"python3 -m spoolcrank {SERVE}"
+    assert (ROOT / role["template"]).exists()
+
+
+class Every:
+    """Takes the place of timers."""
+
+    def every(self, period_s: float, action: Any) -> None:
+        self.action = action
+
+
+def test_a_full_standard_output_holds_nothing_up() -> None:
+    reader, writer = os.pipe()
+    telemetry = Telemetry(Every(), "front-1", writer)
+    try:
+        for number in range(3000):
+            telemetry.log("decided", grave=True, number=number, text="x" * 400)
+            telemetry.flush()
+        assert telemetry.left_out > 0
+        assert telemetry._held_bytes <= HELD_BYTES
+        first = os.read(reader, 1 << 16).splitlines()[0]
+        assert json.loads(first)["message_type"] == "decided"
+    finally:
+        import eliot
+
+        eliot.remove_destination(telemetry._take)
+        os.close(reader)
+        os.close(writer)
+
+
+def test_figures_are_told_as_text() -> None:
+    figures = Figures()
+    figures.count("took-over")
+    figures.time("POST 200", 0.03)
+    figures.gauge("leads", 1)
+    text = figures.text().decode()
+    assert 'spoolcrank_events_total{event="took-over"} 1.0' in text
+    assert 'spoolcrank_seconds_bucket{le="0.05",what="POST 200"} 1.0' in text
+    assert "spoolcrank_leads 1.0" in text
