Leave room for short tasks, work on what can still make its objective, halt what harms for long

Change: a forecast reserve that lasting tasks leave; begun, fresh, late, hopeless jobs in this order; fillers stand still where a tail was over its target for 1.3 s; refused paces are reset.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -27,6 +27,7 @@
     look_answered,
     look_failed,
     looks_due,
+    pace_answered,
     start_answered,
     stop_answered,
     tick,
@@ -256,6 +257,7 @@
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
             self.scheduler.drop_ended(now)
+            self.scheduler.forecast(now)
         self._work()
 
     def _wake(self) -> None:
@@ -342,7 +344,7 @@
         elif isinstance(order, Stop):
             self._stop(scheduler, order)
         else:
-            self._pace(order)
+            self._pace(scheduler, order)
 
     def _look(self, scheduler: Scheduler, order: Look) -> None:
         asked_at = self._clock()
@@ -371,8 +373,8 @@
     def _stop(self, scheduler: Scheduler, order: Stop) -> None:
         self._runners.stop(order, lambda got: stop_answered(scheduler, order, got, self._clock()))
 
-    def _pace(self, order: Pace) -> None:
-        self._runners.pace(order, lambda got: None)
+    def _pace(self, scheduler: Scheduler, order: Pace) -> None:
+        self._runners.pace(order, lambda got: pace_answered(scheduler, order, got, self._clock()))
 
     def _check_outranked(self, scheduler: Scheduler, result: OrderResult) -> None:
         if result is OrderResult.OUTRANKED and self.scheduler is scheduler:
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -109,6 +109,8 @@
         rounds: those that are due and not done, by number.
         rounds_done: rounds from the first on that are done and forgotten.
         begun: whether any task was ever bound.
+        accepted_at: when it was accepted, monotonic seconds of this process.
+        objective_s: within what time from then it should finish.
     """
 
     id: JobId
@@ -118,6 +120,8 @@
     rounds: dict[int, RoundState] = field(default_factory=dict)
     rounds_done: int = 0
     begun: bool = False
+    accepted_at: float = 0.0
+    objective_s: float = 0.0
 
     @property
     def lasting(self) -> bool:
--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -27,6 +27,13 @@
 PACE_UP = 40
 """Faster again in steps of at most so many percent."""
 
+OVER_S = 1.3
+"""Where a tail stays over its target for so long, every filler beside it stands still, s; with
+a report each second that is well before the 4 s after which it counts as harm."""
+
+UNKNOWN_PACE = 50
+"""What a filler is taken to work at when its pace may or may not have been set, percent."""
+
 MOVE_AFTER_S = 1.0
 """A filler that worked at half its pace or less for so long moves with its checkpoint, s, if
 there is a place where it slows nothing; stopping and resuming takes about as long."""
@@ -47,7 +54,9 @@
     if pressed is None:
         return
     ratio = pressed.tail_ms / pressed.target_ms
-    if ratio >= PRESSED:
+    if _over_long(runner, now):
+        _halt(state, runner, now)
+    elif ratio >= PRESSED:
         _slow_down(state, runner, pressed, ratio, now)
     elif ratio <= RELAXED:
         _speed_up(state, runner, pressed, ratio, now)
@@ -59,6 +68,19 @@
     return max(serving, key=lambda run: run.tail_ms / run.target_ms, default=None)
 
 
+def _over_long(runner: RunnerState, now: float) -> bool:
+    return any(
+        run.over_since is not None and now - run.over_since >= OVER_S
+        for run in runner.runs.values()
+    )
+
+
+def _halt(state: Scheduler, runner: RunnerState, now: float) -> None:
+    for key, run in list(_fillers(runner)):
+        if run.pace > 0:
+            _pace(state, runner, key, run, 0, now)
+
+
 def _fillers(runner: RunnerState) -> Iterator[tuple[TaskKey, Run]]:
     for key, run in runner.runs.items():
         if run.fills and run.stage is RunStage.RUNNING:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -39,6 +39,7 @@
         avoid: the runner it failed on last.
         rack: only here, where it is not empty.
         keep_free: no runner without serving tasks should take a first one.
+        reserve: millicores that a lasting task leaves to short ones on its runner.
     """
 
     step: Step
@@ -46,6 +47,7 @@
     avoid: RunnerId
     rack: str = ""
     keep_free: bool = False
+    reserve: int = 0
 
 
 def few_free(runners: Iterable[RunnerState]) -> bool:
@@ -87,6 +89,8 @@
     step = wish.step
     if not runner.fits(step.demand):
         return False
+    if step.lasting and not _leaves_reserve(wish, runner):
+        return False
     if step.label and step.label not in runner.entry.labels:
         return False
     if wish.rack and wish.rack not in runner.entry.labels:
@@ -94,6 +98,13 @@
     return not step.max_per_instance or wish.held.get(runner.id, 0) < step.max_per_instance
 
 
+def _leaves_reserve(wish: Wish, runner: RunnerState) -> bool:
+    """Tell whether a lasting task may go there: no longer kept from room for two of its kind."""
+    free = runner.entry.room.millicores - runner.used_millicores
+    millicores = wish.step.demand.millicores
+    return free >= min(millicores + wish.reserve, 2 * millicores)
+
+
 def _score(
     wish: Wish, runner: RunnerState, contention: Contention, now: float
 ) -> tuple[float, ...]:
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -90,6 +90,7 @@
             route.objective_ms,
             route.stretch,
             workflow,
+            int(time.time() * 1000),
         )
 
         def kept(wish: Wish) -> None:
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -11,12 +11,13 @@
     EndedRow,
     Look,
     OrderResult,
+    Pace,
     Report,
     RunningRow,
     Start,
     Stop,
 )
-from spoolcrank.pacing import learn, set_paces
+from spoolcrank.pacing import SETTLE_S, UNKNOWN_PACE, learn, set_paces
 from spoolcrank.runner_state import Run, RunnerState, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
 from spoolcrank.workflow import FINAL, TaskKey
@@ -145,6 +146,8 @@
         run.moved_at = now
     if run.serves:
         run.tail_ms = row.figure
+        over = row.figure >= run.target_ms
+        run.over_since = (run.over_since or now) if over else None
     else:
         run.used_millicores = row.figure
     job = state.jobs.get(row.task.job)
@@ -288,6 +291,21 @@
         )
 
 
+# Paces
+
+
+def pace_answered(state: Scheduler, pace: Pace, answered: Answered, now: float) -> None:
+    """Take note of a pace that was not taken, so that it is set again."""
+    runner = state.runners.get(pace.target.runner)
+    run = runner.runs.get(pace.task) if runner is not None else None
+    if run is None or run.number != pace.run or answered.result is OrderResult.DONE:
+        return
+    if run.pace == pace.percent:
+        run.pace = UNKNOWN_PACE
+        run.paced_at = now - SETTLE_S
+    state.note("pace-refused", task=pace.task, run=pace.run, result=answered.result.value)
+
+
 # Time
 
 
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -89,6 +89,7 @@
         moved_at: when `percent` last changed.
         tries: orders sent so far in this stage.
         tail_ms: newest tail latency of a task that serves, 0 if unknown.
+        over_since: since when every report had the tail over its target; None if not.
         base: what is learnt of the logarithm of its tail over its target without fillers.
         used_millicores: newest use of any other task, 0 if unknown.
         pace: percent at which it may work.
@@ -110,6 +111,7 @@
     moved_at: float = 0.0
     tries: int = 0
     tail_ms: float = 0.0
+    over_since: float | None = None
     base: float | None = None
     used_millicores: float = 0.0
     pace: int = 100
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -13,6 +13,7 @@
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
+from spoolcrank.objective import objective_s, work_order
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
 from spoolcrank.packing import SMALL_EFFECT, Wish, choose, few_free, worst_effect
 from spoolcrank.runner_state import (
@@ -47,6 +48,18 @@
 KEEP_ENDED_S = 150.0
 """Records of an ended job are dropped after so long, s; states are asked for 120 s."""
 
+FORECAST_S = 0.5
+"""Between two samples of the demand of short tasks, s; about the time that one takes."""
+
+FORECAST_MEMORY_S = 8.0
+"""Samples of the demand of short tasks fade within so long, s; bursts last about 6 s."""
+
+RESERVE = 1.5
+"""Times the demand of short tasks that is kept for them: their arrivals swing by half."""
+
+LEAST_RESERVE = 2500
+"""Of a runner, millicores, as soon as there are short tasks: room for one of the usual size."""
+
 RETRY_S = 0.1
 """A lasting task that failed starts again after so long, s; at once would spin."""
 
@@ -91,6 +104,9 @@
         self.runners: dict[RunnerId, RunnerState] = {}
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
+        self.reserve = 0
+        self._short_demand = 0.0
+        self._forecast_at = now
         self.orders: list[Order] = []
         self.notes: list[Note] = []
         self._ready: dict[JobId, None] = {}
@@ -120,8 +136,11 @@
         if job_id in self.jobs:
             return
         job = JobState(job_id, record, order)
+        job.objective_s = objective_s(job)
+        job.accepted_at = now
         if progress is not None:
             job.restore(progress)
+            job.accepted_at = now - max(0.0, time_of_day_ms - record.accepted_ms) / 1000.0
         self.jobs[job_id] = job
         for key, task in job.bound():
             self._inherit(key, task, job)
@@ -185,10 +204,12 @@
         policy = self.routes.get(job.record.route)
         return policy.max_attempts if policy is not None else job.record.max_attempts
 
-    def _rank(self, job: JobState) -> tuple[int, int, int]:
+    def _rank(self, job: JobState, now: float) -> tuple[int, int, tuple[int, float]]:
         policy = self.routes.get(job.record.route)
         priority = policy.priority if policy is not None else job.record.priority
-        return (priority, 0 if job.lasting else 1, job.order)
+        if job.lasting:
+            return (priority, 1, (0, job.order))
+        return (priority, 0, work_order(job, now))
 
     # Runners
 
@@ -338,13 +359,49 @@
 
     # Placing
 
+    def forecast(self, now: float) -> None:
+        """Set the room that lasting tasks leave to short counted ones on each runner.
+
+        Short tasks earn about four times as much for a core and second, and would find no
+        room where more lasting ones wait than fit.
+        """
+        if now - self._forecast_at < FORECAST_S:
+            return
+        share = min(1.0, (now - self._forecast_at) / FORECAST_MEMORY_S)
+        self._forecast_at = now
+        demand = self._short_running() + self._short_waiting()
+        self._short_demand += share * (demand - self._short_demand)
+        usable = sum(1 for runner in self.runners.values() if runner.usable(now))
+        if self._short_demand < 1.0 or not usable:
+            self.reserve = 0
+        else:
+            self.reserve = max(LEAST_RESERVE, int(RESERVE * self._short_demand / usable))
+
+    def _short_running(self) -> int:
+        return sum(
+            run.demand.millicores
+            for runner in self.runners.values()
+            for run in runner.runs.values()
+            if not run.lasting
+        )
+
+    def _short_waiting(self) -> int:
+        return sum(
+            len(step.waiting) * step.spec.demand.millicores
+            for job in self.waiting_jobs()
+            for held in job.rounds.values()
+            for _, step in held.ready()
+            if not step.spec.lasting
+        )
+
     def place(self, now: float, time_of_day_ms: float) -> None:
         """Bind waiting tasks to runners that have room."""
         for job_id in list(self._timed):
             self._open_due(self.jobs[job_id], time_of_day_ms)
         pools = self._pools(now)
         misses: dict[tuple[ServiceName, bool], int] = {}
-        for job in sorted((self.jobs[job_id] for job_id in self._ready), key=self._rank):
+        ready = [self.jobs[job_id] for job_id in self._ready]
+        for job in sorted(ready, key=lambda one: self._rank(one, now)):
             self._place_job(job, pools, misses, now)
 
     def _open_due(self, job: JobState, time_of_day_ms: float) -> None:
@@ -399,7 +456,7 @@
             if task.not_before > now:
                 return False
             keep_free = bool(step.spec.target_ms) and few_free(runners)
-            wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free)
+            wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=self.reserve)
             runner = choose(wish, runners, self.contention, now)
             if runner is None:
                 return False
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -113,6 +113,8 @@
         objective_ms: fixed part of the time in which it should finish.
         stretch: times its longest chain of work that are added to the objective.
         workflow: what to do.
+        accepted_ms: time of day when it came in, milliseconds since 1970; only the order of
+            waiting work hangs on it, and only after a takeover.
     """
 
     route: RouteName
@@ -122,6 +124,7 @@
     objective_ms: int
     stretch: float
     workflow: Workflow
+    accepted_ms: int = 0
 
 
 class TaskKey(NamedTuple):
