Learn weights below 0 too; count only weights over 1.8

Cause: weights cut off at 0 scattered to 1 to 4 for pairs that do nothing (least squares over the same reports: about 0), so harmless places were left empty. Change: weights may fall to -2 and count as none below the threshold.

--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -47,9 +47,12 @@
     variance: float = PRIOR_VARIANCE
 
 
-LEAST_WEIGHT = 1.3
+LEAST_WEIGHT = 1.8
 """A lower weight counts as none: what is learnt of harmless pairs scatters up to it."""
 
+LOWEST_MEAN = -2.0
+"""No weight is held lower; a spell of falling load looks like a filler that helps."""
+
 
 class Contention:
     """What one leader has learnt of the pairs of images."""
@@ -97,7 +100,8 @@
         for image, share in seen.items():
             held = weights[image]
             gain = held.variance * share / spread
-            held.mean = max(0.0, held.mean + gain * residual)
+            # Held below 0 too: cut off there, the scatter around 0 would look like weight.
+            held.mean = max(LOWEST_MEAN, held.mean + gain * residual)
             held.variance = held.variance * (1.0 - gain * share) + FORGETTING
         base += BASE_GAIN * residual * NOISE_VARIANCE / spread
         of_image = self.base(serving)
