Regroup serving tasks by the fillers they bear; keep empty runners for loud fillers

Cause: about half of the runners held images of both kinds (those slowed by one set of fillers and those slowed by the other), so 0 to 170 of 480 spare cores bore a given filler; a pass over the queue ended at steps that fit nowhere while others behind them did. Change: one serving task at a time moves to a runner that bears the same fillers; misses are counted for each image; harmless fillers leave runners without serving tasks free.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -23,6 +23,7 @@
 from spoolcrank.leadership import SELF_FENCE_S, Leadership, decode_claim
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.orders import Answered, Look, Order, OrderResult, Pace, Start, Stop
+from spoolcrank.regrouping import Regrouping
 from spoolcrank.run_control import (
     look_answered,
     look_failed,
@@ -95,6 +96,7 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._writer: LeaderWriter | None = None
+        self._regrouping = Regrouping()
         self._claiming = False
         self._woken = False
         self._leaving = False
@@ -189,6 +191,7 @@
         self._writer = LeaderWriter(
             self._log, self._timers, self._clock, term, self._on_writer_lost
         )
+        self._regrouping = Regrouping()
         scheduler = Scheduler(term, now, self.leadership.leader_wrote_at)
         scheduler.routes = dict(self._routes)
         self.scheduler = scheduler
@@ -258,6 +261,8 @@
             tick(self.scheduler, now)
             self.scheduler.drop_ended(now)
             self.scheduler.forecast(now)
+            for task, source, destination in self._regrouping.moves(self.scheduler, now):
+                self.scheduler.move(task, source, destination, now)
         self._work()
 
     def _wake(self) -> None:
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -24,7 +24,7 @@
     """One task: where it stands, its newest run, checkpoint and failures.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
-    `not_before` delays the next start, monotonic seconds.
+    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
     """
 
     phase: Phase = Phase.WAITING
@@ -34,6 +34,7 @@
     failures: int = 0
     refused_by: RunnerId = NO_RUNNER
     not_before: float = 0.0
+    wanted: RunnerId = NO_RUNNER
 
     @property
     def untouched(self) -> bool:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -132,7 +132,9 @@
     if effect > SMALL_EFFECT and not _tails_allow(step, runner, contention, now):
         return ()
     harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
-    return (*first, harmless, -effect, float(runner.idle_millicores))
+    # Runners without serving tasks are left to fillers that slow all that serves.
+    beside = 1.0 if runner.serving else 0.0
+    return (*first, harmless, beside, -effect, float(runner.idle_millicores))
 
 
 def worst_effect(image: str, share: float, runner: RunnerState, contention: Contention) -> float:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -41,9 +41,9 @@
 """A runner that this leader never reached runs nothing any more so long after the last write
 of the earlier leader, s: that one extends for SELF_FENCE_S at most, by LEASE_MS at most."""
 
-MISSES = 8
-"""A pass over waiting work ends for a kind of task after so many that found no place; trying
-all of a long queue costs more than a place that is found a pass later."""
+MISSES = 3
+"""A pass over waiting work ends for tasks of one image after so many steps that found no place;
+trying all of a long queue costs more than a place that is found a pass later."""
 
 KEEP_ENDED_S = 150.0
 """Records of an ended job are dropped after so long, s; states are asked for 120 s."""
@@ -399,7 +399,7 @@
         for job_id in list(self._timed):
             self._open_due(self.jobs[job_id], time_of_day_ms)
         pools = self._pools(now)
-        misses: dict[tuple[ServiceName, bool], int] = {}
+        misses: dict[tuple[ServiceName, str], int] = {}
         ready = [self.jobs[job_id] for job_id in self._ready]
         for job in sorted(ready, key=lambda one: self._rank(one, now)):
             self._place_job(job, pools, misses, now)
@@ -421,7 +421,7 @@
         self,
         job: JobState,
         pools: Mapping[ServiceName, list[RunnerState]],
-        misses: dict[tuple[ServiceName, bool], int],
+        misses: dict[tuple[ServiceName, str], int],
         now: float,
     ) -> None:
         service = self.service_of(job)
@@ -429,7 +429,7 @@
         still_waits = False
         for held in list(job.rounds.values()):
             for number, step in list(held.ready()):
-                kind = (service, step.spec.fills)
+                kind = (service, step.spec.image)
                 if misses.get(kind, 0) >= MISSES:
                     still_waits = True
                     continue
@@ -457,13 +457,29 @@
                 return False
             keep_free = bool(step.spec.target_ms) and few_free(runners)
             wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=self.reserve)
-            runner = choose(wish, runners, self.contention, now)
+            runner = self._wanted(task, wish, runners, now)
             if runner is None:
                 return False
             held[runner.id] = held.get(runner.id, 0) + 1
             self._bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
         return True
 
+    def _wanted(
+        self, task: TaskState, wish: Wish, runners: list[RunnerState], now: float
+    ) -> RunnerState | None:
+        """Return the runner that a moved task was meant for, or the best one."""
+        wanted, task.wanted = task.wanted, NO_RUNNER
+        meant = [one for one in runners if one.id == wanted]
+        return choose(wish, meant, self.contention, now) or choose(
+            wish, runners, self.contention, now
+        )
+
+    def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
+        """Stop a task, to be started at another runner."""
+        self.jobs[key.job].task(key).wanted = destination
+        self.note("task-moves", task=key, runner=source, to=destination)
+        self.stop_run(key, source, now)
+
     def _place_gang(
         self,
         job: JobState,
