--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -14,6 +14,7 @@
 from spoolcrank import entry as entry_daemon
 from spoolcrank.errors import SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
+from spoolcrank.log_search import lines_about
 from spoolcrank.resources import Resources
 from spoolcrank.settings import check_entry
 
@@ -197,6 +198,29 @@
     raise typer.Exit(1 if found.differences else 0)
 
 
+@app.command("why")
+def why_command(
+    wanted: Annotated[str, typer.Argument(metavar="ID", help="a job, a request's path, a runner")],
+    logs: Annotated[list[Path], typer.Option(help="log file of an instance; repeat it")],
+) -> None:
+    """Show what instances' logs say of one job or request, in order; 1 if nothing."""
+    texts = [line for path in logs for line in path.read_text(encoding="utf-8").splitlines()]
+    found = lines_about(wanted, texts)
+    for line in found:
+        moment = f"{line.at - found[0].at:9.3f}"
+        sys.stdout.write(f"{moment} {line.instance} {line.event} {line.text()}\n")
+    raise typer.Exit(0 if found else 1)
+
+
+@app.command("serve")
+def serve_command() -> None:
+    """Run the daemon of an instance on the users' platform; its settings are in a file."""
+    from spoolcrank.__main__ import METRICS_PORT
+    from spoolcrank.platform.daemon import run
+
+    run(METRICS_PORT)
+
+
 @app.command("demo")
 def demo_command(
     seconds: Annotated[float, typer.Option(help="how long load is offered")] = 12.0,
