Move lasting and resuming tasks off a leaving runner

Cause: they died with it, and their leases had to pass before they ran again (5 s). Change: they are stopped as soon as the runner is leaving, and start elsewhere. Tests of packing, learning, pacing, regrouping and order of work are added.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -41,6 +41,9 @@
 ABSENT_S = 1.0
 """A run that was taken but that looks asked so much later do not show is lost, s."""
 
+NEARLY_DONE = 70
+"""A task that is so far, percent, ends before a leaving runner does; others resume elsewhere."""
+
 HUNG_AFTER = 3.0
 """A task without progress for so many times its estimate stands still."""
 
@@ -316,6 +319,17 @@
             _check_lapsed(state, runner, now)
         for key, run in list(runner.runs.items()):
             _tick_run(state, runner, key, run, now)
+        if runner.entry.leaving and runner.adopted:
+            _evacuate(state, runner, now)
+
+
+def _evacuate(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Move what would die with a leaving runner: lasting tasks, and unfinished ones that resume."""
+    for key, run in list(runner.runs.items()):
+        resumes = run.checkpoints and run.percent < NEARLY_DONE
+        if run.stage is RunStage.RUNNING and (run.lasting or resumes):
+            state.note("evacuated", task=key, run=run.number, runner=runner.id)
+            state.stop_run(key, runner.id, now)
 
 
 def _check_lapsed(state: Scheduler, runner: RunnerState, now: float) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -213,3 +213,19 @@
     world.store.jobs.kept_from = len(world.store.jobs.records)
     settle(world, "ab", "ac")
     assert world.broken == []
+
+
+def test_lasting_tasks_leave_a_leaving_runner_before_it_ends() -> None:
+    world = small()
+    for one in world.runners.values():
+        one.work_s = 1000.0
+    world.instances["entry-0"].submit(
+        "ba", Step(count=8, millicores=1000, memory_mb=100, lasting=True)
+    )
+    world.run(1.0)
+    runner = next(one for one in world.runners.values() if one.tasks)
+    world.store.entries.put(runner.id, b"draining")
+    world.run(2.0)
+    assert not runner.tasks
+    assert sum(len(one.tasks) for one in world.runners.values()) == 8
+    assert world.broken == []
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,222 @@
+"""Where tasks go, what is learnt of pairs, who is held back, moved, or first in line."""
+
+import random
+
+from spoolcrank.contention import Contention
+from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
+from spoolcrank.job_state import NO_RUNNER, JobState
+from spoolcrank.objective import Prospect, objective_s, prospect, work_order
+from spoolcrank.orders import Pace
+from spoolcrank.pacing import set_paces
+from spoolcrank.packing import Wish, choose
+from spoolcrank.regrouping import best_moves
+from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import (
+    Demand,
+    JobRecord,
+    Phase,
+    RouteName,
+    RunnerId,
+    Step,
+    TaskKey,
+    Workflow,
+)
+
+NOW = 50.0
+SERVICE = ServiceName("pricing")
+SERVING = Step(count=1, millicores=6000, memory_mb=100, lasting=True, image="s", target_ms=100)
+LOUD = Step(count=1, millicores=4000, memory_mb=100, fills=True, image="loud", checkpoints=True)
+QUIET = Step(count=1, millicores=4000, memory_mb=100, fills=True, image="quiet")
+SHORT = Step(count=1, millicores=2000, memory_mb=100)
+
+
+def runner(
+    name: str, millicores: int = 32_000, labels: frozenset[str] = frozenset()
+) -> RunnerState:
+    entry = RunnerEntry(
+        RunnerId(name),
+        Address(f"{name}:80"),
+        AvailabilityZone("a"),
+        SERVICE,
+        Demand(millicores, 64_000, 0),
+        labels,
+        leaving=False,
+    )
+    state = RunnerState(entry, adopted=True)
+    state.heard(1000.0, NOW, NOW)
+    return state
+
+
+def put(
+    state: RunnerState, step: Step, number: int = 0, job: str = "ab", tail_ms: float = 0.0
+) -> TaskKey:
+    key = TaskKey(JobId(job), 0, 0, number)
+    run = Run(
+        1,
+        RunStage.RUNNING,
+        step.demand,
+        step.millicores,
+        NOW - 10,
+        image=step.image,
+        fills=step.fills,
+        target_ms=step.target_ms,
+        lasting=step.lasting,
+        checkpoints=step.checkpoints,
+        percent=100,
+        tail_ms=tail_ms,
+        used_millicores=float(step.millicores),
+    )
+    state.add(key, run)
+    return key
+
+
+def taught(loud: float = 8.0, quiet: float = 0.0) -> Contention:
+    """Return a contention that has seen enough reports of both fillers."""
+    contention = Contention()
+    chance = random.Random(1)
+    base: float | None = None
+    for number in range(600):
+        share = chance.uniform(0.05, 0.2)
+        image, weight = (("loud", loud), ("quiet", quiet))[number // 30 % 2]
+        ratio = 0.35 * 2.718 ** (weight * share + chance.gauss(0, 0.2))
+        base = contention.learn("s", base, ratio, {image: share})
+    return contention
+
+
+def place(step: Step, runners: list[RunnerState], contention: Contention | None = None) -> str:
+    found = choose(Wish(step, {}, NO_RUNNER), runners, contention or Contention(), NOW)
+    return found.id if found is not None else ""
+
+
+def test_weights_of_loud_and_quiet_pairs_are_told_apart() -> None:
+    contention = taught()
+    assert 5.0 < contention.weight("s", "loud") < 11.0
+    assert contention.weight("s", "quiet") == 0.0
+
+
+def test_a_loud_filler_goes_where_nothing_serves_and_a_quiet_one_beside_it() -> None:
+    serving, free = runner("i-1"), runner("i-2")
+    put(serving, SERVING)
+    assert place(LOUD, [serving, free], taught()) == "i-2"
+    assert place(QUIET, [serving, free], taught()) == "i-1"
+
+
+def test_a_loud_filler_waits_rather_than_bringing_a_tail_over_its_target() -> None:
+    serving = runner("i-1")
+    put(serving, SERVING)
+    put(serving, LOUD, job="cd")
+    assert place(LOUD, [serving], taught()) == ""
+
+
+def test_no_task_goes_where_it_does_not_fit_or_may_not_run() -> None:
+    small, labelled = runner("i-1", 1000), runner("i-2", labels=frozenset({"gpu"}))
+    assert place(SHORT, [small]) == ""
+    assert place(Step(count=1, millicores=100, label="gpu"), [small, labelled]) == "i-2"
+    apart = Step(count=2, millicores=100, max_per_instance=1)
+    wish = Wish(apart, {RunnerId("i-2"): 1}, NO_RUNNER)
+    assert choose(wish, [labelled], Contention(), NOW) is None
+
+
+def test_a_lasting_task_leaves_the_reserve_but_never_room_for_two() -> None:
+    one = runner("i-1", 8000)
+    wish = Wish(SERVING, {}, NO_RUNNER, reserve=3000)
+    assert choose(wish, [one], Contention(), NOW) is None
+    two = runner("i-2", 12_000)
+    assert choose(wish._replace(reserve=9000), [two], Contention(), NOW) is two
+
+
+def test_a_task_that_failed_somewhere_prefers_another_runner() -> None:
+    one, two = runner("i-1", 40_000), runner("i-2")
+    found = choose(Wish(SHORT, {}, RunnerId("i-1")), [one, two], Contention(), NOW)
+    assert found is two
+
+
+def leader(*runners: RunnerState, contention: Contention | None = None) -> Scheduler:
+    state = Scheduler(3, NOW - 20, NOW - 20)
+    state.runners = {one.id: one for one in runners}
+    state.contention = contention or taught()
+    return state
+
+
+def paces(state: Scheduler) -> list[int]:
+    found = [order.percent for order in state.orders if isinstance(order, Pace)]
+    state.orders = []
+    return found
+
+
+def test_the_filler_that_presses_a_tail_is_held_back_and_let_go() -> None:
+    one = runner("i-1")
+    serving = put(one, SERVING, tail_ms=95.0)
+    loud = put(one, LOUD, job="cd")
+    put(one, QUIET, job="ef")
+    state = leader(one)
+    set_paces(state, one, NOW)
+    assert len(paces(state)) == 1
+    assert one.runs[loud].pace < 100
+    one.runs[serving].tail_ms = 35.0
+    set_paces(state, one, NOW + 2)
+    assert paces(state) and one.runs[loud].pace > 10
+
+
+def test_every_filler_stands_still_before_a_tail_counts_as_harmed() -> None:
+    one = runner("i-1")
+    serving = put(one, SERVING, tail_ms=140.0)
+    put(one, QUIET, job="cd")
+    one.runs[serving].over_since = NOW - 1.4
+    state = leader(one)
+    set_paces(state, one, NOW)
+    assert paces(state) == [0]
+
+
+def test_the_odd_task_moves_to_its_own_kind() -> None:
+    mixed, own, odd = runner("i-1"), runner("i-2"), "b"
+    other = Step(count=1, millicores=6000, memory_mb=100, lasting=True, image=odd, target_ms=100)
+    state = leader(mixed, own)
+    for number, (where, step) in enumerate([(mixed, SERVING), (mixed, other), (own, other)]):
+        job_id = JobId(f"a{number}")
+        key = put(where, step, job=job_id)
+        record = JobRecord(RouteName("q"), SERVICE, 0, 3, 100, 2.0, Workflow("", (step,)))
+        job = JobState(job_id, record, number)
+        task = job.open_round(0).steps[0].tasks[0]
+        task.phase, task.run, task.runner = Phase.BOUND, 1, where.id
+        state.jobs[job_id] = job
+        assert key.job in state.jobs
+    for weight_of in ("loud", "quiet"):
+        for image, loud in (("s", "loud"), (odd, "quiet")):
+            for _ in range(80):
+                ratio = 1.2 if weight_of == loud else 0.35
+                state.contention.learn(image, -1.05, ratio, {weight_of: 0.15})
+    moves = best_moves(state, {"loud": 0.5, "quiet": 0.5}, NOW)
+    assert [(move.source, move.destination) for move in moves] in (
+        [("i-1", "i-2")],
+        [("i-2", "i-1")],
+    )
+
+
+def job_of_age(age_s: float, begun: bool = False, estimate_ms: int = 2000) -> JobState:
+    step = Step(count=1, estimate_ms=estimate_ms)
+    record = JobRecord(RouteName("q"), SERVICE, 2, 3, 1000, 2.0, Workflow("", (step, step)))
+    job = JobState(JobId(f"{age_s}"), record, 1, begun=begun)
+    job.open_round(0)
+    job.accepted_at = NOW - age_s
+    job.objective_s = objective_s(job)
+    return job
+
+
+def test_what_can_still_make_it_goes_first_and_the_hopeless_last() -> None:
+    fresh, newer = job_of_age(1.0), job_of_age(0.5)
+    begun, late = job_of_age(1.5, begun=True), job_of_age(8.0)
+    hopeless = job_of_age(40.0)
+    assert [prospect(job, NOW) for job in (begun, fresh, late, hopeless)] == list(Prospect)
+    waiting = [hopeless, late, fresh, begun, newer]
+    ordered = sorted(waiting, key=lambda job: work_order(job, NOW))
+    assert ordered == [begun, newer, fresh, late, hopeless]
+
+
+def test_a_chain_counts_only_steps_that_wait_for_each_other() -> None:
+    first = Step(count=1, estimate_ms=1000)
+    beside = Step(count=1, estimate_ms=3000)
+    last = Step(count=1, estimate_ms=500, after=(0, 1))
+    record = JobRecord(RouteName("q"), SERVICE, 0, 3, 250, 1.5, Workflow("", (first, beside, last)))
+    assert objective_s(JobState(JobId("a"), record, 1)) == 1.5 * 3.5 + 0.25
