--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -23,9 +23,9 @@
 RETRY_S = 0.08
 """After an append that the store turned away, s."""
 
-KEEP_TRYING_S = 0.5
-"""A record that the store surely did not take is given up after so long, s; other instances
-may be served meanwhile, and the client's next attempt reaches one."""
+KEEP_TRYING_S = 0.03
+"""A record that the store surely did not take is given up after so long, s: the client is told
+at once when to come back, and its next attempt reaches another instance."""
 
 UNSURE_S = 1.7
 """A record that may be on the log is given up as unknown after so long, s; two calls."""
@@ -83,6 +83,9 @@
         if self._index.phase(job) is not None:
             done(Wish.KEPT)
             return
+        if not self._follower.contact:
+            done(Wish.NOT_KEPT)
+            return
         self._keep(KeyedRecord(job_key(job), encode(record)), done)
 
     def cancel(self, job: JobId, done: Callable[[Wish | ErrorKind], None]) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -168,9 +168,12 @@
     instance = world.instances["entry-2"]
     world.store.turned_away.add("entry-2")
     refused = instance.submit("aa", QUICK)
-    world.run(1.0)
+    world.run(0.1)
     assert refused == [Wish.NOT_KEPT]
+    world.run(1.0)
+    assert instance.submit("aa", QUICK) == [Wish.NOT_KEPT]
     world.store.turned_away.clear()
+    world.run(1.0)
     world.store.silent = True
     unsure = instance.submit("bb", QUICK)
     world.run(3.0)
