Never let a lasting task wait behind others that fit nowhere

Change: the bound on misses is for other tasks only; a task that may not start yet holds back none of its step.

--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -430,7 +430,8 @@
         for held in list(job.rounds.values()):
             for number, step in list(held.ready()):
                 kind = (service, step.spec.image)
-                if misses.get(kind, 0) >= MISSES:
+                # Lasting tasks are few, and none may wait while there is room for it.
+                if misses.get(kind, 0) >= MISSES and not step.spec.lasting:
                     still_waits = True
                     continue
                 if not self._place_step(job, held.number, number, step, runners, now):
@@ -451,10 +452,12 @@
         if step.spec.gang:
             return self._place_gang(job, round_number, number, step, runners, now)
         held = step.per_runner() if step.spec.max_per_instance else {}
+        held_back = False
         for index in list(step.waiting):
             task = step.tasks[index]
             if task.not_before > now:
-                return False
+                held_back = True
+                continue
             keep_free = bool(step.spec.target_ms) and few_free(runners)
             wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=self.reserve)
             runner = self._wanted(task, wish, runners, now)
@@ -462,7 +465,7 @@
                 return False
             held[runner.id] = held.get(runner.id, 0) + 1
             self._bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
-        return True
+        return not held_back
 
     def _wanted(
         self, task: TaskState, wish: Wish, runners: list[RunnerState], now: float
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -232,3 +232,18 @@
     assert not runner.tasks
     assert sum(len(one.tasks) for one in world.runners.values()) == 8
     assert world.broken == []
+
+
+def test_lasting_tasks_that_fit_nowhere_keep_none_behind_them_waiting() -> None:
+    """Once three steps of an image found no place, a fourth that fitted was not tried."""
+    world = small(runners=2)
+    for one in world.runners.values():
+        one.work_s = 1000.0
+    lasting = Step(count=1, millicores=7000, memory_mb=100, lasting=True, image="s")
+    for number in range(6):
+        world.instances["entry-0"].submit(f"c{number}", lasting)
+        world.run(0.05)
+    little = Step(count=1, millicores=500, memory_mb=100, lasting=True, image="s")
+    world.instances["entry-0"].submit("cf", little)
+    world.run(1.0)
+    assert phase(world, "cf") is JobPhase.RUNNING
