--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -31,9 +31,6 @@
 """Where a tail stays over its target for so long, every filler beside it stands still, s; with
 a report each second that is well before the 4 s after which it counts as harm."""
 
-UNKNOWN_PACE = 50
-"""What a filler is taken to work at when its pace may or may not have been set, percent."""
-
 MOVE_AFTER_S = 1.0
 """A filler that worked at half its pace or less for so long moves with its checkpoint, s, if
 there is a place where it slows nothing; stopping and resuming takes about as long."""
@@ -127,7 +124,7 @@
 def _pace(
     state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, pace: int, now: float
 ) -> None:
-    run.pace = pace
+    runner.set_pace(run, pace)
     run.paced_at = now
     if pace > 50:
         run.slow_since = None
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -17,8 +17,8 @@
     Start,
     Stop,
 )
-from spoolcrank.pacing import SETTLE_S, UNKNOWN_PACE, learn, set_paces
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.pacing import SETTLE_S, learn, set_paces
+from spoolcrank.runner_state import UNKNOWN_PACE, Run, RunnerState, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
 from spoolcrank.workflow import FINAL, TaskKey
 
@@ -301,10 +301,12 @@
     """Take note of a pace that was not taken, so that it is set again."""
     runner = state.runners.get(pace.target.runner)
     run = runner.runs.get(pace.task) if runner is not None else None
-    if run is None or run.number != pace.run or answered.result is OrderResult.DONE:
+    if runner is None or run is None or run.number != pace.run:
+        return
+    if answered.result is OrderResult.DONE:
         return
     if run.pace == pace.percent:
-        run.pace = UNKNOWN_PACE
+        runner.set_pace(run, UNKNOWN_PACE)
         run.paced_at = now - SETTLE_S
     state.note("pace-refused", task=pace.task, run=pace.run, result=answered.result.value)
 
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -24,9 +24,13 @@
 DISTRUST_S = 4.0
 """A runner that failed oddly gets no new work for so long, s; doubled up to MAX_DISTRUST_S."""
 
-SERVING_USE = 0.6
+SERVING_USE = 0.5
 """Share of its declared processors that a serving task is taken to use; measured are 0.48 with
-swings of half of that."""
+swings of half of that. What it needs beyond that, fillers beside it lose."""
+
+UNKNOWN_PACE = 50
+"""What a filler is taken to work at when its pace may or may not have been set, percent: after
+an order without an answer, and after a takeover. It is set anew as soon as the tails allow."""
 
 REPORT_LAG_S = 0.8
 """A report covers the last half second, and comes up to that later, s."""
@@ -119,6 +123,11 @@
     slow_since: float | None = None
     in_flight: bool = False
 
+    @property
+    def paced_millicores(self) -> int:
+        """Return what it uses at its pace if it can."""
+        return self.wanted_millicores * self.pace // 100
+
     @property
     def serves(self) -> bool:
         """Tell whether it has users of its own and a target for them."""
@@ -228,6 +237,12 @@
         self.distrust_s = 0.0
         self.odd_failures = 0
 
+    def set_pace(self, run: Run, pace: int) -> None:
+        """Take note of a filler's new pace."""
+        self.filled_millicores -= run.paced_millicores
+        run.pace = pace
+        self.filled_millicores += run.paced_millicores
+
     def add(self, key: TaskKey, run: Run) -> None:
         """Count a run against the room."""
         self.runs[key] = run
@@ -245,7 +260,7 @@
         self.used_memory_mb += sign * run.demand.memory_mb
         self.used_accelerators += sign * run.demand.accelerators
         if run.fills:
-            self.filled_millicores += sign * run.wanted_millicores
+            self.filled_millicores += sign * run.paced_millicores
         if run.serves:
             self.serving_millicores += sign * run.demand.millicores
             held = self.serving.get(run.image, 0) + sign
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -19,6 +19,7 @@
 from spoolcrank.runner_state import (
     CLOCK_DRIFT,
     LEASE_MS,
+    UNKNOWN_PACE,
     Run,
     RunnerEntry,
     RunnerState,
@@ -159,7 +160,10 @@
         if runner is None:
             runner = RunnerState(unlisted(task.runner, job.record.service), listed=False)
             self.runners[task.runner] = runner
-        runner.add(key, self._new_run(job, key, task.run, RunStage.UNSURE, self.began_at))
+        run = self._new_run(job, key, task.run, RunStage.UNSURE, self.began_at)
+        if run.fills:
+            run.pace = UNKNOWN_PACE
+        runner.add(key, run)
 
     def _new_run(
         self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -220,3 +220,22 @@
     last = Step(count=1, estimate_ms=500, after=(0, 1))
     record = JobRecord(RouteName("q"), SERVICE, 0, 3, 250, 1.5, Workflow("", (first, beside, last)))
     assert objective_s(JobState(JobId("a"), record, 1)) == 1.5 * 3.5 + 0.25
+
+
+def test_an_inherited_filler_gets_its_pace_anew() -> None:
+    """The leader before may have held it back; nobody would have let it go again."""
+    state = leader()
+    step = Step(count=1, millicores=4000, fills=True, image="quiet")
+    record = JobRecord(RouteName("q"), SERVICE, 0, 3, 100, 2.0, Workflow("", (step,)))
+    job = JobState(JobId("ab"), record, 1)
+    task = job.open_round(0).steps[0].tasks[0]
+    task.phase, task.run, task.runner = Phase.BOUND, 1, RunnerId("i-1")
+    job.begun = True
+    state.add_job(JobId("ab"), record, 1, job.progress(), False, NOW, 0.0)
+    one = state.runners[RunnerId("i-1")]
+    one.entry = runner("i-1").entry
+    run = one.runs[TaskKey(JobId("ab"), 0, 0, 0)]
+    run.stage = RunStage.RUNNING
+    put(one, SERVING, job="cd", tail_ms=30.0)
+    set_paces(state, one, NOW)
+    assert paces(state) == [90]
