Split placing from the scheduler's state; seed the jitter of claims by the incarnation

Change: placing.py decides, scheduler.py keeps; the jitter follows from the incarnation; the suite runs in five processes.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/spoolcrank demo
 
 test: venv
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 5 --dist worksteal
 
 bench: venv
 	$(BIN)/python -m bench
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -23,6 +23,7 @@
 from spoolcrank.leadership import SELF_FENCE_S, Leadership, decode_claim
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.orders import Answered, Look, Order, OrderResult, Pace, Start, Stop
+from spoolcrank.placing import forecast, place
 from spoolcrank.regrouping import Regrouping
 from spoolcrank.run_control import (
     look_answered,
@@ -260,7 +261,7 @@
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
             self.scheduler.drop_ended(now)
-            self.scheduler.forecast(now)
+            forecast(self.scheduler, now)
             for task, source, destination in self._regrouping.moves(self.scheduler, now):
                 self.scheduler.move(task, source, destination, now)
         self._work()
@@ -287,7 +288,7 @@
         listed_at = self._runner_follower.copy.read_at
         may_place = not self._leaving and self._runner_follower.copy.loaded
         if may_place and now - listed_at <= STALE_LIST_S:
-            scheduler.place(now, self._time_of_day() * 1000.0)
+            place(scheduler, now, self._time_of_day() * 1000.0)
         self._write(scheduler, now)
         self._order(scheduler, now)
 
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -64,7 +64,7 @@
         self.leader_wrote_at = now
         self.confirmed_at = -1.0
         self.wrote_at = -1.0
-        self._jitter_s = random.uniform(0.0, JITTER_S)
+        self._jitter_s = random.Random(incarnation).uniform(0.0, JITTER_S)
         self._lost_contact = True
         self._given_up = 0
 
--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -5,6 +5,7 @@
 
 from spoolcrank.orders import Pace
 from spoolcrank.packing import SMALL_EFFECT
+from spoolcrank.placing import has_harmless_place
 from spoolcrank.runner_state import Run, RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import TaskKey
@@ -139,6 +140,6 @@
         if run.slow_since is None or now - run.slow_since < MOVE_AFTER_S or not run.checkpoints:
             continue
         run.slow_since = now
-        if state.has_harmless_place(key, runner.id, now):
+        if has_harmless_place(state, key, runner.id, now):
             state.note("moved", task=key, run=run.number, runner=runner.id, percent=run.percent)
             state.stop_run(key, runner.id, now)
--- /dev/null
+++ b/spoolcrank/placing.py
@@ -0,0 +1,224 @@
+"""Bind waiting tasks to runners, in the order of work, and keep room for short ones."""
+
+from collections.abc import Mapping
+
+from spoolcrank.ids import ServiceName
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
+from spoolcrank.objective import work_order
+from spoolcrank.packing import SMALL_EFFECT, Wish, choose, few_free, worst_effect
+from spoolcrank.runner_state import RunnerState, RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import RunnerId, TaskKey
+
+MISSES = 3
+"""A pass over waiting work ends for tasks of one image after so many steps that found no place;
+trying all of a long queue costs more than a place that is found a pass later."""
+
+FORECAST_S = 0.5
+"""Between two samples of the demand of short tasks, s; about the time that one takes."""
+
+FORECAST_MEMORY_S = 8.0
+"""Samples of the demand of short tasks fade within so long, s; bursts last about 6 s."""
+
+RESERVE = 1.5
+"""Times the demand of short tasks that is kept for them: their arrivals swing by half."""
+
+LEAST_RESERVE = 2500
+"""Of a runner, millicores, as soon as there are short tasks: room for one of the usual size."""
+
+
+def forecast(state: Scheduler, now: float) -> None:
+    """Set the room that lasting tasks leave to short counted ones on each runner.
+
+    Short tasks earn about four times as much for a core and second, and would find no
+    room where more lasting ones wait than fit.
+    """
+    if now - state.forecast_at < FORECAST_S:
+        return
+    share = min(1.0, (now - state.forecast_at) / FORECAST_MEMORY_S)
+    state.forecast_at = now
+    demand = _short_running(state) + _short_waiting(state)
+    state.short_demand += share * (demand - state.short_demand)
+    usable = sum(1 for runner in state.runners.values() if runner.usable(now))
+    if state.short_demand < 1.0 or not usable:
+        state.reserve = 0
+    else:
+        state.reserve = max(LEAST_RESERVE, int(RESERVE * state.short_demand / usable))
+
+
+def _short_running(
+    state: Scheduler,
+) -> int:
+    return sum(
+        run.demand.millicores
+        for runner in state.runners.values()
+        for run in runner.runs.values()
+        if not run.lasting
+    )
+
+
+def _short_waiting(
+    state: Scheduler,
+) -> int:
+    return sum(
+        len(step.waiting) * step.spec.demand.millicores
+        for job in state.waiting_jobs()
+        for held in job.rounds.values()
+        for _, step in held.ready()
+        if not step.spec.lasting
+    )
+
+
+def place(state: Scheduler, now: float, time_of_day_ms: float) -> None:
+    """Bind waiting tasks to runners that have room."""
+    for job_id in list(state.timed):
+        _open_due(state, state.jobs[job_id], time_of_day_ms)
+    pools = state.pools(now)
+    misses: dict[tuple[ServiceName, str], int] = {}
+    ready = [state.jobs[job_id] for job_id in state.ready]
+    for job in sorted(ready, key=lambda one: _rank(state, one, now)):
+        _place_job(state, job, pools, misses, now)
+
+
+def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
+    before = len(job.rounds)
+    job.open_due(time_of_day_ms)
+    if len(job.rounds) != before:
+        state.ready[job.id] = None
+
+
+def _place_job(
+    state: Scheduler,
+    job: JobState,
+    pools: Mapping[ServiceName, list[RunnerState]],
+    misses: dict[tuple[ServiceName, str], int],
+    now: float,
+) -> None:
+    service = state.service_of(job)
+    runners = pools.get(service, [])
+    still_waits = False
+    for held in list(job.rounds.values()):
+        for number, step in list(held.ready()):
+            kind = (service, step.spec.image)
+            # Lasting tasks are few, and none may wait while there is room for it.
+            if misses.get(kind, 0) >= MISSES and not step.spec.lasting:
+                still_waits = True
+                continue
+            if not _place_step(state, job, held.number, number, step, runners, now):
+                misses[kind] = misses.get(kind, 0) + 1
+                still_waits = True
+    if not still_waits:
+        state.ready.pop(job.id, None)
+
+
+def _place_step(
+    state: Scheduler,
+    job: JobState,
+    round_number: int,
+    number: int,
+    step: StepState,
+    runners: list[RunnerState],
+    now: float,
+) -> bool:
+    if step.spec.gang:
+        return _place_gang(state, job, round_number, number, step, runners, now)
+    held = step.per_runner() if step.spec.max_per_instance else {}
+    held_back = False
+    for index in list(step.waiting):
+        task = step.tasks[index]
+        if task.not_before > now:
+            held_back = True
+            continue
+        keep_free = bool(step.spec.target_ms) and few_free(runners)
+        wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=state.reserve)
+        runner = _wanted(state, task, wish, runners, now)
+        if runner is None:
+            return False
+        held[runner.id] = held.get(runner.id, 0) + 1
+        state.bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
+    return not held_back
+
+
+def _wanted(
+    state: Scheduler, task: TaskState, wish: Wish, runners: list[RunnerState], now: float
+) -> RunnerState | None:
+    """Return the runner that a moved task was meant for, or the best one."""
+    wanted, task.wanted = task.wanted, NO_RUNNER
+    meant = [one for one in runners if one.id == wanted]
+    return choose(wish, meant, state.contention, now) or choose(
+        wish, runners, state.contention, now
+    )
+
+
+def _place_gang(
+    state: Scheduler,
+    job: JobState,
+    round_number: int,
+    number: int,
+    step: StepState,
+    runners: list[RunnerState],
+    now: float,
+) -> bool:
+    if len(step.waiting) < len(step.tasks):
+        return False
+    racks = [""]
+    if step.spec.same_rack:
+        racks = sorted({label for one in runners for label in one.entry.labels}) + racks
+    run = max(task.run for task in step.tasks) + 1
+    for rack in racks:
+        if _place_members(state, job, round_number, number, step, runners, rack, run, now):
+            return True
+    return False
+
+
+def _place_members(
+    state: Scheduler,
+    job: JobState,
+    round_number: int,
+    number: int,
+    step: StepState,
+    runners: list[RunnerState],
+    rack: str,
+    run: int,
+    now: float,
+) -> bool:
+    held: dict[RunnerId, int] = {}
+    chosen: list[tuple[RunnerState, TaskKey]] = []
+    for index in range(len(step.tasks)):
+        key = TaskKey(job.id, round_number, number, index)
+        runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners, state.contention, now)
+        if runner is None:
+            break
+        held[runner.id] = held.get(runner.id, 0) + 1
+        runner.add(key, state.new_run(job, key, run, RunStage.RECORDED, now))
+        chosen.append((runner, key))
+    for runner, key in chosen:
+        runner.remove(key)
+    if len(chosen) < len(step.tasks):
+        return False
+    saved = next((task.saved for task in step.tasks if task.saved), "")
+    for runner, key in chosen:
+        job.task(key).saved = saved
+        state.bind(job, key, run, runner, now)
+    return True
+
+
+def has_harmless_place(state: Scheduler, key: TaskKey, away_from: RunnerId, now: float) -> bool:
+    """Tell whether a filler could work somewhere else without slowing what serves."""
+    job = state.jobs[key.job]
+    step = job.record.workflow.steps[key.step]
+    pool = state.pools(now).get(state.service_of(job), [])
+    others = [one for one in pool if one.id != away_from]
+    found = choose(Wish(step, {}, NO_RUNNER), others, state.contention, now)
+    if found is None:
+        return False
+    share = found.share(step.millicores)
+    return worst_effect(step.image, share, found, state.contention) <= SMALL_EFFECT
+
+
+def _rank(state: Scheduler, job: JobState, now: float) -> tuple[int, int, tuple[int, float]]:
+    policy = state.routes.get(job.record.route)
+    priority = policy.priority if policy is not None else job.record.priority
+    if job.lasting:
+        return (priority, 1, (0, job.order))
+    return (priority, 0, work_order(job, now))
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -13,9 +13,8 @@
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
-from spoolcrank.objective import objective_s, work_order
+from spoolcrank.objective import objective_s
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
-from spoolcrank.packing import SMALL_EFFECT, Wish, choose, few_free, worst_effect
 from spoolcrank.runner_state import (
     CLOCK_DRIFT,
     LEASE_MS,
@@ -42,25 +41,9 @@
 """A runner that this leader never reached runs nothing any more so long after the last write
 of the earlier leader, s: that one extends for SELF_FENCE_S at most, by LEASE_MS at most."""
 
-MISSES = 3
-"""A pass over waiting work ends for tasks of one image after so many steps that found no place;
-trying all of a long queue costs more than a place that is found a pass later."""
-
 KEEP_ENDED_S = 150.0
 """Records of an ended job are dropped after so long, s; states are asked for 120 s."""
 
-FORECAST_S = 0.5
-"""Between two samples of the demand of short tasks, s; about the time that one takes."""
-
-FORECAST_MEMORY_S = 8.0
-"""Samples of the demand of short tasks fade within so long, s; bursts last about 6 s."""
-
-RESERVE = 1.5
-"""Times the demand of short tasks that is kept for them: their arrivals swing by half."""
-
-LEAST_RESERVE = 2500
-"""Of a runner, millicores, as soon as there are short tasks: room for one of the usual size."""
-
 RETRY_S = 0.1
 """A lasting task that failed starts again after so long, s; at once would spin."""
 
@@ -106,15 +89,15 @@
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
         self.reserve = 0
-        self._short_demand = 0.0
-        self._forecast_at = now
+        self.short_demand = 0.0
+        self.forecast_at = now
         self.orders: list[Order] = []
         self.notes: list[Note] = []
-        self._ready: dict[JobId, None] = {}
+        self.ready: dict[JobId, None] = {}
         self._dirty: dict[JobId, None] = {}
         self._starts: list[tuple[RunnerId, TaskKey, int]] = []
         self._ended: list[tuple[float, JobId]] = []
-        self._timed: dict[JobId, None] = {}
+        self.timed: dict[JobId, None] = {}
         self._drops: list[KeyedRecord] = []
 
     def note(self, name: str, **fields: Any) -> None:
@@ -149,9 +132,9 @@
             self._ended.append((now, job_id))
             return
         if record.workflow.rounds:
-            self._timed[job_id] = None
+            self.timed[job_id] = None
         job.open_due(time_of_day_ms)
-        self._ready[job_id] = None
+        self.ready[job_id] = None
         if cancelled:
             self.cancel(job_id, now)
 
@@ -160,14 +143,13 @@
         if runner is None:
             runner = RunnerState(unlisted(task.runner, job.record.service), listed=False)
             self.runners[task.runner] = runner
-        run = self._new_run(job, key, task.run, RunStage.UNSURE, self.began_at)
+        run = self.new_run(job, key, task.run, RunStage.UNSURE, self.began_at)
         if run.fills:
             run.pace = UNKNOWN_PACE
         runner.add(key, run)
 
-    def _new_run(
-        self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float
-    ) -> Run:
+    def new_run(self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float) -> Run:
+        """Return a run of a task as it counts against a runner."""
         spec = job.record.workflow.steps[key.step]
         return Run(
             number,
@@ -192,8 +174,8 @@
     def _end_job(self, job: JobState, phase: JobPhase, now: float) -> None:
         job.phase = phase
         self._dirty[job.id] = None
-        self._ready.pop(job.id, None)
-        self._timed.pop(job.id, None)
+        self.ready.pop(job.id, None)
+        self.timed.pop(job.id, None)
         self._ended.append((now, job.id))
         self.note("job-ended", job=job.id, phase=phase.value)
         for key, task in list(job.bound()):
@@ -208,13 +190,6 @@
         policy = self.routes.get(job.record.route)
         return policy.max_attempts if policy is not None else job.record.max_attempts
 
-    def _rank(self, job: JobState, now: float) -> tuple[int, int, tuple[int, float]]:
-        policy = self.routes.get(job.record.route)
-        priority = policy.priority if policy is not None else job.record.priority
-        if job.lasting:
-            return (priority, 1, (0, job.order))
-        return (priority, 0, work_order(job, now))
-
     # Runners
 
     def list_runners(self, entries: Mapping[RunnerId, RunnerEntry], now: float) -> None:
@@ -275,7 +250,7 @@
         job.rounds[key.round].steps[key.step].waiting[key.number] = None
         self._dirty[job.id] = None
         if job.phase not in FINAL:
-            self._ready[job.id] = None
+            self.ready[job.id] = None
 
     def end_run(
         self, key: TaskKey, runner: RunnerState, how: EndKind, saved: str, now: float
@@ -321,7 +296,7 @@
             step.done += 1
         if not step.finished or job.phase in FINAL:
             return
-        self._ready[job.id] = None
+        self.ready[job.id] = None
         job.close_rounds()
         if job.all_done:
             self._end_job(job, JobPhase.COMPLETED, now)
@@ -361,186 +336,12 @@
         target = self.target(runner)
         self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
 
-    # Placing
-
-    def forecast(self, now: float) -> None:
-        """Set the room that lasting tasks leave to short counted ones on each runner.
-
-        Short tasks earn about four times as much for a core and second, and would find no
-        room where more lasting ones wait than fit.
-        """
-        if now - self._forecast_at < FORECAST_S:
-            return
-        share = min(1.0, (now - self._forecast_at) / FORECAST_MEMORY_S)
-        self._forecast_at = now
-        demand = self._short_running() + self._short_waiting()
-        self._short_demand += share * (demand - self._short_demand)
-        usable = sum(1 for runner in self.runners.values() if runner.usable(now))
-        if self._short_demand < 1.0 or not usable:
-            self.reserve = 0
-        else:
-            self.reserve = max(LEAST_RESERVE, int(RESERVE * self._short_demand / usable))
-
-    def _short_running(self) -> int:
-        return sum(
-            run.demand.millicores
-            for runner in self.runners.values()
-            for run in runner.runs.values()
-            if not run.lasting
-        )
-
-    def _short_waiting(self) -> int:
-        return sum(
-            len(step.waiting) * step.spec.demand.millicores
-            for job in self.waiting_jobs()
-            for held in job.rounds.values()
-            for _, step in held.ready()
-            if not step.spec.lasting
-        )
+    # Binding
 
-    def place(self, now: float, time_of_day_ms: float) -> None:
-        """Bind waiting tasks to runners that have room."""
-        for job_id in list(self._timed):
-            self._open_due(self.jobs[job_id], time_of_day_ms)
-        pools = self._pools(now)
-        misses: dict[tuple[ServiceName, str], int] = {}
-        ready = [self.jobs[job_id] for job_id in self._ready]
-        for job in sorted(ready, key=lambda one: self._rank(one, now)):
-            self._place_job(job, pools, misses, now)
-
-    def _open_due(self, job: JobState, time_of_day_ms: float) -> None:
-        before = len(job.rounds)
-        job.open_due(time_of_day_ms)
-        if len(job.rounds) != before:
-            self._ready[job.id] = None
-
-    def _pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
-        pools: dict[ServiceName, list[RunnerState]] = {}
-        for runner in self.runners.values():
-            if runner.usable(now):
-                pools.setdefault(runner.entry.service, []).append(runner)
-        return pools
-
-    def _place_job(
-        self,
-        job: JobState,
-        pools: Mapping[ServiceName, list[RunnerState]],
-        misses: dict[tuple[ServiceName, str], int],
-        now: float,
-    ) -> None:
-        service = self.service_of(job)
-        runners = pools.get(service, [])
-        still_waits = False
-        for held in list(job.rounds.values()):
-            for number, step in list(held.ready()):
-                kind = (service, step.spec.image)
-                # Lasting tasks are few, and none may wait while there is room for it.
-                if misses.get(kind, 0) >= MISSES and not step.spec.lasting:
-                    still_waits = True
-                    continue
-                if not self._place_step(job, held.number, number, step, runners, now):
-                    misses[kind] = misses.get(kind, 0) + 1
-                    still_waits = True
-        if not still_waits:
-            self._ready.pop(job.id, None)
-
-    def _place_step(
-        self,
-        job: JobState,
-        round_number: int,
-        number: int,
-        step: StepState,
-        runners: list[RunnerState],
-        now: float,
-    ) -> bool:
-        if step.spec.gang:
-            return self._place_gang(job, round_number, number, step, runners, now)
-        held = step.per_runner() if step.spec.max_per_instance else {}
-        held_back = False
-        for index in list(step.waiting):
-            task = step.tasks[index]
-            if task.not_before > now:
-                held_back = True
-                continue
-            keep_free = bool(step.spec.target_ms) and few_free(runners)
-            wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=self.reserve)
-            runner = self._wanted(task, wish, runners, now)
-            if runner is None:
-                return False
-            held[runner.id] = held.get(runner.id, 0) + 1
-            self._bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
-        return not held_back
-
-    def _wanted(
-        self, task: TaskState, wish: Wish, runners: list[RunnerState], now: float
-    ) -> RunnerState | None:
-        """Return the runner that a moved task was meant for, or the best one."""
-        wanted, task.wanted = task.wanted, NO_RUNNER
-        meant = [one for one in runners if one.id == wanted]
-        return choose(wish, meant, self.contention, now) or choose(
-            wish, runners, self.contention, now
-        )
-
-    def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
-        """Stop a task, to be started at another runner."""
-        self.jobs[key.job].task(key).wanted = destination
-        self.note("task-moves", task=key, runner=source, to=destination)
-        self.stop_run(key, source, now)
-
-    def _place_gang(
-        self,
-        job: JobState,
-        round_number: int,
-        number: int,
-        step: StepState,
-        runners: list[RunnerState],
-        now: float,
-    ) -> bool:
-        if len(step.waiting) < len(step.tasks):
-            return False
-        racks = [""]
-        if step.spec.same_rack:
-            racks = sorted({label for one in runners for label in one.entry.labels}) + racks
-        run = max(task.run for task in step.tasks) + 1
-        for rack in racks:
-            if self._place_members(job, round_number, number, step, runners, rack, run, now):
-                return True
-        return False
-
-    def _place_members(
-        self,
-        job: JobState,
-        round_number: int,
-        number: int,
-        step: StepState,
-        runners: list[RunnerState],
-        rack: str,
-        run: int,
-        now: float,
-    ) -> bool:
-        held: dict[RunnerId, int] = {}
-        chosen: list[tuple[RunnerState, TaskKey]] = []
-        for index in range(len(step.tasks)):
-            key = TaskKey(job.id, round_number, number, index)
-            runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners, self.contention, now)
-            if runner is None:
-                break
-            held[runner.id] = held.get(runner.id, 0) + 1
-            runner.add(key, self._new_run(job, key, run, RunStage.RECORDED, now))
-            chosen.append((runner, key))
-        for runner, key in chosen:
-            runner.remove(key)
-        if len(chosen) < len(step.tasks):
-            return False
-        saved = next((task.saved for task in step.tasks if task.saved), "")
-        for runner, key in chosen:
-            job.task(key).saved = saved
-            self._bind(job, key, run, runner, now)
-        return True
-
-    def _bind(
+    def bind(
         self, job: JobState, key: TaskKey, number: int, runner: RunnerState, now: float
     ) -> None:
+        """Bind a waiting task to a runner; its start follows once that is kept."""
         step = job.rounds[key.round].steps[key.step]
         task = step.tasks[key.number]
         step.waiting.pop(key.number, None)
@@ -550,7 +351,7 @@
         job.begun = True
         if job.phase is JobPhase.PENDING:
             job.phase = JobPhase.RUNNING
-        runner.add(key, self._new_run(job, key, number, RunStage.RECORDED, now))
+        runner.add(key, self.new_run(job, key, number, RunStage.RECORDED, now))
         self._dirty[job.id] = None
         self._starts.append((runner.id, key, number))
         self.note(
@@ -562,17 +363,11 @@
             report_age_ms=round((now - runner.answered_at) * 1000),
         )
 
-    def has_harmless_place(self, key: TaskKey, away_from: RunnerId, now: float) -> bool:
-        """Tell whether a filler could work somewhere else without slowing what serves."""
-        job = self.jobs[key.job]
-        step = job.record.workflow.steps[key.step]
-        pool = self._pools(now).get(self.service_of(job), [])
-        others = [one for one in pool if one.id != away_from]
-        found = choose(Wish(step, {}, NO_RUNNER), others, self.contention, now)
-        if found is None:
-            return False
-        share = found.share(step.millicores)
-        return worst_effect(step.image, share, found, self.contention) <= SMALL_EFFECT
+    def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
+        """Stop a task, to be started at another runner."""
+        self.jobs[key.job].task(key).wanted = destination
+        self.note("task-moves", task=key, runner=source, to=destination)
+        self.stop_run(key, source, now)
 
     # Records
 
@@ -620,6 +415,14 @@
             self._drops += [KeyedRecord(key, b"") for key in keys]
         self._ended = kept
 
+    def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
+        """Return the runners that may get new work, by service."""
+        pools: dict[ServiceName, list[RunnerState]] = {}
+        for runner in self.runners.values():
+            if runner.usable(now):
+                pools.setdefault(runner.entry.service, []).append(runner)
+        return pools
+
     def waiting_jobs(self) -> Iterable[JobState]:
         """Return the jobs that have tasks waiting for a place."""
-        return (self.jobs[job_id] for job_id in self._ready)
+        return (self.jobs[job_id] for job_id in self.ready)
