--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -39,7 +39,8 @@
         avoid: the runner it failed on last.
         rack: only here, where it is not empty.
         keep_free: no runner without serving tasks should take a first one.
-        reserve: millicores that a lasting task leaves to short ones on its runner.
+        reserve: millicores that a lasting task leaves to short ones on its runner; one that has
+            run before leaves none, as it has to be back at work while there is any room.
     """
 
     step: Step
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -130,7 +130,13 @@
             held_back = True
             continue
         keep_free = bool(step.spec.target_ms) and few_free(runners)
-        wish = Wish(step.spec, held, task.refused_by, keep_free=keep_free, reserve=state.reserve)
+        wish = Wish(
+            step.spec,
+            held,
+            task.refused_by,
+            keep_free=keep_free,
+            reserve=0 if task.run else state.reserve,
+        )
         runner = _wanted(state, task, wish, runners, now)
         if runner is None:
             return False
@@ -220,5 +226,6 @@
     policy = state.routes.get(job.record.route)
     priority = policy.priority if policy is not None else job.record.priority
     if job.lasting:
-        return (priority, 1, (0, job.order))
+        # Back at work first after any loss; a job that never ran takes what short ones leave.
+        return (priority, 0, (-1, job.order)) if job.begun else (priority, 1, (0, job.order))
     return (priority, 0, work_order(job, now))
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -60,7 +60,7 @@
     for runner in state.runners.values():
         if runner.looking or runner.gone or not runner.entry.address:
             continue
-        if runner.seen_next > runner.seen or not _look_is_due(runner, now):
+        if not _look_is_due(runner, now):
             continue
         looks.append(_look(state, runner, now, may_extend))
     return looks
@@ -68,6 +68,9 @@
 
 def _look_is_due(runner: RunnerState, now: float) -> bool:
     since = now - runner.looked_at
+    if runner.seen_next > runner.seen:
+        # Its ends wait to be kept and come again at once; the lease has to go on meanwhile.
+        return since >= IDLE_LOOK_S
     if runner.silent_since is not None:
         return since >= SILENT_LOOK_S
     if not runner.adopted:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import Wish
+from spoolcrank.orders import EndKind
 from spoolcrank.workflow import JobPhase, Step
 from tests.fleet_world import World, small
 
@@ -247,3 +248,38 @@
     world.instances["entry-0"].submit("cf", little)
     world.run(1.0)
     assert phase(world, "cf") is JobPhase.RUNNING
+
+
+def test_leases_go_on_where_ends_wait_for_the_store() -> None:
+    """A runner with an end that could not be kept was not looked at, and its leases lapsed."""
+    world = small(runners=1)
+    runner = next(iter(world.runners.values()))
+    world.instances["entry-0"].submit("da", Step(count=2, millicores=1000, memory_mb=100))
+    world.run(0.2)
+    long = Step(count=2, millicores=1000, memory_mb=100, lasting=True)
+    world.instances["entry-0"].submit("db", long)
+    world.run(0.2)
+    for key, task in runner.tasks.items():
+        task.work_s = 0.6 if key.job == "da" else 1000.0
+    world.store.silent = True
+    world.run(7.0)
+    assert sum(key.job == "db" for key in runner.tasks) == 2
+
+
+def test_a_lasting_task_that_ran_before_needs_no_reserve() -> None:
+    world = small(runners=1)
+    runner = next(iter(world.runners.values()))
+    runner.work_s = 1000.0
+    world.instances["entry-0"].submit(
+        "ea", Step(count=1, millicores=6000, memory_mb=100, lasting=True)
+    )
+    world.run(0.5)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    key = next(iter(runner.tasks))
+    runner.end(key, EndKind.FAILED)
+    for _ in range(10):
+        leader.dispatcher.scheduler.reserve = 5000
+        leader.dispatcher.scheduler.forecast_at = world.now
+        world.run(0.05)
+    assert list(runner.tasks) == [key]
