Cut the sending of orders and the runners' list out; contain errors in answers too

Change: order_sender.py and runner_listing.py; every decision on an answer runs under the guard that ends the term.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -22,19 +22,13 @@
 from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
 from spoolcrank.leadership import SELF_FENCE_S, Leadership, decode_claim
 from spoolcrank.log_follower import LogFollower
-from spoolcrank.orders import Answered, Look, Order, OrderResult, Pace, Start, Stop
+from spoolcrank.order_sender import OrderSender
+from spoolcrank.orders import Look, Order, OrderResult
 from spoolcrank.placing import forecast, place
 from spoolcrank.regrouping import Regrouping
-from spoolcrank.run_control import (
-    look_answered,
-    look_failed,
-    looks_due,
-    pace_answered,
-    start_answered,
-    stop_answered,
-    tick,
-)
-from spoolcrank.runner_port import Looked, RunnerPort
+from spoolcrank.run_control import looks_due, tick
+from spoolcrank.runner_listing import list_runners
+from spoolcrank.runner_port import RunnerPort
 from spoolcrank.runner_state import RunnerEntry
 from spoolcrank.scheduler import Batch, RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, Appended, LogPort, WriterFence
@@ -91,7 +85,7 @@
         self._follower = follower
         self._runner_follower = runner_follower
         self._runner_of = runner_of
-        self._runners = runners
+        self._sender = OrderSender(runners, clock, self._on_answer, self._guard)
         self._timers = timers
         self._telemetry = telemetry
         self._clock = clock
@@ -276,8 +270,14 @@
         scheduler = self.scheduler
         if scheduler is None:
             return
+        self._guard(scheduler, lambda: self._decide(scheduler))
+
+    def _guard(self, scheduler: Scheduler, decide: Callable[[], None]) -> None:
+        """Run a decision; an error of ours ends the term."""
+        if self.scheduler is not scheduler:
+            return
         try:
-            self._decide(scheduler)
+            decide()
         except Exception:
             # The state in memory is in doubt; the next leader builds its own from the records.
             self._telemetry.log("internal-error", grave=True, trace=traceback.format_exc())
@@ -339,52 +339,16 @@
         scheduler.orders += looks_due(scheduler, now, may_extend)
         orders, scheduler.orders = scheduler.orders, []
         for order in orders:
-            self._send(scheduler, order)
+            self._sender.send(scheduler, order)
         self._tell(scheduler)
 
-    def _send(self, scheduler: Scheduler, order: Order) -> None:
-        if isinstance(order, Look):
-            self._look(scheduler, order)
-        elif isinstance(order, Start):
-            self._start(scheduler, order)
-        elif isinstance(order, Stop):
-            self._stop(scheduler, order)
-        else:
-            self._pace(scheduler, order)
-
-    def _look(self, scheduler: Scheduler, order: Look) -> None:
-        asked_at = self._clock()
-
-        def looked(got: Looked) -> None:
-            now = self._clock()
-            if got.report is not None:
-                look_answered(scheduler, order, got.report, asked_at, now)
-            else:
-                look_failed(scheduler, order, got.result, now)
-                self._check_outranked(scheduler, got.result)
-            if self.scheduler is scheduler:
-                self._wake()
-
-        self._runners.look(order, looked)
-
-    def _start(self, scheduler: Scheduler, order: Start) -> None:
-        def started(got: Answered) -> None:
-            start_answered(scheduler, order, got, self._clock())
-            self._check_outranked(scheduler, got.result)
-            if self.scheduler is scheduler and got.result is not OrderResult.DONE:
-                self._wake()
-
-        self._runners.start(order, started)
-
-    def _stop(self, scheduler: Scheduler, order: Stop) -> None:
-        self._runners.stop(order, lambda got: stop_answered(scheduler, order, got, self._clock()))
-
-    def _pace(self, scheduler: Scheduler, order: Pace) -> None:
-        self._runners.pace(order, lambda got: pace_answered(scheduler, order, got, self._clock()))
-
-    def _check_outranked(self, scheduler: Scheduler, result: OrderResult) -> None:
-        if result is OrderResult.OUTRANKED and self.scheduler is scheduler:
+    def _on_answer(self, scheduler: Scheduler, order: Order, result: OrderResult) -> None:
+        if self.scheduler is not scheduler:
+            return
+        if result is OrderResult.OUTRANKED:
             self._step_down("a runner has seen a higher fence")
+        elif isinstance(order, Look) or result is not OrderResult.DONE:
+            self._wake()
 
     def _tell(self, scheduler: Scheduler) -> None:
         notes, scheduler.notes = scheduler.notes, []
@@ -402,5 +366,5 @@
             if record.value:
                 entry = self._runner_of(key, record.value)
                 entries[entry.id] = entry
-        self.scheduler.list_runners(entries, self._clock())
+        list_runners(self.scheduler, entries, self._clock())
         self._wake()
--- /dev/null
+++ b/spoolcrank/order_sender.py
@@ -0,0 +1,99 @@
+"""Send the leader's orders to runners and hand the answers to its decisions."""
+
+from collections.abc import Callable
+
+from spoolcrank.orders import Answered, Look, Order, OrderResult, Pace, Start, Stop
+from spoolcrank.run_control import (
+    look_answered,
+    look_failed,
+    pace_answered,
+    start_answered,
+    stop_answered,
+)
+from spoolcrank.runner_port import Looked, RunnerPort
+from spoolcrank.scheduler import Scheduler
+
+OnAnswer = Callable[[Scheduler, Order, OrderResult], None]
+Guard = Callable[[Scheduler, Callable[[], None]], None]
+
+
+class OrderSender:
+    """The orders on their way.
+
+    Args:
+        runners: where orders go.
+        clock: monotonic seconds.
+        on_answer: told of each answer after the decisions have taken it.
+        guard: runs a decision; what it raises ends this leader's term.
+    """
+
+    def __init__(
+        self,
+        runners: RunnerPort,
+        clock: Callable[[], float],
+        on_answer: OnAnswer,
+        guard: Guard,
+    ) -> None:
+        self._runners = runners
+        self._clock = clock
+        self._on_answer = on_answer
+        self._guard = guard
+
+    def send(self, scheduler: Scheduler, order: Order) -> None:
+        """Send one order."""
+        if isinstance(order, Look):
+            self._look(scheduler, order)
+        elif isinstance(order, Start):
+            self._start(scheduler, order)
+        elif isinstance(order, Stop):
+            self._stop(scheduler, order)
+        else:
+            self._pace(scheduler, order)
+
+    def _look(self, scheduler: Scheduler, order: Look) -> None:
+        asked_at = self._clock()
+
+        def looked(got: Looked) -> None:
+            def take() -> None:
+                now = self._clock()
+                if got.report is not None:
+                    look_answered(scheduler, order, got.report, asked_at, now)
+                else:
+                    look_failed(scheduler, order, got.result, now)
+
+            self._take(scheduler, order, got.result, take)
+
+        self._runners.look(order, looked)
+
+    def _start(self, scheduler: Scheduler, order: Start) -> None:
+        def started(got: Answered) -> None:
+            def take() -> None:
+                start_answered(scheduler, order, got, self._clock())
+
+            self._take(scheduler, order, got.result, take)
+
+        self._runners.start(order, started)
+
+    def _stop(self, scheduler: Scheduler, order: Stop) -> None:
+        def stopped(got: Answered) -> None:
+            def take() -> None:
+                stop_answered(scheduler, order, got, self._clock())
+
+            self._take(scheduler, order, got.result, take)
+
+        self._runners.stop(order, stopped)
+
+    def _pace(self, scheduler: Scheduler, order: Pace) -> None:
+        def paced(got: Answered) -> None:
+            def take() -> None:
+                pace_answered(scheduler, order, got, self._clock())
+
+            self._take(scheduler, order, got.result, take)
+
+        self._runners.pace(order, paced)
+
+    def _take(
+        self, scheduler: Scheduler, order: Order, result: OrderResult, take: Callable[[], None]
+    ) -> None:
+        self._guard(scheduler, take)
+        self._on_answer(scheduler, order, result)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -5,7 +5,7 @@
 on the runners.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from spoolcrank.contention import Contention
@@ -20,7 +20,6 @@
     LEASE_MS,
     UNKNOWN_PACE,
     Run,
-    RunnerEntry,
     RunnerState,
     RunStage,
     unlisted,
@@ -192,33 +191,6 @@
 
     # Runners
 
-    def list_runners(self, entries: Mapping[RunnerId, RunnerEntry], now: float) -> None:
-        """Take the whole list of runners as the store has it now."""
-        addresses = {entry.address: entry.id for entry in entries.values()}
-        for entry in entries.values():
-            self._list_runner(entry, now)
-        for runner in list(self.runners.values()):
-            if runner.id in entries:
-                continue
-            if runner.listed:
-                runner.listed = False
-                self.note("runner-unlisted", runner=runner.id, runs=len(runner.runs))
-            if runner.entry.address in addresses:
-                self.lose_runner(runner, "another life at its address", now)
-            elif not runner.runs and runner.silent_since is not None:
-                del self.runners[runner.id]
-
-    def _list_runner(self, entry: RunnerEntry, now: float) -> None:
-        held = self.runners.get(entry.id)
-        if held is None:
-            self.runners[entry.id] = RunnerState(entry)
-            self.note("runner-listed", runner=entry.id, leaving=entry.leaving)
-            return
-        if held.entry.leaving != entry.leaving:
-            self.note("runner-leaving", runner=entry.id, leaving=entry.leaving)
-        held.entry = entry
-        held.listed = True
-
     def lose_runner(self, runner: RunnerState, why: str, now: float) -> None:
         """Take note that a life of a runner is over and nothing runs on it."""
         if not runner.gone:
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from spoolcrank import dispatcher, job_intake, run_control
+from spoolcrank import job_intake, order_sender, run_control
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import Wish
 from spoolcrank.orders import Answered, OrderResult
@@ -257,7 +257,7 @@
         lambda self, now: True,
     ),
     "a start without an answer counts as undone": (
-        dispatcher,
+        order_sender,
         "start_answered",
         _unanswered_is_undone,
     ),
