--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -27,6 +27,10 @@
 """A record that the store surely did not take is given up after so long, s: the client is told
 at once when to come back, and its next attempt reaches another instance."""
 
+STUCK_S = 0.6
+"""While an append has no answer for so long, s, new jobs are refused unsent: they would only
+wait behind it; a slow store answers in 0.4 s."""
+
 UNSURE_S = 1.7
 """A record that may be on the log is given up as unknown after so long, s; two calls."""
 
@@ -71,6 +75,7 @@
         self._clock = clock
         self._pending: list[_Pending] = []
         self._flying = False
+        self._flying_since = 0.0
         self._gathering = False
 
     @property
@@ -83,7 +88,7 @@
         if self._index.phase(job) is not None:
             done(Wish.KEPT)
             return
-        if not self._follower.contact:
+        if not self._follower.contact or self._stuck():
             done(Wish.NOT_KEPT)
             return
         self._keep(KeyedRecord(job_key(job), encode(record)), done)
@@ -121,6 +126,9 @@
 
         self._follower.refresh(refreshed)
 
+    def _stuck(self) -> bool:
+        return self._flying and self._clock() - self._flying_since >= STUCK_S
+
     # Keeping records
 
     def _keep(self, record: KeyedRecord, done: Callable[[Wish], None]) -> None:
@@ -139,6 +147,7 @@
             batch.append(self._pending.pop(0))
             size += len(batch[-1].record.value)
         self._flying = True
+        self._flying_since = self._clock()
         append = Append([one.record for one in batch])
         self._log.append(append, lambda got: self._on_appended(batch, got))
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -283,3 +283,14 @@
         leader.dispatcher.scheduler.forecast_at = world.now
         world.run(0.05)
     assert list(runner.tasks) == [key]
+
+
+def test_jobs_that_come_while_an_append_is_stuck_are_refused_unsent() -> None:
+    world = small()
+    instance = world.instances["entry-2"]
+    world.store.silent = True
+    unsure = instance.submit("fa", QUICK)
+    world.run(0.65)
+    assert instance.submit("fb", QUICK) == [Wish.NOT_KEPT]
+    world.run(2.0)
+    assert unsure == [Wish.UNKNOWN]
