--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -12,6 +12,7 @@
 from spoolcrank import ctl as operator_commands
 from spoolcrank import demo, load, replay, standin_backend, standin_instances, standin_log
 from spoolcrank import entry as entry_daemon
+from spoolcrank.__main__ import METRICS_PORT
 from spoolcrank.errors import SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
 from spoolcrank.log_search import lines_about
@@ -213,12 +214,15 @@
 
 
 @app.command("serve")
-def serve_command() -> None:
+def serve_command(
+    metrics_port: Annotated[
+        int, typer.Option(envvar="SPOOLCRANK_METRICS_PORT", help="tell the figures there")
+    ] = METRICS_PORT,
+) -> None:
     """Run the daemon of an instance on the users' platform; its settings are in a file."""
-    from spoolcrank.__main__ import METRICS_PORT
     from spoolcrank.platform.daemon import run
 
-    run(METRICS_PORT)
+    run(metrics_port)
 
 
 @app.command("demo")
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -2,12 +2,14 @@
 
 import os
 import signal
+import sys
 import time
 from collections.abc import Callable
 
 from spoolcrank._runtime import Runtime
 from spoolcrank._web import HttpReply, HttpRequest, Reply
 from spoolcrank.dispatcher import Dispatcher
+from spoolcrank.errors import SettingsError
 from spoolcrank.figures import TEXT_TYPE, Figures
 from spoolcrank.ids import Address, Incarnation, unique
 from spoolcrank.job_index import JobIndex
@@ -31,6 +33,7 @@
 OPERATOR = "op"
 RUNNERS = "servers"
 _CONFIGURATION_KEY = "config"
+_EXIT_BAD_SETTINGS = 2
 _READY_PATH = "/api/readyz"
 
 OUT_OF_TOUCH_S = 1.5
@@ -184,14 +187,22 @@
 
     def reload(self) -> None:
         """Read the settings file again; what cannot change while running is only logged."""
-        cfg = read_settings(os.environ[FILE_VARIABLE])
+        try:
+            cfg = read_settings(os.environ[FILE_VARIABLE])
+        except SettingsError as exc:
+            self.telemetry.log("reload-failed", grave=True, why=str(exc))
+            return
         self.telemetry.log("reload", grave=True, changed=cfg != self._cfg)
         self._cfg = cfg._replace(clients=self._cfg.clients, ready=self._cfg.ready)
 
 
 def run(metrics_port: int) -> None:
-    """Run the daemon until it is told to stop."""
-    cfg = read_settings(os.environ[FILE_VARIABLE])
+    """Run the daemon until it is told to stop; wrong settings end it with one line."""
+    try:
+        cfg = read_settings(os.environ.get(FILE_VARIABLE, ""))
+    except SettingsError as exc:
+        sys.stderr.write(f"spoolcrank: {exc}\n")
+        sys.exit(_EXIT_BAD_SETTINGS)
     runtime = Runtime()
     daemon = PlatformDaemon(runtime, cfg, metrics_port)
     signal.signal(signal.SIGHUP, lambda number, frame: runtime.post(daemon.reload))
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -2,8 +2,8 @@
 
 A call without an answer may have been carried out, and may still be, seconds later. So a run
 counts as gone only when its runner listed its end, when a stop of it was taken and a later
-poll shows neither run nor end, when that incarnation of the runner is over, or when every lease that
-was granted to it has passed.
+poll shows neither run nor end, when that incarnation of the runner is over, or when every
+lease that was granted to it has passed.
 """
 
 from spoolcrank.orders import (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from spoolcrank.ids import Address, JobId
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.orders import EndKind, OrderResult, Poll, Start, Target
+from spoolcrank.platform import daemon
 from spoolcrank.platform.documents import configuration_of, runner_of, workflow_of
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import read_settings
@@ -253,14 +254,28 @@
 
 
 def test_the_deploy_file_names_the_metrics_port_that_is_served() -> None:
-    from spoolcrank.__main__ import METRICS_PORT, SERVE
+    from spoolcrank.__main__ import metrics_port
 
     role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["scheduler"]
-    assert role["metrics"] == f"{METRICS_PORT}/metrics"
-    assert role["run"] == f"python3 -m spoolcrank {SERVE}"
+    program, words = role["run"].split()[:3], role["run"].split()[3:]
+    assert program == ["python3", "-m", "spoolcrank"]
+    assert role["metrics"] == f"{metrics_port(words)}/metrics"
     assert (ROOT / role["template"]).exists()
 
 
+def test_wrong_settings_end_the_daemon_with_one_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(settings_text(ip=7))
+    monkeypatch.setenv("SPOOLCRANK_NODE_FILE", str(path))
+    with pytest.raises(SystemExit):
+        daemon.run(0)
+    said = capsys.readouterr().err
+    assert said.count("\n") == 1
+    assert "$.ip" in said
+
+
 class Every:
     """Takes the place of timers."""
 
