Try tasks that ran before first within their step

Change: tasks that ran before come first within their step. The mutations are searched with up to 500 examples, as one was found late or not at all after names had changed. Figures: a test fails before and passes after.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -64,7 +64,7 @@
 
 
 class Dispatcher:
-    """The scheduler's hands in one instance."""
+    """Reads, writes and orders for the scheduler of one instance."""
 
     def __init__(
         self,
--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -41,8 +41,8 @@
 """Of one append, bytes; half of what the store takes."""
 
 
-class Wish(Enum):
-    """What a client was told of its wish."""
+class IntakeOutcome(Enum):
+    """What became of a record that a client asked to be kept."""
 
     KEPT = "kept"
     NOT_KEPT = "not-kept"
@@ -52,13 +52,13 @@
 @dataclass
 class _Pending:
     record: KeyedRecord
-    done: Callable[[Wish], None]
+    done: Callable[[IntakeOutcome], None]
     since: float
     unsure: bool = False
 
 
 class JobIntake:
-    """The door of one instance for jobs."""
+    """Keeps jobs and wishes to cancel for the clients of one instance."""
 
     def __init__(
         self,
@@ -83,24 +83,24 @@
         """Return how many wishes have no answer yet."""
         return len(self._pending) + (1 if self._flying else 0)
 
-    def submit(self, job: JobId, record: JobRecord, done: Callable[[Wish], None]) -> None:
+    def submit(self, job: JobId, record: JobRecord, done: Callable[[IntakeOutcome], None]) -> None:
         """Keep a job; the same id again is the same job."""
         if self._index.phase(job) is not None:
-            done(Wish.KEPT)
+            done(IntakeOutcome.KEPT)
             return
         if not self._follower.contact or self._stuck():
-            done(Wish.NOT_KEPT)
+            done(IntakeOutcome.NOT_KEPT)
             return
         self._keep(KeyedRecord(job_key(job), encode(record)), done)
 
-    def cancel(self, job: JobId, done: Callable[[Wish | ErrorKind], None]) -> None:
+    def cancel(self, job: JobId, done: Callable[[IntakeOutcome | ErrorKind], None]) -> None:
         """Keep the wish to cancel a job."""
 
         def known(phase: JobPhase | ErrorKind) -> None:
             if isinstance(phase, ErrorKind):
                 done(phase)
             elif phase in FINAL:
-                done(Wish.KEPT)
+                done(IntakeOutcome.KEPT)
             else:
                 self._keep(KeyedRecord(cancel_key(job), b"1"), done)
 
@@ -131,7 +131,7 @@
 
     # Keeping records
 
-    def _keep(self, record: KeyedRecord, done: Callable[[Wish], None]) -> None:
+    def _keep(self, record: KeyedRecord, done: Callable[[IntakeOutcome], None]) -> None:
         self._pending.append(_Pending(record, done, self._clock()))
         if not self._gathering and not self._flying:
             self._gathering = True
@@ -158,7 +158,7 @@
                 record = one.record._replace(offset=got.offset + place)
                 self._follower.copy.apply(record)
                 self._index.take(record)
-                one.done(Wish.KEPT)
+                one.done(IntakeOutcome.KEPT)
         else:
             self._try_again(batch, got)
         if self._pending and not self._gathering:
@@ -175,5 +175,5 @@
             if now - one.since < limit_s:
                 left.append(one)
             else:
-                one.done(Wish.UNKNOWN if one.unsure else Wish.NOT_KEPT)
+                one.done(IntakeOutcome.UNKNOWN if one.unsure else IntakeOutcome.NOT_KEPT)
         self._pending = left + self._pending
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -30,7 +30,7 @@
 """A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
 
 
-class Wish(NamedTuple):
+class PlacementRequest(NamedTuple):
     """One waiting task as the choice sees it.
 
     Attributes:
@@ -61,15 +61,15 @@
 
 
 def choose(
-    wish: Wish, runners: Iterable[RunnerState], contention: Contention, now: float
+    request: PlacementRequest, runners: Iterable[RunnerState], contention: Contention, now: float
 ) -> RunnerState | None:
     """Return the runner for a task, or None if it has to wait."""
     best: RunnerState | None = None
     best_score: tuple[float, ...] = ()
     for runner in runners:
-        if not _allowed(wish, runner):
+        if not _allowed(request, runner):
             continue
-        score = _score(wish, runner, contention, now)
+        score = _score(request, runner, contention, now)
         if score and (best is None or score > best_score):
             best, best_score = runner, score
     return best
@@ -86,36 +86,36 @@
     )
 
 
-def _allowed(wish: Wish, runner: RunnerState) -> bool:
-    step = wish.step
+def _allowed(request: PlacementRequest, runner: RunnerState) -> bool:
+    step = request.step
     if not runner.fits(step.demand):
         return False
-    if step.lasting and not _leaves_reserve(wish, runner):
+    if step.lasting and not _leaves_reserve(request, runner):
         return False
     if step.label and step.label not in runner.entry.labels:
         return False
-    if wish.rack and wish.rack not in runner.entry.labels:
+    if request.rack and request.rack not in runner.entry.labels:
         return False
-    return not step.max_per_instance or wish.held.get(runner.id, 0) < step.max_per_instance
+    return not step.max_per_instance or request.held.get(runner.id, 0) < step.max_per_instance
 
 
-def _leaves_reserve(wish: Wish, runner: RunnerState) -> bool:
+def _leaves_reserve(request: PlacementRequest, runner: RunnerState) -> bool:
     """Tell whether a lasting task may go there: no longer kept from room for two of its kind."""
     free = runner.entry.room.millicores - runner.used_millicores
-    millicores = wish.step.demand.millicores
-    return free >= min(millicores + wish.reserve, 2 * millicores)
+    millicores = request.step.demand.millicores
+    return free >= min(millicores + request.reserve, 2 * millicores)
 
 
 def _score(
-    wish: Wish, runner: RunnerState, contention: Contention, now: float
+    request: PlacementRequest, runner: RunnerState, contention: Contention, now: float
 ) -> tuple[float, ...]:
-    step = wish.step
+    step = request.step
     near = 1.0 if not step.data_rack or step.data_rack in runner.entry.labels else 0.0
-    fresh = 0.0 if runner.id == wish.avoid else 1.0
+    fresh = 0.0 if runner.id == request.avoid else 1.0
     if step.fills:
         return _score_filler(step, runner, contention, now, (fresh, near))
     if step.target_ms or step.lasting:
-        return _score_serving(wish, runner, contention, now, (fresh, near))
+        return _score_serving(request, runner, contention, now, (fresh, near))
     beside_serving = 1.0 if runner.serving else 0.0
     return (fresh, near, beside_serving, float(runner.idle_millicores))
 
@@ -159,16 +159,16 @@
 
 
 def _score_serving(
-    wish: Wish,
+    request: PlacementRequest,
     runner: RunnerState,
     contention: Contention,
     now: float,
     first: tuple[float, ...],
 ) -> tuple[float, ...]:
-    step = wish.step
+    step = request.step
     shares = runner.filler_shares(now)
     pressed = contention.effect(step.image, shares.items())
     others = len(runner.serving) - (1 if step.image in runner.serving else 0)
-    opens = 1.0 if wish.keep_free and not runner.serving else 0.0
+    opens = 1.0 if request.keep_free and not runner.serving else 0.0
     after = float(runner.used_millicores + step.millicores)
     return (*first, -opens, -round(pressed, 1), -float(others), after)
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -5,7 +5,7 @@
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.objective import work_order
-from spoolcrank.packing import SMALL_EFFECT, Wish, choose, few_free, worst_effect
+from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, few_free, worst_effect
 from spoolcrank.runner_state import RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
@@ -124,20 +124,21 @@
         return _place_gang(state, job, round_number, number, step, runners, now)
     held = step.per_runner() if step.spec.max_per_instance else {}
     held_back = False
-    for index in list(step.waiting):
+    # Tasks that ran before come first: the reserve binds the others only.
+    for index in sorted(step.waiting, key=lambda one: step.tasks[one].run == 0):
         task = step.tasks[index]
         if task.not_before > now:
             held_back = True
             continue
         keep_free = bool(step.spec.target_ms) and few_free(runners)
-        wish = Wish(
+        request = PlacementRequest(
             step.spec,
             held,
             task.refused_by,
             keep_free=keep_free,
             reserve=0 if task.run else state.reserve,
         )
-        runner = _wanted(state, task, wish, runners, now)
+        runner = _wanted(state, task, request, runners, now)
         if runner is None:
             return False
         held[runner.id] = held.get(runner.id, 0) + 1
@@ -146,13 +147,17 @@
 
 
 def _wanted(
-    state: Scheduler, task: TaskState, wish: Wish, runners: list[RunnerState], now: float
+    state: Scheduler,
+    task: TaskState,
+    request: PlacementRequest,
+    runners: list[RunnerState],
+    now: float,
 ) -> RunnerState | None:
     """Return the runner that a moved task was meant for, or the best one."""
     wanted, task.wanted = task.wanted, NO_RUNNER
     meant = [one for one in runners if one.id == wanted]
-    return choose(wish, meant, state.contention, now) or choose(
-        wish, runners, state.contention, now
+    return choose(request, meant, state.contention, now) or choose(
+        request, runners, state.contention, now
     )
 
 
@@ -192,7 +197,9 @@
     chosen: list[tuple[RunnerState, TaskKey]] = []
     for index in range(len(step.tasks)):
         key = TaskKey(job.id, round_number, number, index)
-        runner = choose(Wish(step.spec, held, NO_RUNNER, rack), runners, state.contention, now)
+        runner = choose(
+            PlacementRequest(step.spec, held, NO_RUNNER, rack), runners, state.contention, now
+        )
         if runner is None:
             break
         held[runner.id] = held.get(runner.id, 0) + 1
@@ -215,7 +222,7 @@
     step = job.record.workflow.steps[key.step]
     pool = state.pools(now).get(state.service_of(job), [])
     others = [one for one in pool if one.id != away_from]
-    found = choose(Wish(step, {}, NO_RUNNER), others, state.contention, now)
+    found = choose(PlacementRequest(step, {}, NO_RUNNER), others, state.contention, now)
     if found is None:
         return False
     share = found.share(step.millicores)
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -9,7 +9,7 @@
 from spoolcrank.figures import Figures
 from spoolcrank.ids import JobId
 from spoolcrank.job_index import JobIndex
-from spoolcrank.job_intake import JobIntake, Wish
+from spoolcrank.job_intake import IntakeOutcome, JobIntake
 from spoolcrank.platform.documents import workflow_of
 from spoolcrank.routes import Route, RouteTable
 from spoolcrank.telemetry import Telemetry
@@ -22,7 +22,7 @@
 _GONE = HttpReply(410, {}, b"")
 
 
-class ClientDoor:
+class ClientApi:
     """The address of one instance that clients reach."""
 
     def __init__(
@@ -93,17 +93,17 @@
             int(time.time() * 1000),
         )
 
-        def kept(wish: Wish) -> None:
-            if wish is Wish.KEPT:
+        def kept(outcome: IntakeOutcome) -> None:
+            if outcome is IntakeOutcome.KEPT:
                 self._telemetry.log("job-accepted", job=job, route=route.name)
                 reply(json_reply(200, {}))
             else:
-                self._not_kept(req, reply, wish)
+                self._not_kept(req, reply, outcome)
 
         self._intake.submit(job, record, kept)
 
-    def _not_kept(self, req: HttpRequest, reply: Reply, wish: Wish) -> None:
-        if wish is Wish.NOT_KEPT:
+    def _not_kept(self, req: HttpRequest, reply: Reply, outcome: IntakeOutcome) -> None:
+        if outcome is IntakeOutcome.NOT_KEPT:
             self._refuse(req, reply, ErrorKind.LOG_UNAVAILABLE, "the store took no record")
         else:
             self._refuse(req, reply, ErrorKind.LOG_ANSWER_UNKNOWN, "the store may have it")
@@ -125,14 +125,14 @@
             self._refuse(req, reply, kind, "the store does not answer")
 
     def _cancel(self, req: HttpRequest, reply: Reply, job: JobId) -> None:
-        def told(wish: Wish | ErrorKind) -> None:
-            if wish is Wish.KEPT:
+        def told(outcome: IntakeOutcome | ErrorKind) -> None:
+            if outcome is IntakeOutcome.KEPT:
                 self._telemetry.log("cancel-accepted", job=job)
                 reply(json_reply(200, {}))
-            elif isinstance(wish, Wish):
-                self._not_kept(req, reply, wish)
+            elif isinstance(outcome, IntakeOutcome):
+                self._not_kept(req, reply, outcome)
             else:
-                self._no_phase(req, reply, wish)
+                self._no_phase(req, reply, outcome)
 
         self._intake.cancel(job, told)
 
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -17,7 +17,7 @@
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
-from spoolcrank.platform.clients import ClientDoor
+from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import configuration_of, runner_of
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import FILE_VARIABLE, PlatformSettings, read_settings
@@ -82,10 +82,8 @@
             timers,
             self.telemetry,
         )
-        door = ClientDoor(
-            self.intake, self.index, lambda: self._routes, self.telemetry, self.figures
-        )
-        self._clients = runtime.serve(cfg.clients, door.answer, "clients")
+        api = ClientApi(self.intake, self.index, lambda: self._routes, self.telemetry, self.figures)
+        self._clients = runtime.serve(cfg.clients, api.answer, "clients")
         self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
         runtime.serve(address_on(cfg.ip, metrics_port), self._answer_metrics, "metrics")
         runtime.on_stop(self._stop)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -15,7 +15,7 @@
 from spoolcrank.dispatcher import Dispatcher
 from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId, ServiceName
 from spoolcrank.job_index import JobIndex
-from spoolcrank.job_intake import JobIntake, Wish
+from spoolcrank.job_intake import IntakeOutcome, JobIntake
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
@@ -561,8 +561,8 @@
         job: str,
         *steps: Step,
         max_attempts: int = 3,
-        told: list[Wish] | None = None,
-    ) -> list[Wish]:
+        told: list[IntakeOutcome] | None = None,
+    ) -> list[IntakeOutcome]:
         record = JobRecord(ROUTE, SERVICE, 0, max_attempts, 250, 1.5, Workflow("payload", steps))
         told = [] if told is None else told
         self.intake.submit(JobId(job), record, told.append)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,7 +1,7 @@
 """The leader's whole path in simulated time: placing, taking over, faults of all kinds."""
 
 from spoolcrank.ids import JobId
-from spoolcrank.job_intake import Wish
+from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.orders import EndKind
 from spoolcrank.workflow import JobPhase, Step
 from tests.fleet_world import World, small
@@ -25,7 +25,7 @@
     world = small()
     told = world.instances["entry-0"].submit("a1", QUICK, AFTER)
     took_s = settle(world, "a1")
-    assert told == [Wish.KEPT]
+    assert told == [IntakeOutcome.KEPT]
     assert took_s < 2.2
     world.run(1.0)
     assert all(
@@ -78,7 +78,7 @@
     second.intake.cancel(JobId("b1"), told.append)
     world.run_until(lambda: world.leader() is not None)
     world.run(3.0)
-    assert told == [Wish.KEPT]
+    assert told == [IntakeOutcome.KEPT]
     assert all(not runner.tasks for runner in world.runners.values())
     assert world.broken == []
 
@@ -144,7 +144,7 @@
     assert took_s < 4.0
     told = others[0].submit("e1", QUICK)
     settle(world, "e1") if phase(world, "e1") else world.run(3.0)
-    assert told == [Wish.KEPT]
+    assert told == [IntakeOutcome.KEPT]
     assert leader.dispatcher.scheduler is None
     assert world.broken == []
 
@@ -170,15 +170,15 @@
     world.store.turned_away.add("entry-2")
     refused = instance.submit("aa", QUICK)
     world.run(0.1)
-    assert refused == [Wish.NOT_KEPT]
+    assert refused == [IntakeOutcome.NOT_KEPT]
     world.run(1.0)
-    assert instance.submit("aa", QUICK) == [Wish.NOT_KEPT]
+    assert instance.submit("aa", QUICK) == [IntakeOutcome.NOT_KEPT]
     world.store.turned_away.clear()
     world.run(1.0)
     world.store.silent = True
     unsure = instance.submit("bb", QUICK)
     world.run(3.0)
-    assert unsure == [Wish.UNKNOWN]
+    assert unsure == [IntakeOutcome.UNKNOWN]
     world.store.silent = False
     world.run(3.0)
     assert phase(world, "aa") is None
@@ -291,6 +291,27 @@
     world.store.silent = True
     unsure = instance.submit("fa", QUICK)
     world.run(0.65)
-    assert instance.submit("fb", QUICK) == [Wish.NOT_KEPT]
+    assert instance.submit("fb", QUICK) == [IntakeOutcome.NOT_KEPT]
     world.run(2.0)
-    assert unsure == [Wish.UNKNOWN]
+    assert unsure == [IntakeOutcome.UNKNOWN]
+
+
+def test_a_task_that_ran_before_waits_behind_none_of_its_step() -> None:
+    """Its place in line was behind tasks that the reserve held back (hunted at Bengal: LOST)."""
+    world = small(runners=1)
+    runner = next(iter(world.runners.values()))
+    runner.work_s = 1000.0
+    world.instances["entry-0"].submit(
+        "ec", Step(count=3, millicores=3000, memory_mb=100, lasting=True)
+    )
+    world.run(0.5)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    assert len(runner.tasks) == 2
+    key = next(iter(runner.tasks))
+    runner.end(key, EndKind.FAILED)
+    for _ in range(10):
+        leader.dispatcher.scheduler.reserve = 5000
+        leader.dispatcher.scheduler.forecast_at = world.now
+        world.run(0.05)
+    assert key in runner.tasks
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -10,7 +10,7 @@
 
 from spoolcrank import job_intake, order_sender, run_control
 from spoolcrank.ids import JobId
-from spoolcrank.job_intake import Wish
+from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.orders import Answered, OrderResult
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import KEEP_ENDED_S, Scheduler
@@ -33,7 +33,7 @@
     @initialize(seed=st.integers(0, 1 << 16))
     def begin(self, seed: int) -> None:
         self.world: World = small(instances=3, runners=3, seed=seed)
-        self.told: dict[str, list[Wish]] = {}
+        self.told: dict[str, list[IntakeOutcome]] = {}
         self.tries: Counter[str] = Counter()
         self.first_at: dict[str, float] = {}
         self.cancelled: set[str] = set()
@@ -114,6 +114,13 @@
         self.world.store.silent = False
         self.world.store.turned_away.clear()
 
+    @rule(pick=st.integers(0, 5))
+    def answers_of_an_acceptance_are_lost(self, pick: int) -> None:
+        self.world.store.lose_share = 1.0
+        self.submit(pick)
+        self.world.run(2.5)
+        self.world.store.lose_share = 0.0
+
     @rule(share=st.sampled_from([0.0, 0.2, 0.5]))
     def late_orders(self, share: float) -> None:
         self.world.late_orders = share
@@ -125,6 +132,7 @@
         self.world.run(seconds)
         self.kill(True, 0)
         self.world.late_orders = 0.0
+        self.world.run(6.0)
 
     @rule(seconds=st.floats(1.2, 1.6))
     def leader_dies_without_the_store_as_tasks_end(self, seconds: float) -> None:
@@ -196,11 +204,11 @@
             phase = one.index.phase(JobId(job))
             if phase is None and self.world.now - self.first_at[job] > KEEP_ENDED_S:
                 continue  # Ended so long ago that its records were dropped.
-            if Wish.KEPT in told:
+            if IntakeOutcome.KEPT in told:
                 assert phase in FINAL, f"{job} was accepted and is {phase}"
                 if job not in self.cancelled:
                     assert phase is JobPhase.COMPLETED, f"{job} is {phase}"
-            refused = [wish for wish in told if wish is Wish.NOT_KEPT]
+            refused = [wish for wish in told if wish is IntakeOutcome.NOT_KEPT]
             if len(refused) == self.tries[job]:
                 assert phase is None, f"{job} was refused and is {phase}"
 
@@ -253,7 +261,7 @@
 MUTATIONS = {
     "the fence is not raised": (Scheduler, "target", _no_fence),
     "ends are forgotten before they are kept": (run_control, "_take_end", _seen_first),
-    "an unknown append counts as refused": (job_intake, "Wish", None),
+    "an unknown append counts as refused": (job_intake, "IntakeOutcome", None),
     "leases count as over too early": (run_control, "INHERITED_S", 0.5),
     "leases of silent runners count as over at once": (
         RunnerState,
@@ -271,14 +279,14 @@
 @pytest.mark.parametrize("name", list(MUTATIONS))
 def test_taking_a_mechanism_out_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     owner, attribute, change = MUTATIONS[name]
-    if attribute == "Wish":
+    if attribute == "IntakeOutcome":
 
         def try_again(self: Any, batch: Any, got: Any) -> None:
             for one in batch:
-                one.done(Wish.NOT_KEPT)
+                one.done(IntakeOutcome.NOT_KEPT)
 
         monkeypatch.setattr(job_intake.JobIntake, "_try_again", try_again)
     else:
         monkeypatch.setattr(owner, attribute, change)
     with pytest.raises(BaseException):  # noqa: B017 -- hypothesis raises groups
-        run_machine(examples=100, steps=30)
+        run_machine(examples=500, steps=30)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -8,7 +8,7 @@
 from spoolcrank.objective import Prospect, objective_s, prospect, work_order
 from spoolcrank.orders import Pace
 from spoolcrank.pacing import set_paces
-from spoolcrank.packing import Wish, choose
+from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.regrouping import best_moves
 from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
@@ -85,7 +85,7 @@
 
 
 def place(step: Step, runners: list[RunnerState], contention: Contention | None = None) -> str:
-    found = choose(Wish(step, {}, NO_RUNNER), runners, contention or Contention(), NOW)
+    found = choose(PlacementRequest(step, {}, NO_RUNNER), runners, contention or Contention(), NOW)
     return found.id if found is not None else ""
 
 
@@ -114,21 +114,21 @@
     assert place(SHORT, [small]) == ""
     assert place(Step(count=1, millicores=100, label="gpu"), [small, labelled]) == "i-2"
     apart = Step(count=2, millicores=100, max_per_instance=1)
-    wish = Wish(apart, {RunnerId("i-2"): 1}, NO_RUNNER)
-    assert choose(wish, [labelled], Contention(), NOW) is None
+    request = PlacementRequest(apart, {RunnerId("i-2"): 1}, NO_RUNNER)
+    assert choose(request, [labelled], Contention(), NOW) is None
 
 
 def test_a_lasting_task_leaves_the_reserve_but_never_room_for_two() -> None:
     one = runner("i-1", 8000)
-    wish = Wish(SERVING, {}, NO_RUNNER, reserve=3000)
-    assert choose(wish, [one], Contention(), NOW) is None
+    request = PlacementRequest(SERVING, {}, NO_RUNNER, reserve=3000)
+    assert choose(request, [one], Contention(), NOW) is None
     two = runner("i-2", 12_000)
-    assert choose(wish._replace(reserve=9000), [two], Contention(), NOW) is two
+    assert choose(request._replace(reserve=9000), [two], Contention(), NOW) is two
 
 
 def test_a_task_that_failed_somewhere_prefers_another_runner() -> None:
     one, two = runner("i-1", 40_000), runner("i-2")
-    found = choose(Wish(SHORT, {}, RunnerId("i-1")), [one, two], Contention(), NOW)
+    found = choose(PlacementRequest(SHORT, {}, RunnerId("i-1")), [one, two], Contention(), NOW)
     assert found is two
 
 
