Let fillers go once nothing serves beside them

Change: without serving tasks beside them fillers work at full speed again. Figures: a test fails before and passes after.

--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -50,6 +50,7 @@
     """Slow fillers down, or let them work faster, by the tails beside them."""
     pressed = _most_pressed(runner)
     if pressed is None:
+        _let_go(state, runner, now)
         return
     ratio = pressed.tail_ms / pressed.target_ms
     if _over_long(runner, now):
@@ -66,6 +67,15 @@
     return max(serving, key=lambda run: run.tail_ms / run.target_ms, default=None)
 
 
+def _let_go(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Let every filler work at full speed: nothing serves beside it, or nothing is known of it."""
+    if runner.serving:
+        return
+    for key, run in list(_fillers(runner)):
+        if run.pace < 100 and now - run.paced_at >= SETTLE_S:
+            _pace(state, runner, key, run, 100, now)
+
+
 def _over_long(runner: RunnerState, now: float) -> bool:
     return any(
         run.over_since is not None and now - run.over_since >= OVER_S
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -239,3 +239,13 @@
     put(one, SERVING, job="cd", tail_ms=30.0)
     set_paces(state, one, NOW)
     assert paces(state) == [90]
+
+
+def test_a_filler_that_stood_still_works_again_once_nothing_serves_beside_it() -> None:
+    """It kept the pace of the last serving task's time for good (hunted at Bengal: LOST)."""
+    one = runner("i-1")
+    loud = put(one, LOUD, job="cd")
+    one.set_pace(one.runs[loud], 0)
+    state = leader(one)
+    set_paces(state, one, NOW)
+    assert paces(state) == [100]
