--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -21,7 +21,7 @@
 """Samples of the demand of short tasks fade within so long, s; bursts last about 6 s."""
 
 RESERVE = 1.5
-"""Times the demand of short tasks that is kept for them: their arrivals swing by half."""
+"""Times the demand of short tasks that is kept for them; chosen, not measured by itself."""
 
 LEAST_RESERVE = 2500
 """Of a runner, millicores, as soon as there are short tasks: room for one of the usual size."""
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -25,8 +25,8 @@
 """A runner that failed oddly gets no new work for so long, s; doubled up to MAX_DISTRUST_S."""
 
 SERVING_USE = 0.5
-"""Share of its declared processors that a serving task is taken to use; measured are 0.48 with
-swings of half of that. What it needs beyond that, fillers beside it lose."""
+"""Share of its declared processors that a serving task is taken to use: the users' site files
+say a load of 0.48 that swings; it was not measured. What it needs beyond that, fillers lose."""
 
 UNKNOWN_PACE = 50
 """What a filler is taken to work at when its pace may or may not have been set, percent: after
