--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -2,14 +2,15 @@
 
 The logarithm of a serving task's tail latency over its target is taken as a sum: a base that
 follows the task's own load, plus for each filler beside it a weight of the pair of images
-times the share of the instance's processors that the filler uses. Weights are learnt from the
-reports by a Kalman filter with a diagonal covariance; a pair never seen counts as the prior
-says.
+times the share of the instance's processors that the filler uses. The weights of one serving
+image are learnt together from the reports by a Kalman filter, so that a slow tail beside
+several fillers leaves open which of them it was until they are seen apart. A pair never seen
+counts as the prior says.
 """
 
 import math
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
 PRIOR_WEIGHT = 3.0
 """Weight of a pair never seen. Measured on two sites: about half of the pairs have 5 to 14,
@@ -18,10 +19,10 @@
 PRIOR_VARIANCE = 25.0
 """Of the weight of a pair never seen; from the same spread."""
 
-NOISE_VARIANCE = 0.08
-"""Of one report's logarithm around the sum."""
+NOISE_VARIANCE = 0.2
+"""Of one report's logarithm around the sum; the load moves it for several reports on end."""
 
-FORGETTING = 0.002
+FORGETTING = 0.01
 """Added to a weight's variance by each report that bears on it: weights drift in minutes."""
 
 BASE_GAIN = 0.12
@@ -40,33 +41,126 @@
 LEAST_SHARE = 0.005
 """A filler that uses less of the instance teaches nothing."""
 
+LOWEST_MEAN = -2.0
+"""No weight is held lower; a spell of falling load looks like a filler that helps."""
+
+CAUTION = 0.4
+"""Standard deviations by which a weight is taken higher than its mean, so that pairs of which
+little is known are tried by one filler at a time."""
+
+HARMLESS_WEIGHT = 2.5
+"""A pair of a lower weight is taken as harmless; learnt weights of such pairs reach about 2."""
+
+MODEL_VARIANCE = 0.5
+"""Added to the variance of a weight when it is judged: drift and load swings are not in it."""
+
+LEAST_BEARING = 1e-6
+"""A weight that a report bears on less than this is not touched by it."""
+
+ANY_FILLER = {"": 1.0}
+"""The mix that is expected before the first filler came."""
+
 
 @dataclass(slots=True)
-class _Weight:
-    mean: float = PRIOR_WEIGHT
-    variance: float = PRIOR_VARIANCE
+class _Judgement:
+    """How a pair counts: how likely it is harmless, and the weight that is reckoned with."""
 
+    harmless: float
+    weight: float
 
-LEAST_WEIGHT = 1.8
-"""A lower weight counts as none: what is learnt of harmless pairs scatters up to it."""
 
-LOWEST_MEAN = -2.0
-"""No weight is held lower; a spell of falling load polls like a filler that helps."""
+def _judge(mean: float, variance: float) -> _Judgement:
+    spread = math.sqrt(2.0 * (variance + MODEL_VARIANCE))
+    harmless = 0.5 * (1.0 + math.erf((HARMLESS_WEIGHT - mean) / spread))
+    careful = max(0.0, mean + CAUTION * math.sqrt(variance))
+    return _Judgement(harmless, careful * (1.0 - harmless))
+
+
+UNSEEN = _judge(PRIOR_WEIGHT, PRIOR_VARIANCE)
+"""The judgement of a pair never seen together."""
+
+
+@dataclass(slots=True)
+class _Weights:
+    """The weights of one serving image: means, covariances and judgements by filler image."""
+
+    index: dict[str, int] = field(default_factory=dict)
+    means: list[float] = field(default_factory=list)
+    covariances: list[list[float]] = field(default_factory=list)
+    judged: list[_Judgement] = field(default_factory=list)
+
+    def place(self, filler: str) -> int:
+        """Return the place of a filler image; a new one begins at the prior."""
+        place = self.index.get(filler)
+        if place is None:
+            place = self.index[filler] = len(self.means)
+            self.means.append(PRIOR_WEIGHT)
+            for row in self.covariances:
+                row.append(0.0)
+            self.covariances.append([0.0] * place + [PRIOR_VARIANCE])
+            self.judged.append(UNSEEN)
+        return place
+
+    def judgement(self, filler: str) -> _Judgement:
+        """Return how a filler image counts."""
+        place = self.index.get(filler)
+        return UNSEEN if place is None else self.judged[place]
+
+    def update(self, shares: list[tuple[int, float]], residual: float) -> float:
+        """Take one residual beside fillers; returns the part of it that is noise, 0 to 1."""
+        rows = self.covariances
+        bears = [sum(row[place] * share for place, share in shares) for row in rows]
+        spread = NOISE_VARIANCE + sum(bears[place] * share for place, share in shares)
+        touched = [place for place, bearing in enumerate(bears) if abs(bearing) >= LEAST_BEARING]
+        for place in touched:
+            gain = bears[place] / spread
+            # Held below 0 too: cut off there, the scatter around 0 would look like weight.
+            self.means[place] = max(LOWEST_MEAN, self.means[place] + gain * residual)
+            row = rows[place]
+            for other in touched:
+                row[other] -= gain * bears[other]
+        for place, _ in shares:
+            rows[place][place] += FORGETTING
+        for place in touched:
+            self.judged[place] = _judge(self.means[place], max(0.0, rows[place][place]))
+        return NOISE_VARIANCE / spread
 
 
 class Contention:
     """What one leader has learnt of the pairs of images."""
 
     def __init__(self) -> None:
-        self._weights: dict[tuple[str, str], _Weight] = {}
+        self._weights: dict[str, _Weights] = {}
         self._bases: dict[str, float] = {}
+        self._mix: Mapping[str, float] = ANY_FILLER
+        self._borne: dict[frozenset[str], float] = {}
+
+    def expect(self, mix: Mapping[str, float]) -> None:
+        """Take the share of each filler image in what fillers want; judges pairs anew."""
+        self._mix = mix or ANY_FILLER
+        self._borne = {}
+
+    def _judgement(self, serving: str, filler: str) -> _Judgement:
+        held = self._weights.get(serving)
+        return UNSEEN if held is None else held.judgement(filler)
+
+    def harmless(self, serving: str, filler: str) -> float:
+        """Return how likely a filler does not matter to a serving image, 0 to 1."""
+        return self._judgement(serving, filler).harmless
+
+    def borne(self, serving: frozenset[str]) -> float:
+        """Return the share of the expected fillers that likely matters to none of the images."""
+        share = self._borne.get(serving)
+        if share is None:
+            share = self._borne[serving] = sum(
+                part * math.prod(self.harmless(image, filler) for image in serving)
+                for filler, part in self._mix.items()
+            )
+        return share
 
     def weight(self, serving: str, filler: str) -> float:
-        """Return the weight of a pair, 0 for one that does not matter."""
-        held = self._weights.get((serving, filler))
-        if held is None:
-            return PRIOR_WEIGHT
-        return held.mean if held.mean >= LEAST_WEIGHT else 0.0
+        """Return the weight of a pair, near 0 for one that likely does not matter."""
+        return self._judgement(serving, filler).weight
 
     def base(self, serving: str) -> float:
         """Return the usual logarithm of tail over target of an image alone."""
@@ -89,21 +183,16 @@
         """
         if base is None:
             base = self.base(serving)
-        seen = {image: share for image, share in fillers.items() if share >= LEAST_SHARE}
-        weights = {image: self._weights.setdefault((serving, image), _Weight()) for image in seen}
-        expected = base + sum(weights[image].mean * share for image, share in seen.items())
+        weights = self._weights.setdefault(serving, _Weights())
+        seen = [
+            (weights.place(image), share)
+            for image, share in fillers.items()
+            if share >= LEAST_SHARE
+        ]
+        expected = base + sum(weights.means[place] * share for place, share in seen)
         residual = math.log(ratio) - expected
         residual = max(-LARGEST_RESIDUAL, min(LARGEST_RESIDUAL, residual))
-        spread = NOISE_VARIANCE + sum(
-            weights[image].variance * share * share for image, share in seen.items()
-        )
-        for image, share in seen.items():
-            held = weights[image]
-            gain = held.variance * share / spread
-            # Held below 0 too: cut off there, the scatter around 0 would poll like weight.
-            held.mean = max(LOWEST_MEAN, held.mean + gain * residual)
-            held.variance = held.variance * (1.0 - gain * share) + FORGETTING
-        base += BASE_GAIN * residual * NOISE_VARIANCE / spread
+        base += BASE_GAIN * residual * weights.update(seen, residual)
         of_image = self.base(serving)
         self._bases[serving] = of_image + IMAGE_GAIN * (base - of_image)
         return base
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -35,6 +35,7 @@
     refused_by: RunnerId = NO_RUNNER
     not_before: float = 0.0
     wanted: RunnerId = NO_RUNNER
+    wanted_until: float = 0.0
 
     @property
     def untouched(self) -> bool:
--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -1,14 +1,15 @@
 """Hold fillers back where the tail of what serves beside them nears its target."""
 
 import math
-from collections.abc import Iterator
 
-from spoolcrank.orders import Pace
+from spoolcrank.filler_pace import AIM, LEAST_PACE, fillers, order_pace
 from spoolcrank.packing import SMALL_EFFECT
 from spoolcrank.placing import has_harmless_place
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.runner_state import Run, RunnerState
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import TaskKey
+
+REPORT_EVERY_S = 0.5
+"""Figures cover so long, s; a poll within it tells nothing new."""
 
 PRESSED = 0.85
 """A tail over this share of its target slows the fillers that cause it."""
@@ -16,15 +17,9 @@
 RELAXED = 0.6
 """Fillers get faster again while every tail is below this share of its target."""
 
-AIM = 0.72
-"""Paces are set so that the tail should come to this share of its target."""
-
 SETTLE_S = 0.6
 """Between two changes of one filler's pace, s: its effect shows in the report after next."""
 
-LEAST_PACE = 10
-"""A filler that is held back works at this share at least, percent; it keeps its place."""
-
 PACE_UP = 40
 """Faster again in steps of at most so many percent."""
 
@@ -39,6 +34,9 @@
 
 def learn(state: Scheduler, runner: RunnerState, now: float) -> None:
     """Take a runner's newest figures into what is learnt of pairs."""
+    if now - runner.learnt_at < REPORT_EVERY_S:
+        return
+    runner.learnt_at = now
     shares = runner.filler_shares(now)
     for run in runner.runs.values():
         if run.serves and run.tail_ms > 0 and run.percent == 100:
@@ -71,9 +69,9 @@
     """Let every filler work at full speed: nothing serves beside it, or nothing is known of it."""
     if runner.serving:
         return
-    for key, run in list(_fillers(runner)):
+    for key, run in list(fillers(runner)):
         if run.pace < 100 and now - run.paced_at >= SETTLE_S:
-            _pace(state, runner, key, run, 100, now)
+            order_pace(state, runner, key, run, 100, now)
 
 
 def _over_long(runner: RunnerState, now: float) -> bool:
@@ -84,15 +82,9 @@
 
 
 def _halt(state: Scheduler, runner: RunnerState, now: float) -> None:
-    for key, run in list(_fillers(runner)):
+    for key, run in list(fillers(runner)):
         if run.pace > 0:
-            _pace(state, runner, key, run, 0, now)
-
-
-def _fillers(runner: RunnerState) -> Iterator[tuple[TaskKey, Run]]:
-    for key, run in runner.runs.items():
-        if run.fills and run.stage is RunStage.RUNNING:
-            yield key, run
+            order_pace(state, runner, key, run, 0, now)
 
 
 def _effect(state: Scheduler, runner: RunnerState, serving: Run, run: Run) -> float:
@@ -103,50 +95,54 @@
 def _slow_down(
     state: Scheduler, runner: RunnerState, pressed: Run, ratio: float, now: float
 ) -> None:
-    fillers = list(_fillers(runner))
-    effects = [_effect(state, runner, pressed, run) for _, run in fillers]
-    causes = [pair for pair, effect in zip(fillers, effects, strict=True) if effect > SMALL_EFFECT]
+    held = list(fillers(runner))
+    effects = [_effect(state, runner, pressed, run) for _, run in held]
+    causes = [pair for pair, effect in zip(held, effects, strict=True) if effect > SMALL_EFFECT]
     if not causes and ratio >= 1.0:
-        causes = fillers
+        causes = held
     too_much = math.log(ratio / AIM)
     in_all = max(sum(effects), SMALL_EFFECT)
     factor = max(0.0, 1.0 - too_much / in_all)
     for key, run in causes:
         pace = max(LEAST_PACE, int(run.pace * factor))
         if pace < run.pace and now - run.paced_at >= SETTLE_S:
-            _pace(state, runner, key, run, pace, now)
+            order_pace(state, runner, key, run, pace, now)
+
+
+def _expected(state: Scheduler, runner: RunnerState, now: float) -> float:
+    """Return the highest logarithm of tail over target that the paces set last should give.
+
+    A report may be older than the paces, and a task that has just begun to serve has few users.
+    """
+    shares = runner.filler_shares(now)
+    effects = {image: state.contention.effect(image, shares.items()) for image in runner.serving}
+    return max(
+        _run_base(state, run) + effects[run.image] for run in runner.runs.values() if run.serves
+    )
+
+
+def _run_base(state: Scheduler, run: Run) -> float:
+    """Return the logarithm of a serving task's tail over its target without fillers."""
+    return state.contention.base(run.image) if run.base is None else run.base
 
 
 def _speed_up(
     state: Scheduler, runner: RunnerState, pressed: Run, ratio: float, now: float
 ) -> None:
-    allowed = math.log(AIM / ratio)
-    for key, run in _fillers(runner):
+    allowed = math.log(AIM) - max(math.log(ratio), _expected(state, runner, now))
+    for key, run in fillers(runner):
         if run.pace >= 100 or now - run.paced_at < SETTLE_S:
             continue
         weight = state.contention.weight(pressed.image, run.image)
         per_percent = weight * runner.share(run.wanted_millicores) / 100.0
         more = PACE_UP if per_percent <= 0 else min(PACE_UP, int(allowed / per_percent))
         if more > 0:
-            _pace(state, runner, key, run, min(100, run.pace + more), now)
+            order_pace(state, runner, key, run, min(100, run.pace + more), now)
             allowed -= more * per_percent
 
 
-def _pace(
-    state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, pace: int, now: float
-) -> None:
-    runner.set_pace(run, pace)
-    run.paced_at = now
-    if pace > 50:
-        run.slow_since = None
-    elif run.slow_since is None:
-        run.slow_since = now
-    state.orders.append(Pace(state.target(runner), key, run.number, pace))
-    state.note("paced", task=key, run=run.number, runner=runner.id, percent=pace)
-
-
 def _move_slow(state: Scheduler, runner: RunnerState, now: float) -> None:
-    for key, run in list(_fillers(runner)):
+    for key, run in list(fillers(runner)):
         if run.slow_since is None or now - run.slow_since < MOVE_AFTER_S or not run.checkpoints:
             continue
         run.slow_since = now
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -10,13 +10,12 @@
 from typing import NamedTuple
 
 from spoolcrank.contention import Contention
-from spoolcrank.runner_state import RunnerState
+from spoolcrank.runner_state import SERVING_USE, RunnerState
 from spoolcrank.workflow import RunnerId, Step
 
-FREE_SHARE = 0.15
-"""Serving tasks are packed so that runners with this share of a service's processors hold none
-of them, if there is room: fillers that slow what serves go there, and short counted tasks.
-How full a runner is does not bear on the tails (measured: the same from 0.5 to 1.0)."""
+PRESSED_CORES = 2.0
+"""Processors of fillers that one more in the logarithm of a new task's tail counts as, cores: it
+lasts a second or two until fillers are slowed, the place is kept for minutes."""
 
 FILL_SHARE = 0.8
 """A filler starts where at least this share of what it wants is likely left over; below it,
@@ -38,7 +37,6 @@
         held: tasks of its step on each runner.
         avoid: the runner it failed on last.
         rack: only here, where it is not empty.
-        keep_free: no runner without serving tasks should take a first one.
         reserve: millicores that a lasting task leaves to short ones on its runner; one that has
             run before leaves none, as it has to be back at work while there is any room.
     """
@@ -47,19 +45,9 @@
     held: dict[RunnerId, int]
     avoid: RunnerId
     rack: str = ""
-    keep_free: bool = False
     reserve: int = 0
 
 
-def few_free(runners: Iterable[RunnerState]) -> bool:
-    """Tell whether runners without serving tasks are too few to take one of them."""
-    room = free = 0
-    for runner in runners:
-        room += runner.entry.room.millicores
-        free += 0 if runner.serving else runner.entry.room.millicores
-    return free <= room * FREE_SHARE
-
-
 def choose(
     request: PlacementRequest, runners: Iterable[RunnerState], contention: Contention, now: float
 ) -> RunnerState | None:
@@ -116,8 +104,8 @@
         return _score_filler(step, runner, contention, now, (fresh, near))
     if step.target_ms or step.lasting:
         return _score_serving(request, runner, contention, now, (fresh, near))
-    beside_serving = 1.0 if runner.serving else 0.0
-    return (fresh, near, beside_serving, float(runner.idle_millicores))
+    borne = contention.borne(frozenset(runner.serving))
+    return (fresh, near, -round(borne, 1), float(runner.idle_millicores))
 
 
 def _score_filler(
@@ -130,12 +118,12 @@
     if runner.idle_millicores < step.millicores * FILL_SHARE:
         return ()
     effect = worst_effect(step.image, runner.share(step.millicores), runner, contention)
-    if effect > SMALL_EFFECT and not _tails_allow(step, runner, contention, now):
+    if runner.serving and not _tails_allow(step, runner, contention, now):
         return ()
     harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
-    # Runners without serving tasks are left to fillers that slow all that serves.
-    beside = 1.0 if runner.serving else 0.0
-    return (*first, harmless, beside, -effect, float(runner.idle_millicores))
+    # Runners that bear many fillers are left to those that few runners bear.
+    borne = contention.borne(frozenset(runner.serving))
+    return (*first, harmless, -round(borne, 1), -effect, float(runner.idle_millicores))
 
 
 def worst_effect(image: str, share: float, runner: RunnerState, contention: Contention) -> float:
@@ -168,7 +156,27 @@
     step = request.step
     shares = runner.filler_shares(now)
     pressed = contention.effect(step.image, shares.items())
-    others = len(runner.serving) - (1 if step.image in runner.serving else 0)
-    opens = 1.0 if request.keep_free and not runner.serving else 0.0
+    cost = closed_cores(step, runner, contention) + pressed * PRESSED_CORES
     after = float(runner.used_millicores + step.millicores)
-    return (*first, -opens, -round(pressed, 1), -float(others), after)
+    return (*first, -round(cost, 1), after)
+
+
+def closed_cores(step: Step, runner: RunnerState, contention: Contention) -> float:
+    """Return the processors that a serving task there likely takes from fillers, cores.
+
+    A runner without serving tasks is opened to more of the image, so that only this task's part
+    of what all of them take counts.
+    """
+    taken = step.millicores * SERVING_USE / 1000.0
+    with_it = contention.borne(frozenset((*runner.serving, step.image)))
+    idle = open_cores(runner)
+    if not runner.serving:
+        room = runner.entry.room.millicores / 1000.0
+        part = step.millicores / 1000.0 / max(room, 0.001)
+        return part * (room - room * (1.0 - SERVING_USE) * with_it)
+    return idle * contention.borne(frozenset(runner.serving)) - (idle - taken) * with_it
+
+
+def open_cores(runner: RunnerState) -> float:
+    """Return what serving and short tasks leave to fillers there, cores."""
+    return max(0.0, (runner.idle_millicores + runner.filled_millicores) / 1000.0)
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -1,11 +1,13 @@
 """Bind waiting tasks to runners, in the order of work, and keep room for short ones."""
 
+from collections import Counter
 from collections.abc import Mapping
 
+from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.objective import work_order
-from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, few_free, worst_effect
+from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, worst_effect
 from spoolcrank.runner_state import RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
@@ -14,6 +16,9 @@
 """A pass over waiting work ends for tasks of one image after so many steps that found no place;
 trying all of a long queue costs more than a place that is found a pass later."""
 
+GATHER_LASTING_S = 0.25
+"""Lasting jobs that come within so long are placed together by image, s; they run for minutes."""
+
 FORECAST_S = 0.5
 """Between two samples of the demand of short tasks, s; about the time that one takes."""
 
@@ -37,6 +42,7 @@
         return
     share = min(1.0, (now - state.forecast_at) / FORECAST_MEMORY_S)
     state.forecast_at = now
+    state.contention.expect(filler_mix(state))
     demand = _short_running(state) + _short_waiting(state)
     state.short_demand += share * (demand - state.short_demand)
     usable = sum(1 for runner in state.runners.values() if runner.usable(now))
@@ -46,6 +52,22 @@
         state.reserve = max(LEAST_RESERVE, int(RESERVE * state.short_demand / usable))
 
 
+def filler_mix(state: Scheduler) -> dict[str, float]:
+    """Return the share of each filler image in what fillers want, running or waiting."""
+    wanted: Counter[str] = Counter()
+    for runner in state.runners.values():
+        for run in runner.runs.values():
+            if run.fills:
+                wanted[run.image] += run.wanted_millicores
+    for job in state.waiting_jobs():
+        for held in job.rounds.values():
+            for _, step in held.ready():
+                if step.spec.fills:
+                    wanted[step.spec.image] += len(step.waiting) * step.spec.millicores
+    in_all = sum(wanted.values())
+    return {image: amount / in_all for image, amount in wanted.items()}
+
+
 def _short_running(
     state: Scheduler,
 ) -> int:
@@ -94,6 +116,8 @@
     misses: dict[tuple[ServiceName, str], int],
     now: float,
 ) -> None:
+    if job.lasting and not job.begun and now - job.accepted_at < GATHER_LASTING_S:
+        return
     service = state.service_of(job)
     runners = pools.get(service, [])
     still_waits = False
@@ -130,19 +154,22 @@
         if task.not_before > now:
             held_back = True
             continue
-        keep_free = bool(step.spec.target_ms) and few_free(runners)
         request = PlacementRequest(
             step.spec,
             held,
             task.refused_by,
-            keep_free=keep_free,
             reserve=0 if task.run else state.reserve,
         )
         runner = _wanted(state, task, request, runners, now)
         if runner is None:
+            if task.wanted != NO_RUNNER:
+                held_back = True
+                continue
             return False
         held[runner.id] = held.get(runner.id, 0) + 1
         state.bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
+        if step.spec.target_ms:
+            make_way(state, runner, step.spec.image, now)
     return not held_back
 
 
@@ -154,11 +181,12 @@
     now: float,
 ) -> RunnerState | None:
     """Return the runner that a moved task was meant for, or the best one."""
-    wanted, task.wanted = task.wanted, NO_RUNNER
-    meant = [one for one in runners if one.id == wanted]
-    return choose(request, meant, state.contention, now) or choose(
-        request, runners, state.contention, now
-    )
+    meant = [one for one in runners if one.id == task.wanted]
+    found = choose(request, meant, state.contention, now)
+    if found is None and meant and now < task.wanted_until:
+        return None
+    task.wanted = NO_RUNNER
+    return found or choose(request, runners, state.contention, now)
 
 
 def _place_gang(
@@ -229,10 +257,12 @@
     return worst_effect(step.image, share, found, state.contention) <= SMALL_EFFECT
 
 
-def _rank(state: Scheduler, job: JobState, now: float) -> tuple[int, int, tuple[int, float]]:
+def _rank(state: Scheduler, job: JobState, now: float) -> tuple[int, int, str, tuple[int, float]]:
     policy = state.routes.get(job.record.route)
     priority = policy.priority if policy is not None else job.record.priority
     if job.lasting:
         # Back at work first after any loss; a job that never ran takes what short ones leave.
-        return (priority, 0, (-1, job.order)) if job.begun else (priority, 1, (0, job.order))
-    return (priority, 0, work_order(job, now))
+        if job.begun:
+            return (priority, 0, "", (-1, job.order))
+        return (priority, 1, job.record.workflow.steps[0].image, (0, job.order))
+    return (priority, 0, "", work_order(job, now))
--- a/spoolcrank/regrouping.py
+++ b/spoolcrank/regrouping.py
@@ -1,33 +1,39 @@
-"""Move serving tasks so that runners come to hold only images that bear the same fillers.
+"""Move serving tasks so that more runners can bear more fillers.
 
 Which fillers slow which images is learnt only while they run, after the serving tasks were
-placed. A runner with one task of another kind can take few fillers; that task goes where its
-kind already is, if there is room, one at a time for each step.
+placed. A runner is worth to fillers what serving and short tasks leave of it, times the share
+of the expected fillers that likely slow none of its images. Groups of one image are moved to
+other runners, or swapped with a group there, where that sum rises enough for each moved task.
 """
 
-from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.contention import Contention
+from spoolcrank.packing import open_cores
+from spoolcrank.runner_state import SERVING_USE, Run, RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import FINAL, Phase, RunnerId, Step, TaskKey
+from spoolcrank.workflow import FINAL, Demand, Phase, RunnerId, Step, TaskKey
 
-REGROUP_S = 1.0
-"""Between two moves, s; a moved task is back at work in about that time."""
+REGROUP_S = 0.5
+"""Between two plans, s; a moved task is back at work in about one."""
 
-LEARN_S = 5.0
-"""Nothing is moved before so long after the first fillers came, s: weights need some reports."""
+BUSY_S = 2.0
+"""A runner takes part in no other change for so long, s; by then its moves have ended."""
 
 LEAST_GAIN = 1.5
-"""Cores of wanted fillers that a move must open per task moved. A task's absence costs about as
-much as two core-seconds of fillers earn, so that this pays within some seconds."""
+"""Processors for fillers that a change must open for each task moved, cores. A task's absence
+costs about what three core-seconds of fillers earn, so that this pays within some seconds."""
 
-MOST_TASKS = 3
-"""Larger groups of one image on a runner stay: they are not the exception there."""
+MOST_TASKS = 4
+"""Larger groups of one image on a runner stay where they are."""
 
-MOST_PLACES = 40
-"""Destinations weighed for a task; more would cost processor time on large fleets."""
+MOST_CHANGES = 4
+"""Changes in one plan; the rest follows in the next, with newer weights."""
+
+MOST_RUNNERS = 32
+"""Runners weighed in one plan; the next plan takes the ones after them. More would cost
+processor time on large fleets: the swaps grow with the square."""
 
 
 class Move(NamedTuple):
@@ -38,160 +44,250 @@
     destination: RunnerId
 
 
+class _Group(NamedTuple):
+    """All tasks of one image on a runner, if every one of them may move."""
+
+    runner: RunnerState
+    image: str
+    tasks: list[tuple[TaskKey, Run]]
+    demand: Demand
+
+
+class _Change(NamedTuple):
+    """Moves that belong together, the runners they touch, and what they open per task, cores."""
+
+    gain: float
+    moves: list[Move]
+    runners: frozenset[RunnerId]
+
+
 class Regrouping:
-    """When the leader moved last, and since when there are fillers."""
+    """When the leader planned last, and which runners a change is under way at."""
 
     def __init__(self) -> None:
-        self._moved_at = -1.0
-        self._fillers_since: float | None = None
+        self._planned_at = -REGROUP_S
+        self._plans = 0
+        self._busy: dict[RunnerId, float] = {}
 
     def moves(self, state: Scheduler, now: float) -> list[Move]:
         """Return the moves to make now; most times none."""
-        wanted = wanted_fillers(state)
-        if not wanted:
-            return []
-        if self._fillers_since is None:
-            self._fillers_since = now
-        if now - self._fillers_since < LEARN_S or now - self._moved_at < REGROUP_S:
+        if now - self._planned_at < REGROUP_S or not fillers_held_back(state):
             return []
-        self._moved_at = now
-        return best_moves(state, wanted, now)
-
-
-def wanted_fillers(state: Scheduler) -> dict[str, float]:
-    """Return the share of each filler image in what fillers want, if any are held back."""
-    held: Counter[str] = Counter()
-    held_back = 0
+        self._planned_at = now
+        self._busy = {runner: until for runner, until in self._busy.items() if until > now}
+        moves: list[Move] = []
+        for change in _best_apart(state, self._candidates(state, now)):
+            moves += change.moves
+            for runner in change.runners:
+                self._busy[runner] = now + BUSY_S
+        return moves
+
+    def _candidates(self, state: Scheduler, now: float) -> list[RunnerState]:
+        usable = [
+            one for one in state.runners.values() if one.usable(now) and one.id not in self._busy
+        ]
+        if len(usable) <= MOST_RUNNERS:
+            return usable
+        first = self._plans * MOST_RUNNERS % len(usable)
+        self._plans += 1
+        return (usable[first:] + usable[:first])[:MOST_RUNNERS]
+
+
+def fillers_held_back(state: Scheduler) -> bool:
+    """Tell whether fillers wait for a place or work below their full speed."""
     for runner in state.runners.values():
-        for run in runner.runs.values():
-            if run.fills:
-                held[run.image] += run.wanted_millicores
-                held_back += run.wanted_millicores if run.pace < 100 else 0
-    for job in state.waiting_jobs():
-        for open_round in job.rounds.values():
-            for _, step in open_round.ready():
-                if step.spec.fills:
-                    held[step.spec.image] += len(step.waiting) * step.spec.millicores
-                    held_back += len(step.waiting) * step.spec.millicores
-    in_all = sum(held.values())
-    if in_all == 0 or held_back == 0:
-        return {}
-    return {image: amount / in_all for image, amount in held.items()}
-
-
-def best_moves(state: Scheduler, wanted: dict[str, float], now: float) -> list[Move]:
-    """Return the moves of the one group whose going opens most per task."""
-    usable = [runner for runner in state.runners.values() if runner.usable(now)]
-    usable.sort(key=lambda one: one.used_millicores)
-    best: list[Move] = []
-    best_gain = LEAST_GAIN
-    for runner in usable:
-        for image, count in runner.serving.items():
-            if count > MOST_TASKS:
-                continue
-            group = _group(state, runner, image)
-            gain = _opened(state, runner, image, wanted) / count
-            if len(group) < 1 or gain <= best_gain:
-                continue
-            moves, cost = _destinations(state, runner, group, usable[:MOST_PLACES], wanted)
-            if moves and gain - cost > best_gain:
-                best, best_gain = moves, gain - cost
-    return best
+        if any(run.fills and run.pace < 100 for run in runner.runs.values()):
+            return True
+    return any(
+        step.spec.fills
+        for job in state.waiting_jobs()
+        for held in job.rounds.values()
+        for _, step in held.ready()
+    )
 
 
-def _group(state: Scheduler, runner: RunnerState, image: str) -> list[tuple[TaskKey, Run]]:
-    return [
-        (key, run)
-        for key, run in runner.runs.items()
-        if run.image == image and run.serves and _may_move(state, key, run)
+def _best_apart(state: Scheduler, runners: list[RunnerState]) -> list[_Change]:
+    """Return the best changes that touch no runner twice."""
+    groups = [
+        group
+        for runner in runners
+        for image in runner.serving
+        if (group := _group(state, runner, image)) is not None
     ]
+    changes = [*_relocations(state, groups, runners), *_swaps(state, groups)]
+    changes.sort(key=lambda one: -one.gain)
+    chosen: list[_Change] = []
+    touched: set[RunnerId] = set()
+    for change in changes:
+        if len(chosen) < MOST_CHANGES and touched.isdisjoint(change.runners):
+            chosen.append(change)
+            touched |= change.runners
+    return chosen
+
+
+def _group(state: Scheduler, runner: RunnerState, image: str) -> _Group | None:
+    if runner.serving[image] > MOST_TASKS:
+        return None
+    tasks = [(key, run) for key, run in runner.runs.items() if run.image == image and run.serves]
+    if not _may_move(state, [key for key, _ in tasks]):
+        return None
+    demands = [run.demand for _, run in tasks]
+    return _Group(runner, image, tasks, _sum(demands))
+
+
+def _sum(demands: Iterable[Demand]) -> Demand:
+    held = list(demands)
+    return Demand(
+        sum(one.millicores for one in held),
+        sum(one.memory_mb for one in held),
+        sum(one.accelerators for one in held),
+    )
 
 
-def _may_move(state: Scheduler, key: TaskKey, run: Run) -> bool:
-    """Tell whether a task is at work and every other of its step too."""
-    job = state.jobs.get(key.job)
-    if job is None or job.phase in FINAL or run.stage is not RunStage.RUNNING:
-        return False
-    step = job.rounds[key.round].steps[key.step]
-    return all(_at_work(state, key, number) for number in range(len(step.tasks)))
+def _may_move(state: Scheduler, keys: list[TaskKey]) -> bool:
+    """Tell whether tasks, and all others of their steps, are at work, and may be away at once."""
+    for key in keys:
+        job = state.jobs.get(key.job)
+        if job is None or job.phase in FINAL:
+            return False
+        step = job.rounds[key.round].steps[key.step]
+        away = sum(1 for one in keys if one[:3] == key[:3])
+        if 0 <= step.spec.may_be_away < away:
+            return False
+        if not all(_at_work(state, key._replace(number=one)) for one in range(len(step.tasks))):
+            return False
+    return bool(keys)
 
 
-def _at_work(state: Scheduler, key: TaskKey, number: int) -> bool:
-    other = key._replace(number=number)
-    task = state.jobs[key.job].task(other)
-    if task.phase is not Phase.BOUND:
-        return False
+def _at_work(state: Scheduler, key: TaskKey) -> bool:
+    task = state.jobs[key.job].task(key)
     runner = state.runners.get(task.runner)
-    run = runner.runs.get(other) if runner is not None else None
+    run = runner.runs.get(key) if task.phase is Phase.BOUND and runner is not None else None
     return run is not None and run.stage is RunStage.RUNNING and run.percent == 100
 
 
-def _idle_cores(runner: RunnerState) -> float:
-    return max(0.0, (runner.idle_millicores + runner.filled_millicores) / 1000.0)
+def _worth(contention: Contention, idle: float, images: Iterable[str]) -> float:
+    return max(0.0, idle) * contention.borne(frozenset(images))
 
 
-def _borne(state: Scheduler, images: Iterable[str], wanted: dict[str, float]) -> float:
-    """Return the share of the wanted fillers that slow none of the images."""
-    images = list(images)
-    weight = state.contention.weight
-    return sum(
-        share
-        for filler, share in wanted.items()
-        if all(weight(image, filler) == 0.0 for image in images)
-    )
+def _taken(millicores: int) -> float:
+    """Return what serving tasks of a size likely use, cores."""
+    return millicores * SERVING_USE / 1000.0
 
 
-def _opened(state: Scheduler, runner: RunnerState, image: str, wanted: dict[str, float]) -> float:
-    rest = [other for other in runner.serving if other != image]
-    more = _borne(state, rest, wanted) - _borne(state, runner.serving, wanted)
-    return more * _idle_cores(runner)
+def _relocations(
+    state: Scheduler, groups: list[_Group], runners: list[RunnerState]
+) -> Iterator[_Change]:
+    contention = state.contention
+    for group in groups:
+        source = group.runner
+        idle = open_cores(source)
+        rest = [image for image in source.serving if image != group.image]
+        opened = _worth(contention, idle + _taken(group.demand.millicores), rest) - _worth(
+            contention, idle, source.serving
+        )
+        if opened / len(group.tasks) < LEAST_GAIN:
+            continue
+        change = _relocation(state, group, runners, opened)
+        if change is not None:
+            yield change
 
 
-def _destinations(
-    state: Scheduler,
-    source: RunnerState,
-    group: list[tuple[TaskKey, Run]],
-    places: list[RunnerState],
-    wanted: dict[str, float],
-) -> tuple[list[Move], float]:
-    """Return a place for each task of the group, and what they close per task."""
+def _relocation(
+    state: Scheduler, group: _Group, runners: list[RunnerState], opened: float
+) -> _Change | None:
     moves: list[Move] = []
-    cost = 0.0
-    taken: dict[RunnerId, int] = {}
-    for key, run in group:
-        step = state.jobs[key.job].record.workflow.steps[key.step]
-        held = state.jobs[key.job].rounds[key.round].steps[key.step].per_runner()
-        found: RunnerState | None = None
+    added: dict[RunnerId, list[tuple[TaskKey, Run]]] = {}
+    for task in group.tasks:
+        best: RunnerState | None = None
         least = 0.0
-        for place in places:
-            if place is source or place.entry.service != source.entry.service:
+        for place in runners:
+            if place is group.runner or place.entry.service != group.runner.entry.service:
+                continue
+            more = [*added.get(place.id, []), task]
+            if not _takes(state, place, more, Demand()):
+                continue
+            closed = _closed(state.contention, place, group.image, task[1], len(more) - 1)
+            if best is None or closed < least:
+                best, least = place, closed
+        if best is None:
+            return None
+        opened -= least
+        added.setdefault(best.id, []).append(task)
+        moves.append(Move(task[0], group.runner.id, best.id))
+    gain = opened / len(moves)
+    if gain < LEAST_GAIN:
+        return None
+    return _Change(gain, moves, frozenset((group.runner.id, *added)))
+
+
+def _closed(contention: Contention, place: RunnerState, image: str, run: Run, before: int) -> float:
+    """Return what one more task closes to fillers, where `before` of its group go there too."""
+    taken = _taken(run.demand.millicores)
+    idle = open_cores(place) - before * taken
+    held = (*place.serving, image) if before else place.serving
+    return _worth(contention, idle, held) - _worth(
+        contention, idle - taken, (*place.serving, image)
+    )
+
+
+def _swaps(state: Scheduler, groups: list[_Group]) -> Iterator[_Change]:
+    for number, one in enumerate(groups):
+        for other in groups[number + 1 :]:
+            if one.runner is other.runner or one.image == other.image:
                 continue
-            if not _has_room(place, run, step, held, taken.get(place.id, 0)):
+            if one.runner.entry.service != other.runner.entry.service:
                 continue
-            closed = _closed(state, place, run.image, wanted)
-            if found is None or closed < least:
-                found, least = place, closed
-        if found is None:
-            return [], 0.0
-        taken[found.id] = taken.get(found.id, 0) + run.demand.millicores
-        cost += least
-        moves.append(Move(key, source.id, found.id))
-    return moves, cost / len(moves)
-
-
-def _has_room(
-    place: RunnerState, run: Run, step: Step, held: dict[RunnerId, int], taken: int
+            count = len(one.tasks) + len(other.tasks)
+            gain = _swap_gain(state.contention, one, other) / count
+            if gain >= LEAST_GAIN and _fit_swapped(state, one, other):
+                yield _Change(
+                    gain,
+                    [*_moves_to(one, other.runner.id), *_moves_to(other, one.runner.id)],
+                    frozenset((one.runner.id, other.runner.id)),
+                )
+
+
+def _swap_gain(contention: Contention, one: _Group, other: _Group) -> float:
+    gain = 0.0
+    for leaving, coming in ((one, other), (other, one)):
+        runner = leaving.runner
+        idle = open_cores(runner)
+        images = [image for image in runner.serving if image != leaving.image]
+        change = _taken(leaving.demand.millicores - coming.demand.millicores)
+        gain += _worth(contention, idle + change, (*images, coming.image))
+        gain -= _worth(contention, idle, runner.serving)
+    return gain
+
+
+def _moves_to(group: _Group, destination: RunnerId) -> list[Move]:
+    return [Move(key, group.runner.id, destination) for key, _ in group.tasks]
+
+
+def _fit_swapped(state: Scheduler, one: _Group, other: _Group) -> bool:
+    return _takes(state, one.runner, other.tasks, one.demand) and _takes(
+        state, other.runner, one.tasks, other.demand
+    )
+
+
+def _takes(
+    state: Scheduler, place: RunnerState, tasks: list[tuple[TaskKey, Run]], leaving: Demand
 ) -> bool:
-    if step.max_per_instance and held.get(place.id, 0) >= step.max_per_instance:
-        return False
-    if step.label and step.label not in place.entry.labels:
+    """Tell whether a runner can hold tasks once others have left it."""
+    coming = _sum(run.demand for _, run in tasks)
+    net = Demand(*(more - less for more, less in zip(coming, leaving, strict=True)))
+    if not place.fits(net):
         return False
-    more = run.demand._replace(millicores=run.demand.millicores + taken)
-    return place.fits(more)
+    return all(_allowed(state, place, key, tasks) for key, _ in tasks)
 
 
-def _closed(state: Scheduler, place: RunnerState, image: str, wanted: dict[str, float]) -> float:
-    if image in place.serving:
-        return 0.0
-    less = _borne(state, place.serving, wanted) - _borne(state, [*place.serving, image], wanted)
-    return less * _idle_cores(place)
+def _allowed(
+    state: Scheduler, place: RunnerState, key: TaskKey, tasks: list[tuple[TaskKey, Run]]
+) -> bool:
+    held = state.jobs[key.job].rounds[key.round].steps[key.step]
+    step: Step = held.spec
+    if step.label and step.label not in place.entry.labels:
+        return False
+    coming = sum(1 for other, _ in tasks if other[:3] == key[:3])
+    bound = step.max_per_instance
+    return not bound or held.per_runner().get(place.id, 0) + coming <= bound
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -163,6 +163,7 @@
     silent_since: float | None = None
     polling: bool = False
     polled_at: float = -1.0
+    learnt_at: float = -1.0
     distrusted_until: float = -1.0
     distrust_s: float = 0.0
     odd_failures: int = 0
@@ -298,6 +299,6 @@
         for run in self.runs.values():
             if run.fills:
                 young = now - run.since < REPORT_LAG_S or run.stage is not RunStage.RUNNING
-                used = run.wanted_millicores * run.pace / 100.0 if young else run.used_millicores
+                used = run.paced_millicores if young else run.used_millicores
                 shares[run.image] = shares.get(run.image, 0.0) + self.share(used)
         return shares
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -43,6 +43,10 @@
 KEEP_ENDED_S = 150.0
 """Records of an ended job are dropped after so long, s; states are asked for 120 s."""
 
+MOVE_PATIENCE_S = 1.5
+"""A moved task waits so long for room at the runner that it is meant for, s: where two groups
+change places, a stop takes up to 0.9 s."""
+
 RETRY_S = 0.1
 """A lasting task that failed starts again after so long, s; at once would spin."""
 
@@ -337,7 +341,9 @@
 
     def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
         """Stop a task, to be started at another runner."""
-        self.jobs[key.job].task(key).wanted = destination
+        task = self.jobs[key.job].task(key)
+        task.wanted = destination
+        task.wanted_until = now + MOVE_PATIENCE_S
         self.note("task-moves", task=key, runner=source, to=destination)
         self.stop_run(key, source, now)
 
