--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 PRIOR_WEIGHT = 3.0
 """Weight of a pair never seen. Measured on two sites: about half of the pairs have 5 to 14,
 the others about 0; below their mean, so that one filler at a time is tried."""
@@ -61,6 +63,26 @@
 """The mix that is expected before the first filler came."""
 
 
+class LearntWeight(msgspec.Struct, frozen=True, array_like=True):
+    """The stored weight of a filler image beside one serving image, with its variance."""
+
+    filler: str
+    mean: float
+    variance: float
+
+
+class LearntImage(msgspec.Struct, frozen=True, array_like=True):
+    """What is stored of one serving image: its base alone, and the weights of fillers."""
+
+    serving: str
+    base: float
+    weights: tuple[LearntWeight, ...] = ()
+
+
+encode_learnt = msgspec.json.Encoder().encode
+decode_learnt = msgspec.json.Decoder(tuple[LearntImage, ...]).decode
+
+
 @dataclass(slots=True)
 class _Judgement:
     """How a pair counts: how likely it is harmless, and the weight that is reckoned with."""
@@ -135,6 +157,35 @@
         self._mix: Mapping[str, float] = ANY_FILLER
         self._borne: dict[frozenset[str], float] = {}
 
+    def learnt(self) -> tuple[LearntImage, ...]:
+        """Return what the next leader should start from; how weights hang together is left out."""
+        return tuple(
+            LearntImage(
+                serving,
+                round(self.base(serving), 2),
+                tuple(
+                    LearntWeight(
+                        filler,
+                        round(held.means[place], 2),
+                        round(max(0.0, held.covariances[place][place]), 2),
+                    )
+                    for filler, place in held.index.items()
+                ),
+            )
+            for serving, held in self._weights.items()
+        )
+
+    def restore(self, learnt: Iterable[LearntImage]) -> None:
+        """Take over what an earlier leader learnt."""
+        for image in learnt:
+            self._bases[image.serving] = image.base
+            held = self._weights.setdefault(image.serving, _Weights())
+            for one in image.weights:
+                place = held.place(one.filler)
+                held.means[place] = one.mean
+                held.covariances[place][place] = one.variance
+                held.judged[place] = _judge(one.mean, one.variance)
+
     def expect(self, mix: Mapping[str, float]) -> None:
         """Take the share of each filler image in what fillers want; judges pairs anew."""
         self._mix = mix or ANY_FILLER
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
+from spoolcrank.contention import decode_learnt
 from spoolcrank.keyed_log import (
     LEADER_KEY,
+    LEARNT_KEY,
     KeyedLog,
     KeyedRecord,
     RecordKind,
@@ -193,6 +195,9 @@
         self.leadership.confirmed(now)
         self._runner_follower.begin()
         copy = self._follower.copy
+        learnt = copy.value(LEARNT_KEY)
+        if learnt:
+            scheduler.contention.restore(decode_learnt(learnt))
         for key, record in list(copy.newest.items()):
             if record.value and kind_of(key) is RecordKind.JOB:
                 self._add_job(scheduler, record, now)
@@ -255,6 +260,7 @@
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
             self.scheduler.drop_ended(now)
+            self.scheduler.keep_learnt(now)
             forecast(self.scheduler, now)
             for task, source, destination in self._regrouping.moves(self.scheduler, now):
                 self.scheduler.move(task, source, destination, now)
--- a/spoolcrank/job_index.py
+++ b/spoolcrank/job_index.py
@@ -37,7 +37,7 @@
     def take(self, record: KeyedRecord) -> None:
         """Take one record; records may come again."""
         kind = kind_of(record.key)
-        if kind is None or kind is RecordKind.LEADER:
+        if kind not in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
             return
         job = job_of_key(record.key)
         if not record.value:
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -14,6 +14,7 @@
 _CANCEL = "c/"
 _PROGRESS = "p/"
 LEADER_KEY = "leader"
+LEARNT_KEY = "learnt"
 
 
 class RecordKind(Enum):
@@ -23,6 +24,7 @@
     CANCEL = _CANCEL
     PROGRESS = _PROGRESS
     LEADER = LEADER_KEY
+    LEARNT = LEARNT_KEY
 
 
 class KeyedRecord(NamedTuple):
@@ -52,6 +54,8 @@
     """Return what a key is about; None for one that a newer version may have written."""
     if key == LEADER_KEY:
         return RecordKind.LEADER
+    if key == LEARNT_KEY:
+        return RecordKind.LEARNT
     for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
         if key.startswith(kind.value):
             return kind
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from spoolcrank.contention import Contention
+from spoolcrank.contention import Contention, encode_learnt
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
-from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
+from spoolcrank.keyed_log import LEARNT_KEY, KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
 from spoolcrank.objective import objective_s
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
@@ -43,6 +43,9 @@
 KEEP_ENDED_S = 150.0
 """Records of an ended job are dropped after so long, s; states are asked for 120 s."""
 
+KEEP_LEARNT_S = 3.0
+"""What is learnt of pairs is stored so often, s; some kilobytes that every instance reads."""
+
 MOVE_PATIENCE_S = 1.5
 """A moved task waits so long for room at the runner that it is meant for, s: where two groups
 change places, a stop takes up to 0.9 s."""
@@ -101,7 +104,8 @@
         self._starts: list[tuple[RunnerId, TaskKey, int]] = []
         self._ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
-        self._drops: list[KeyedRecord] = []
+        self._others: list[KeyedRecord] = []
+        self._learnt_at = now
 
     def note(self, name: str, **fields: Any) -> None:
         """Keep one decision for the log."""
@@ -352,16 +356,16 @@
     def take_batch(self) -> Batch | None:
         """Return what has to be kept now, or None; a later batch waits for this one."""
         seen = {one.id: one.seen_next for one in self.runners.values() if one.seen_next > one.seen}
-        if not (self._dirty or self._drops or seen):
+        if not (self._dirty or self._others or seen):
             return None
         records = [
             KeyedRecord(progress_key(job_id), encode(self.jobs[job_id].progress()))
             for job_id in self._dirty
         ]
-        batch = Batch(records + self._drops, self._starts, seen)
+        batch = Batch(records + self._others, self._starts, seen)
         self._dirty = {}
         self._starts = []
-        self._drops = []
+        self._others = []
         return batch
 
     def batch_kept(self, batch: Batch, now: float) -> None:
@@ -380,6 +384,15 @@
                 run.since = now
                 self.order_start(key, runner, run, now)
 
+    def keep_learnt(self, now: float) -> None:
+        """Store what is learnt of pairs now and then, for the next leader."""
+        if now - self._learnt_at < KEEP_LEARNT_S:
+            return
+        self._learnt_at = now
+        learnt = self.contention.learnt()
+        if learnt:
+            self._others.append(KeyedRecord(LEARNT_KEY, encode_learnt(learnt)))
+
     def drop_ended(self, now: float) -> None:
         """Drop the records of jobs that ended long ago and hold no run any more."""
         kept: list[tuple[float, JobId]] = []
@@ -390,7 +403,7 @@
                 continue
             del self.jobs[job_id]
             keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
-            self._drops += [KeyedRecord(key, b"") for key in keys]
+            self._others += [KeyedRecord(key, b"") for key in keys]
         self._ended = kept
 
     def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -315,3 +315,17 @@
         leader.dispatcher.scheduler.forecast_at = world.now
         world.run(0.05)
     assert key in runner.tasks
+
+
+def test_what_a_leader_learnt_of_pairs_outlives_it() -> None:
+    world = small()
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    for _ in range(60):
+        leader.dispatcher.scheduler.contention.learn("serving", -1.0, 1.2, {"loud": 0.15})
+    world.run(4.0)
+    leader.kill()
+    world.run_until(lambda: world.leader() is not None)
+    successor = world.leader()
+    assert successor is not None and successor.dispatcher.scheduler is not None
+    assert successor.dispatcher.scheduler.contention.harmless("serving", "loud") < 0.1
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from spoolcrank.contention import Contention
+from spoolcrank.contention import Contention, decode_learnt, encode_learnt
 from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState
@@ -112,6 +112,16 @@
     assert contention.harmless("s", "b") > 0.7
 
 
+def test_the_next_leader_knows_the_pairs_that_the_last_one_learnt() -> None:
+    """Settlements earned least on days whose leaders were replaced: each began at the prior."""
+    learnt = decode_learnt(encode_learnt(taught().learnt()))
+    successor = Contention()
+    successor.restore(learnt)
+    assert successor.harmless("s", "loud") < 0.05
+    assert successor.harmless("s", "quiet") > 0.9
+    assert abs(successor.base("s") - taught().base("s")) < 0.01
+
+
 def test_figures_of_the_same_half_second_teach_once() -> None:
     one = runner("i-1")
     put(one, SERVING, tail_ms=95.0)
