--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -13,6 +13,7 @@
 from spoolcrank.keyed_log import (
     LEADER_KEY,
     LEARNT_KEY,
+    OFFER_KEY,
     KeyedLog,
     KeyedRecord,
     RecordKind,
@@ -22,7 +23,7 @@
     progress_key,
 )
 from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
-from spoolcrank.leadership import SELF_FENCE_S, Leadership, decode_claim
+from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
@@ -97,6 +98,7 @@
         self._claiming = False
         self._woken = False
         self._leaving = False
+        self._heir = NO_HEIR
         self._on_left: Callable[[], None] | None = None
         self._routes: Mapping[RouteName, RoutePolicy] = {}
         timers.every(TICK_S, self._tick)
@@ -134,6 +136,8 @@
             elif kind is RecordKind.PROGRESS:
                 if self.scheduler is None:
                     self.leadership.heard(now)
+            elif kind is RecordKind.OFFER:
+                self._on_offer(record, now)
             elif self.scheduler is not None and record.value:
                 self._on_wish(self.scheduler, record, kind, now)
 
@@ -183,12 +187,29 @@
         if self.leadership.leads and self._follower.copy.loaded:
             self._take_over(claim.term, now)
 
+    def _on_offer(self, record: KeyedRecord, now: float) -> None:
+        offer = decode_offer(record.value)
+        if self.leadership.read_offer(offer, now) and self.scheduler is not None:
+            self._telemetry.log(
+                "hands-over", grave=True, to=offer.instance, processors=offer.processors
+            )
+            self._heir = offer.incarnation
+            self._wake()
+
+    def _offer(self, now: float) -> None:
+        """Tell the leader that this instance is much larger than its own."""
+        offer = self.leadership.own_offer(now)
+        self._telemetry.log("offers", grave=True, processors=offer.processors)
+        record = KeyedRecord(OFFER_KEY, encode(offer))
+        self._log.append(Append([record]), lambda got: None)
+
     def _take_over(self, term: int, now: float) -> None:
         self._follower.eager = True
         self._writer = LeaderWriter(
             self._log, self._timers, self._clock, term, self._on_writer_lost
         )
         self._regrouping = Regrouping()
+        self._heir = NO_HEIR
         scheduler = Scheduler(term, now, self.leadership.leader_wrote_at)
         scheduler.routes = dict(self._routes)
         self.scheduler = scheduler
@@ -211,7 +232,7 @@
         if self.scheduler is None:
             return
         self._telemetry.log("stepped-down", grave=True, term=self.scheduler.term, why=why)
-        self.leadership.give_up(self.scheduler.term)
+        self.leadership.give_up(self.scheduler.term, self._heir)
         self.scheduler = None
         self._follower.eager = False
         self._runner_follower.pause()
@@ -254,8 +275,11 @@
             self.leadership.lost_contact()
         if self.scheduler is None:
             ready = self._follower.copy.loaded and not self._claiming and not self._leaving
-            if ready and self.leadership.duty(now).claim:
+            duty = self.leadership.duty(now)
+            if ready and duty.claim:
                 self._claim(now)
+            elif ready and duty.offer:
+                self._offer(now)
             return
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
@@ -302,6 +326,10 @@
         writer = self._writer
         if writer is None or writer.busy or writer.closed:
             return
+        if self._leaving or self._heir:
+            # What is not kept yet was not ordered, and no runner forgets its end: nothing is lost.
+            self._write_claim(writer, resigned=True)
+            return
         batch = scheduler.take_batch()
         if batch is not None:
             self.leadership.wrote_at = now
@@ -310,19 +338,17 @@
                 return
             append = Append(batch.records)
             writer.write(Writing(append, lambda sent_at: self._on_kept(batch, sent_at)))
-        elif self._leaving:
-            self._write_claim(writer, resigned=True)
         elif self.leadership.duty(now).heartbeat:
             self.leadership.wrote_at = now
             self._write_claim(writer, resigned=False)
 
     def _write_claim(self, writer: LeaderWriter, resigned: bool) -> None:
-        claim = self.leadership.own_claim(resigned)
+        claim = self.leadership.own_claim(resigned, self._heir)
 
         def kept(sent_at: float) -> None:
             self.leadership.confirmed(sent_at)
             if resigned:
-                self._step_down("leaving")
+                self._step_down("handed over")
 
         writer.write(Writing(Append([KeyedRecord(LEADER_KEY, encode(claim))]), kept))
 
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -15,6 +15,7 @@
 _PROGRESS = "p/"
 LEADER_KEY = "leader"
 LEARNT_KEY = "learnt"
+OFFER_KEY = "offer"
 
 
 class RecordKind(Enum):
@@ -25,6 +26,10 @@
     PROGRESS = _PROGRESS
     LEADER = LEADER_KEY
     LEARNT = LEARNT_KEY
+    OFFER = OFFER_KEY
+
+
+_SINGLE_KEYS = frozenset({LEADER_KEY, LEARNT_KEY, OFFER_KEY})
 
 
 class KeyedRecord(NamedTuple):
@@ -52,10 +57,8 @@
 
 def kind_of(key: str) -> RecordKind | None:
     """Return what a key is about; None for one that a newer version may have written."""
-    if key == LEADER_KEY:
-        return RecordKind.LEADER
-    if key == LEARNT_KEY:
-        return RecordKind.LEARNT
+    if key in _SINGLE_KEYS:
+        return RecordKind(key)
     for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
         if key.startswith(kind.value):
             return kind
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -2,7 +2,8 @@
 
 A claim raises the writer's epoch on the log, so that nothing an earlier leader still has on
 its way is taken, and its term is the fence of every order to a runner. Only a claim that is
-read back counts.
+read back counts. An instance with many more processors than the leader's offers itself, and the
+leader hands over to it: one process places everything, so the largest instance carries most.
 """
 
 import random
@@ -27,6 +28,37 @@
 runner that died with its leader have to wait (9 s; after 10 s they would count as lost)."""
 
 
+MUCH_LARGER = 1.5
+"""An instance with so many times the leader's processors offers itself; a handover costs some
+tenths of a second without starts, which a smaller difference does not earn."""
+
+OFFER_AFTER_S = 3.0
+"""No offer before a leader has led for so long, s: it first takes its runners over."""
+
+OFFER_EVERY_S = 6.0
+"""Between two offers, whoever makes them, s; one that was lost is made again."""
+
+HEIR_S = 0.5
+"""Others wait so long for the one that a leader hands over to, s."""
+
+SMALLER_S = 0.4
+"""An instance much smaller than the last leader's waits so much longer to claim, s."""
+
+
+NO_HEIR = Incarnation("")
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True):
+    """The record of an instance that would lead better than the present leader."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    processors: float
+
+
+decode_offer = msgspec.json.Decoder(Offer).decode
+
+
 class Claim(msgspec.Struct, frozen=True, array_like=True):
     """The record of who leads.
 
@@ -35,12 +67,16 @@
         instance: who claims.
         incarnation: of its process.
         resigned: the leader gave up and any other may claim at once.
+        processors: of its instance, in cores of the fleet's usual speed.
+        heir: the incarnation that a resigned leader hands over to; empty for any.
     """
 
     term: int = 0
     instance: InstanceId = InstanceId("")
     incarnation: Incarnation = Incarnation("")
     resigned: bool = False
+    processors: float = 0.0
+    heir: Incarnation = NO_HEIR
 
 
 decode_claim = msgspec.json.Decoder(Claim).decode
@@ -51,19 +87,30 @@
 
     claim: bool = False
     heartbeat: bool = False
+    offer: bool = False
 
 
 class Leadership:
     """What one instance knows about who leads."""
 
-    def __init__(self, instance: InstanceId, incarnation: Incarnation, now: float) -> None:
+    def __init__(
+        self,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        now: float,
+        processors: float = 1.0,
+    ) -> None:
         self.instance = instance
         self.incarnation = incarnation
+        self.processors = processors
         self.claim = Claim()
         self.heard_at = now
         self.leader_wrote_at = now
         self.confirmed_at = -1.0
         self.wrote_at = -1.0
+        self._claimed_at = now
+        self._offered_at = -1.0
+        self._offer_jitter_s = random.Random(incarnation).uniform(0.0, OFFER_AFTER_S / 2)
         self._jitter_s = random.Random(incarnation).uniform(0.0, JITTER_S)
         self._lost_contact = True
         self._given_up = 0
@@ -78,8 +125,10 @@
         if claim.term < self.claim.term:
             return False
         if claim.term == self._given_up and claim.incarnation == self.incarnation:
-            claim = self.own_claim(resigned=True)
+            claim = msgspec.structs.replace(claim, resigned=True)
         changed = claim != self.claim
+        if claim.term != self.claim.term:
+            self._claimed_at = now
         self.claim = claim
         self.heard_at = now
         if not self.leads:
@@ -91,6 +140,16 @@
         self.heard_at = now
         self.leader_wrote_at = now
 
+    def read_offer(self, offer: Offer, now: float) -> bool:
+        """Take an offer read from the log; returns whether this leader should hand over to it."""
+        self._offered_at = now
+        return self.leads and offer.processors >= self.processors * MUCH_LARGER
+
+    def own_offer(self, now: float) -> Offer:
+        """Return the offer that this instance makes now."""
+        self._offered_at = now
+        return Offer(self.instance, self.incarnation, self.processors)
+
     def put_off(self, now: float) -> None:
         """Wait again before the next claim."""
         self.heard_at = now
@@ -119,21 +178,47 @@
             return Duty(heartbeat=now - self.wrote_at >= HEARTBEAT_S)
         if self._lost_contact:
             return Duty()
+        offer = self._should_offer(now)
+        return Duty(claim=now - self.heard_at >= self._patience_s(), offer=offer)
+
+    def _patience_s(self) -> float:
+        """Return how long a leader may be silent before this instance claims."""
+        claim = self.claim
+        if claim.resigned and claim.heir == self.incarnation:
+            return 0.0
         wait_s = self._jitter_s
-        if not self.claim.resigned and self.claim.term > 0:
+        if not claim.resigned and claim.term > 0:
             wait_s += SILENT_S
-        return Duty(claim=now - self.heard_at >= wait_s)
+        if claim.resigned and claim.heir:
+            wait_s += HEIR_S
+        if claim.processors >= self.processors * MUCH_LARGER:
+            wait_s += SMALLER_S
+        return wait_s
+
+    def _should_offer(self, now: float) -> bool:
+        claim = self.claim
+        if claim.term == 0 or claim.resigned:
+            return False
+        if self.processors < claim.processors * MUCH_LARGER:
+            return False
+        led_s = now - self._claimed_at
+        due = led_s >= OFFER_AFTER_S + self._offer_jitter_s
+        return due and (self._offered_at < 0 or now - self._offered_at >= OFFER_EVERY_S)
 
-    def give_up(self, term: int) -> None:
-        """Stop leading the term, whatever the log will say of it."""
+    def give_up(self, term: int, heir: Incarnation = NO_HEIR) -> None:
+        """Stop leading the term, whatever the log will say of it; an heir may claim first."""
         self._given_up = term
         if self.claim.term == term and self.claim.incarnation == self.incarnation:
-            self.claim = self.own_claim(resigned=True)
+            self.claim = self.own_claim(resigned=True, heir=heir)
 
-    def own_claim(self, resigned: bool) -> Claim:
+    def own_claim(self, resigned: bool, heir: Incarnation = NO_HEIR) -> Claim:
         """Return the present claim as its holder writes it again."""
-        return Claim(self.claim.term, self.instance, self.incarnation, resigned)
+        return Claim(
+            self.claim.term, self.instance, self.incarnation, resigned, self.processors, heir
+        )
 
     def next_claim(self) -> Claim:
         """Return the claim that this instance would write now."""
-        return Claim(self.claim.term + 1, self.instance, self.incarnation)
+        return Claim(
+            self.claim.term + 1, self.instance, self.incarnation, processors=self.processors
+        )
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -73,7 +73,7 @@
         self.intake = JobIntake(log, self.follower, self.index, timers, time.monotonic)
         incarnation = Incarnation(unique(cfg.instance_id))
         self.dispatcher = Dispatcher(
-            Leadership(cfg.instance_id, incarnation, time.monotonic()),
+            Leadership(cfg.instance_id, incarnation, time.monotonic(), cfg.processors),
             log,
             self.follower,
             self._runners,
--- a/spoolcrank/platform/settings.py
+++ b/spoolcrank/platform/settings.py
@@ -24,6 +24,12 @@
     grace_s: float = msgspec.field(name="graceS", default=6.0)
 
 
+class _Limits(msgspec.Struct):
+    # A share of one core that runs `cores` times as fast, not of several.
+    share: float = msgspec.field(name="cpuShare", default=1.0)
+    cores: float = 1.0
+
+
 class _File(msgspec.Struct):
     node: str
     ip: str
@@ -31,6 +37,7 @@
     listen: _Listen
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class PlatformSettings(NamedTuple):
@@ -43,6 +50,7 @@
         clients: where clients reach it.
         ready: where the balancer asks whether it takes requests.
         store: the store's address.
+        processors: of the instance, in cores of the fleet's usual speed.
         grace_s: from the signal to stop until it is killed, seconds.
     """
 
@@ -53,6 +61,7 @@
     ready: Address
     store: Address
     grace_s: float
+    processors: float = 1.0
 
 
 _decode = msgspec.json.Decoder(_File).decode
@@ -72,4 +81,5 @@
         raw.listen.ready,
         raw.platform.address,
         raw.bounds.grace_s,
+        raw.limits.share * raw.limits.cores,
     )
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -110,8 +110,8 @@
         self.store.entries.put(runner.id, b"ready")
         return runner
 
-    def add_instance(self, name: str) -> "Instance":
-        instance = Instance(self, name)
+    def add_instance(self, name: str, processors: float = 1.0) -> "Instance":
+        instance = Instance(self, name, processors)
         self.instances[name] = instance
         instance.begin()
         return instance
@@ -493,7 +493,7 @@
 class Instance:
     """One entry instance's own parts."""
 
-    def __init__(self, world: World, name: str) -> None:
+    def __init__(self, world: World, name: str, processors: float = 1.0) -> None:
         self.world = world
         self.name = name
         self.alive = True
@@ -511,7 +511,7 @@
         self.entries = LogFollower(entries, timers, clock, self._on_entries, lambda *_: None)
         self.intake = JobIntake(log, self.follower, self.index, timers, clock)
         incarnation = Incarnation(f"{name}-{world.now}")
-        self.leadership = Leadership(InstanceId(name), incarnation, world.now)
+        self.leadership = Leadership(InstanceId(name), incarnation, world.now, processors)
         logged: Any = self.logged
         self.dispatcher = Dispatcher(
             self.leadership,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -329,3 +329,27 @@
     successor = world.leader()
     assert successor is not None and successor.dispatcher.scheduler is not None
     assert successor.dispatcher.scheduler.contention.harmless("serving", "loud") < 0.1
+
+
+def test_the_leader_hands_over_to_a_much_larger_instance() -> None:
+    """On the grown site a small instance led, was busy all day, and starts came a second late."""
+    world = small()
+    world.add_instance("large", processors=4.0)
+    world.add_instance("larger-by-little", processors=4.4)
+    for number in range(6):
+        world.instances["entry-0"].submit(f"a{number}", QUICK, AFTER)
+    world.run_until(lambda: (one := world.leader()) is not None and "large" in one.name, 12.0)
+    settle(world, *(f"a{number}" for number in range(6)))
+    first = world.leader()
+    world.run(20.0)
+    assert world.leader() is first
+    assert world.broken == []
+
+
+def test_an_instance_that_is_handed_the_lead_but_dies_is_replaced() -> None:
+    world = small()
+    large = world.add_instance("large", processors=4.0)
+    world.run_until(lambda: large.leadership.leads, 12.0)
+    large.kill()
+    took_s = world.run_until(lambda: world.leader() is not None)
+    assert took_s < 3.0
