--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -11,7 +11,7 @@
 
 from spoolcrank.contention import Contention
 from spoolcrank.runner_state import SERVING_USE, RunnerState
-from spoolcrank.workflow import RunnerId, Step
+from spoolcrank.workflow import RunnerId, Step, TaskKey
 
 PRESSED_CORES = 2.0
 """Processors of fillers that one more in the logarithm of a new task's tail counts as, cores: it
@@ -39,6 +39,7 @@
         rack: only here, where it is not empty.
         reserve: millicores that a lasting task leaves to short ones on its runner; one that has
             run before leaves none, as it has to be back at work while there is any room.
+        task: which one; room that is promised to it counts for it.
     """
 
     step: Step
@@ -46,6 +47,7 @@
     avoid: RunnerId
     rack: str = ""
     reserve: int = 0
+    task: TaskKey | None = None
 
 
 def choose(
@@ -76,7 +78,7 @@
 
 def _allowed(request: PlacementRequest, runner: RunnerState) -> bool:
     step = request.step
-    if not runner.fits(step.demand):
+    if not runner.fits(step.demand, request.task):
         return False
     if step.lasting and not _leaves_reserve(request, runner):
         return False
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -151,6 +151,7 @@
     # Tasks that ran before come first: the reserve binds the others only.
     for index in sorted(step.waiting, key=lambda one: step.tasks[one].run == 0):
         task = step.tasks[index]
+        key = TaskKey(job.id, round_number, number, index)
         if task.not_before > now:
             held_back = True
             continue
@@ -159,6 +160,7 @@
             held,
             task.refused_by,
             reserve=0 if task.run else state.reserve,
+            task=key,
         )
         runner = _wanted(state, task, request, runners, now)
         if runner is None:
@@ -167,7 +169,7 @@
                 continue
             return False
         held[runner.id] = held.get(runner.id, 0) + 1
-        state.bind(job, TaskKey(job.id, round_number, number, index), task.run + 1, runner, now)
+        state.bind(job, key, task.run + 1, runner, now)
         if step.spec.target_ms:
             make_way(state, runner, step.spec.image, now)
     return not held_back
@@ -185,7 +187,6 @@
     found = choose(request, meant, state.contention, now)
     if found is None and meant and now < task.wanted_until:
         return None
-    task.wanted = NO_RUNNER
     return found or choose(request, runners, state.contention, now)
 
 
--- a/spoolcrank/regrouping.py
+++ b/spoolcrank/regrouping.py
@@ -25,10 +25,14 @@
 """Processors for fillers that a change must open for each task moved, cores. A task's absence
 costs about what three core-seconds of fillers earn, so that this pays within some seconds."""
 
-MOST_TASKS = 4
+MOST_TASKS = 8
 """Larger groups of one image on a runner stay where they are."""
 
-MOST_CHANGES = 4
+STAY_S = 6.0
+"""A task that came to its runner later than that is not moved again, s: each move costs about one
+second of its work."""
+
+MOST_CHANGES = 6
 """Changes in one plan; the rest follows in the next, with newer weights."""
 
 MOST_RUNNERS = 32
@@ -76,7 +80,7 @@
         self._planned_at = now
         self._busy = {runner: until for runner, until in self._busy.items() if until > now}
         moves: list[Move] = []
-        for change in _best_apart(state, self._candidates(state, now)):
+        for change in _best_apart(state, self._candidates(state, now), now):
             moves += change.moves
             for runner in change.runners:
                 self._busy[runner] = now + BUSY_S
@@ -106,13 +110,13 @@
     )
 
 
-def _best_apart(state: Scheduler, runners: list[RunnerState]) -> list[_Change]:
+def _best_apart(state: Scheduler, runners: list[RunnerState], now: float) -> list[_Change]:
     """Return the best changes that touch no runner twice."""
     groups = [
         group
         for runner in runners
         for image in runner.serving
-        if (group := _group(state, runner, image)) is not None
+        if (group := _group(state, runner, image, now)) is not None
     ]
     changes = [*_relocations(state, groups, runners), *_swaps(state, groups)]
     changes.sort(key=lambda one: -one.gain)
@@ -125,10 +129,12 @@
     return chosen
 
 
-def _group(state: Scheduler, runner: RunnerState, image: str) -> _Group | None:
+def _group(state: Scheduler, runner: RunnerState, image: str, now: float) -> _Group | None:
     if runner.serving[image] > MOST_TASKS:
         return None
     tasks = [(key, run) for key, run in runner.runs.items() if run.image == image and run.serves]
+    if any(now - run.since < STAY_S for _, run in tasks):
+        return None
     if not _may_move(state, [key for key, _ in tasks]):
         return None
     demands = [run.demand for _, run in tasks]
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -320,6 +320,7 @@
 def tick(state: Scheduler, now: float) -> None:
     """Do what time alone makes due: lapsed leases, orders to send again, tasks that hang."""
     for runner in list(state.runners.values()):
+        runner.drop_promises(now)
         if runner.silent_since is not None or not runner.adopted:
             _check_lapsed(state, runner, now)
         for key, run in list(runner.runs.items()):
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -69,6 +69,13 @@
     )
 
 
+class Promise(NamedTuple):
+    """Room that is kept for a task on its way from another runner, until a monotonic time."""
+
+    demand: Demand
+    until: float
+
+
 class RunStage(Enum):
     """How far the order of one run has come."""
 
@@ -168,6 +175,7 @@
     distrust_s: float = 0.0
     odd_failures: int = 0
     runs: dict[TaskKey, Run] = field(default_factory=dict)
+    promised: dict[TaskKey, Promise] = field(default_factory=dict)
     used_millicores: int = 0
     used_memory_mb: int = 0
     used_accelerators: int = 0
@@ -270,15 +278,22 @@
             else:
                 self.serving.pop(run.image, None)
 
-    def fits(self, demand: Demand) -> bool:
-        """Tell whether a demand fits into the room that is left."""
+    def fits(self, demand: Demand, task: TaskKey | None = None) -> bool:
+        """Tell whether a demand fits into the room that is left and not promised to others."""
         room = self.entry.room
+        promised = [one.demand for key, one in self.promised.items() if key != task]
+        asked = [demand, *promised]
         return (
-            self.used_millicores + demand.millicores <= room.millicores
-            and self.used_memory_mb + demand.memory_mb <= room.memory_mb
-            and self.used_accelerators + demand.accelerators <= room.accelerators
+            self.used_millicores + sum(one.millicores for one in asked) <= room.millicores
+            and self.used_memory_mb + sum(one.memory_mb for one in asked) <= room.memory_mb
+            and self.used_accelerators + sum(one.accelerators for one in asked) <= room.accelerators
         )
 
+    def drop_promises(self, now: float) -> None:
+        """Forget promises whose time is over."""
+        if self.promised:
+            self.promised = {key: one for key, one in self.promised.items() if one.until > now}
+
     @property
     def idle_millicores(self) -> int:
         """Return what is likely left for one more filler; below 0 when fillers share."""
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -19,6 +19,7 @@
     CLOCK_DRIFT,
     LEASE_MS,
     UNKNOWN_PACE,
+    Promise,
     Run,
     RunnerState,
     RunStage,
@@ -325,6 +326,10 @@
         step = job.rounds[key.round].steps[key.step]
         task = step.tasks[key.number]
         step.waiting.pop(key.number, None)
+        meant = self.runners.get(task.wanted)
+        if meant is not None:
+            meant.promised.pop(key, None)
+        task.wanted = NO_RUNNER
         task.phase = Phase.BOUND
         task.run = number
         task.runner = runner.id
@@ -348,6 +353,10 @@
         task = self.jobs[key.job].task(key)
         task.wanted = destination
         task.wanted_until = now + MOVE_PATIENCE_S
+        runner, place = self.runners.get(source), self.runners.get(destination)
+        run = runner.runs.get(key) if runner is not None else None
+        if run is not None and place is not None:
+            place.promised[key] = Promise(run.demand, task.wanted_until)
         self.note("task-moves", task=key, runner=source, to=destination)
         self.stop_run(key, source, now)
 
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -293,6 +293,31 @@
     )
 
 
+def test_the_place_of_a_task_on_its_way_is_kept_for_it() -> None:
+    """Others took it, the task found no place any more (hunted at Bengal: LOST)."""
+    one, two = runner("i-1", 8000), runner("i-2", 8000)
+    state = grouped(one, two)
+    key = at_work(state, one, SERVING)
+    state.move(key, one.id, two.id, NOW)
+    assert place(SERVING, [two], state.contention) == ""
+    own = PlacementRequest(SERVING, {}, NO_RUNNER, task=key)
+    assert choose(own, [two], state.contention, NOW) is two
+    two.drop_promises(NOW + 5)
+    assert place(SERVING, [two], state.contention) == "i-2"
+
+
+def test_a_task_that_has_just_come_is_not_moved_on() -> None:
+    mixed, own = runner("i-1"), runner("i-2")
+    state = grouped(mixed, own)
+    keys = [
+        (where, at_work(state, where, step))
+        for where, step in ((mixed, SERVING), (mixed, ODD), (own, ODD))
+    ]
+    for where, key in keys:
+        where.runs[key].since = NOW - 2
+    assert Regrouping().moves(state, NOW) == []
+
+
 def test_a_task_that_may_not_be_away_is_not_moved() -> None:
     mixed, own = runner("i-1"), runner("i-2")
     state = grouped(mixed, own)
