--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -398,5 +398,5 @@
             if record.value:
                 entry = self._runner_of(key, record.value)
                 entries[entry.id] = entry
-        list_runners(self.scheduler, entries, self._clock())
+        list_runners(self.scheduler, entries, self._runner_follower.regained_at, self._clock())
         self._wake()
--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -38,6 +38,7 @@
         self.copy = KeyedLog()
         self.eager = False
         self.contact = False
+        self.regained_at = -1.0
         self._log = log
         self._timers = timers
         self._clock = clock
@@ -174,4 +175,6 @@
     def _tell_contact(self, contact: bool, detail: str) -> None:
         if contact != self.contact:
             self.contact = contact
+            if contact:
+                self.regained_at = self._clock()
             self._on_contact(contact, detail)
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -119,6 +119,8 @@
 ) -> tuple[float, ...]:
     if runner.idle_millicores < step.millicores * FILL_SHARE:
         return ()
+    if any(run.over_since is not None for run in runner.runs.values()):
+        return ()
     effect = worst_effect(step.image, runner.share(step.millicores), runner, contention)
     if runner.serving and not _tails_allow(step, runner, contention, now):
         return ()
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -41,6 +41,13 @@
 ABSENT_S = 1.0
 """A run that was taken but that polls asked so much later do not show is lost, s."""
 
+SURELY_UNDER = 0.85
+"""A tail below this share of its target ends a spell over it; the figure is a rough one."""
+
+UNSEEN_OVER_S = 1.0
+"""A task found over its target by a new leader counts as over it for so long already, s: a
+takeover without any fault takes about that time, and harm counts after four."""
+
 NEARLY_DONE = 70
 """A task that is so far, percent, ends before a leaving runner does; others resume elsewhere."""
 
@@ -152,8 +159,7 @@
         run.moved_at = now
     if run.serves:
         run.tail_ms = row.figure
-        over = row.figure >= run.target_ms
-        run.over_since = (run.over_since or now) if over else None
+        _watch_target(runner, run, now)
     else:
         run.used_millicores = row.figure
     job = state.jobs.get(row.task.job)
@@ -165,6 +171,14 @@
         state.stop_run(row.task, runner.id, now)
 
 
+def _watch_target(runner: RunnerState, run: Run, now: float) -> None:
+    """Keep since when a task that serves is over its target."""
+    if run.tail_ms >= run.target_ms and run.over_since is None:
+        run.over_since = now if runner.adopted else now - UNSEEN_OVER_S
+    elif run.tail_ms < run.target_ms * SURELY_UNDER:
+        run.over_since = None
+
+
 def _adopt(
     state: Scheduler, runner: RunnerState, present: set[tuple[TaskKey, int]], now: float
 ) -> None:
@@ -325,7 +339,7 @@
             _check_lapsed(state, runner, now)
         for key, run in list(runner.runs.items()):
             _tick_run(state, runner, key, run, now)
-        if runner.entry.leaving and runner.adopted:
+        if runner.leaves(now) and runner.adopted:
             _evacuate(state, runner, now)
 
 
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -149,6 +149,7 @@
         adopted: it has answered under this leader's fence, so older orders are void there.
         gone: it does not exist any more; nothing runs on it.
         listed: its entry stands in the store.
+        gone_from: its entry is missing, and from then on it counts as leaving; None if listed.
         granted_ms: the latest time, on the runner's clock, that any order may keep it alive to.
         granted_known: whether `granted_ms` covers what earlier leaders granted too.
         seen: ends up to this number are recorded and may be forgotten by the runner.
@@ -160,6 +161,7 @@
     adopted: bool = False
     gone: bool = False
     listed: bool = True
+    gone_from: float | None = None
     clock_ms: float = 0.0
     clock_at: float = -1.0
     answered_at: float = -1.0
@@ -222,13 +224,17 @@
             return False
         return self.clock_lower(now) > self.granted_ms
 
+    def leaves(self, now: float) -> bool:
+        """Tell whether it is about to end: it says so, or its entry went and did not come back."""
+        return self.entry.leaving or (self.gone_from is not None and now >= self.gone_from)
+
     def usable(self, now: float) -> bool:
         """Tell whether new work may go there."""
         return (
             self.adopted
             and self.listed
             and not self.gone
-            and not self.entry.leaving
+            and not self.leaves(now)
             and self.silent_since is None
             and now - self.answered_at <= FRESH_S
             and now >= self.distrusted_until
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -353,3 +353,40 @@
     large.kill()
     took_s = world.run_until(lambda: world.leader() is not None)
     assert took_s < 3.0
+
+
+def test_lasting_tasks_leave_a_runner_whose_entry_went_without_a_word() -> None:
+    """Some runners never say that they leave; their tasks stayed until they died with them."""
+    world = small()
+    for one in world.runners.values():
+        one.work_s = 1000.0
+    lasting = Step(count=8, millicores=1000, memory_mb=100, lasting=True)
+    world.instances["entry-0"].submit("e1", lasting)
+    runner = next(iter(world.runners.values()))
+    world.run_until(lambda: len(runner.tasks) > 0)
+    world.run(2.0)
+    world.store.entries.put(runner.id, b"")
+    world.run(1.5)
+    assert not runner.tasks
+    assert world.broken == []
+
+
+def test_an_entry_that_lapsed_with_the_store_has_two_seconds_to_come_back() -> None:
+    world = small()
+    for one in world.runners.values():
+        one.work_s = 1000.0
+    lasting = Step(count=8, millicores=1000, memory_mb=100, lasting=True)
+    world.instances["entry-0"].submit("e1", lasting)
+    runner = next(iter(world.runners.values()))
+    world.run_until(lambda: len(runner.tasks) > 0)
+    world.run(1.0)
+    world.store.silent = True
+    world.run(2.5)
+    world.store.entries.put(runner.id, b"")
+    world.store.silent = False
+    world.run(1.6)
+    assert runner.tasks
+    world.store.entries.put(runner.id, b"ready")
+    world.run(3.0)
+    assert runner.tasks
+    assert world.broken == []
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -9,10 +9,11 @@
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState
 from spoolcrank.objective import Prospect, objective_s, prospect, work_order
-from spoolcrank.orders import Pace
+from spoolcrank.orders import Pace, Poll, Report, RunningRow
 from spoolcrank.pacing import learn, set_paces
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.regrouping import Move, Regrouping
+from spoolcrank.run_control import UNSEEN_OVER_S, poll_answered
 from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import (
@@ -267,6 +268,32 @@
     return state
 
 
+def test_no_filler_comes_to_a_runner_whose_tail_is_over_its_target() -> None:
+    """It counted as harm though all that stood there was halted (hunted at Riga: HARM)."""
+    one = runner("i-1")
+    serving = put(one, SERVING, tail_ms=140.0)
+    one.runs[serving].over_since = NOW - 0.1
+    assert place(QUIET, [one], taught()) == ""
+
+
+def report(key: TaskKey, figure: float) -> Report:
+    return Report(2000.0, (RunningRow(key, 1, "", 100, figure),), ())
+
+
+def test_a_spell_over_the_target_ends_well_below_it_and_outlives_its_leader() -> None:
+    one = runner("i-1")
+    key = put(one, SERVING, tail_ms=10.0)
+    state = leader(one)
+    one.adopted = False
+    poll = Poll(state.target(one), 0, None, 0)
+    poll_answered(state, poll, report(key, 120.0), NOW, NOW)
+    assert one.runs[key].over_since == NOW - UNSEEN_OVER_S
+    poll_answered(state, poll, report(key, 95.0), NOW + 0.5, NOW + 0.5)
+    assert one.runs[key].over_since == NOW - UNSEEN_OVER_S
+    poll_answered(state, poll, report(key, 60.0), NOW + 1.0, NOW + 1.0)
+    assert one.runs[key].over_since is None
+
+
 def test_the_odd_task_moves_to_its_own_kind() -> None:
     mixed, own = runner("i-1"), runner("i-2")
     state = grouped(mixed, own)
