--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -2,26 +2,25 @@
 
 import time
 from collections import Counter
-from collections.abc import Mapping
-from typing import NamedTuple
 
 from circuits import BaseComponent, handler
 
 from spoolcrank import ownership, routing
-from spoolcrank._http import Failed, HttpCall, HttpClient, HttpResult
+from spoolcrank._http import HttpCall, HttpClient, HttpResult
 from spoolcrank._timers import Timers
 from spoolcrank._web import HttpReply, HttpRequest, Reply, refusal_reply
 from spoolcrank._wire import Forward, Forwarded, Frame
+from spoolcrank.caller_request import NOT_PASSED_ON, HeldRequest, parse_headers, passed_on
 from spoolcrank.controller import Controller
 from spoolcrank.decisions import Decision, Decisions
 from spoolcrank.errors import ANSWERS, ErrorKind, Outcome, Refusal
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import Caller, InstanceId, RequestId, ServiceName, unique
-from spoolcrank.ledger import Key, key_error
+from spoolcrank.keyed_requests import REQUEST_ID, KeyedRequests
 from spoolcrank.logs import log
-from spoolcrank.membership import Heartbeat, is_incarnation_alive, other_entries
+from spoolcrank.membership import Heartbeat, other_entries
 from spoolcrank.metrics import Metrics
-from spoolcrank.records import KeyDone, KeyTaken, join_key
+from spoolcrank.records import join_key
 from spoolcrank.routing import (
     Count,
     Deliver,
@@ -35,57 +34,14 @@
     ToPeer,
     ToRunner,
 )
+from spoolcrank.runner_answers import judge, public_id, result_of
 from spoolcrank.servers import Phase
 from spoolcrank.state import can_act
 
 TICK_S = 0.02
-MAX_KEPT_BODY = 16 << 10
-MAX_KEY = 200
-MAX_DEADLINE_MS = 600_000.0
 _GRACE_S = 10.0
 _PEER_GRACE_S = 0.25
-_DEFAULT_URGENCY = 5
 _RATE_SMOOTHING = 0.3
-_SAFE_METHODS = frozenset({"GET", "OPTIONS"})
-_NOT_PASSED_ON = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "transfer-encoding",
-        "accept-encoding",
-        "spoolcrank-request-id",
-    }
-)
-_REQUEST_ID = "Spoolcrank-Request-Id"
-
-
-class _Held(NamedTuple):
-    """What belongs to a request while it is being served.
-
-    Attributes:
-        reply: how a caller's own request is answered; None for a forwarded one.
-        origin: the peer that forwarded it.
-    """
-
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-    deadline: float
-    reply: Reply | None = None
-    origin: InstanceId | None = None
-    key: str = ""
-
-
-class _Waiter(NamedTuple):
-    """A repeated request that waits for the first one's outcome."""
-
-    key: str
-    deadline: float
-    request: RequestId
-    reply: Reply
 
 
 class Callers(BaseComponent):
@@ -103,9 +59,11 @@
         self._metrics = metrics
         members = controller.core.members
         self.router = Router(members.me, members.zone)
-        self._held: dict[RequestId, _Held] = {}
+        self._held: dict[RequestId, HeldRequest] = {}
         self._answers: dict[int, HttpReply] = {}
-        self._waiters: list[_Waiter] = []
+        self._keyed = KeyedRequests(
+            controller, metrics, self._held, self._submit, self._refuse, self._flies
+        )
         self.decisions = Decisions()
         self.closing = False
         self._arrived: Counter[ServiceName] = Counter()
@@ -120,7 +78,7 @@
     @property
     def under_way(self) -> int:
         """Return how many requests have no answer yet."""
-        return len(self._held) + len(self._waiters)
+        return len(self._held) + self._keyed.waiting
 
     def _free_slots(self, server: InstanceId) -> int:
         now = time.monotonic()
@@ -160,17 +118,17 @@
         key = req.headers.get("idempotency-key", "")
         self._arrived[parsed.service] += 1
         full_key = join_key(parsed.service, caller, key) if key else ""
-        held = _Held(
+        held = HeldRequest(
             req.method,
             path,
-            _passed_on(req.headers),
+            passed_on(req.headers),
             req.body,
             parsed.deadline,
             reply,
             key=full_key,
         )
         if full_key:
-            self._serve_keyed(parsed, held, reply)
+            self._keyed.serve(parsed, held, reply)
         else:
             self._submit(parsed, held)
 
@@ -192,130 +150,21 @@
     def _exists(self, service: ServiceName) -> bool:
         return any(one.service == service for one in self._core.members.listed.values())
 
-    def _submit(self, request: Request, held: _Held) -> None:
+    def _flies(self, request: RequestId) -> bool:
+        return request in self.router.flights
+
+    def _submit(self, request: Request, held: HeldRequest) -> None:
         self._held[request.id] = held
         self._metrics.incr("requests")
         now = time.monotonic()
         self._sync()
         self._act(routing.submit(self.router, request, self._core.policy, now))
 
-    def _serve_keyed(self, request: Request, held: _Held, reply: Reply) -> None:
-        known = self._core.ledger.keys.get(held.key)
-        if known is not None and not _is_free(known):
-            self._repeat(known, request, held.key, reply)
-            return
-        now = time.monotonic()
-        if not self._core.situation(now).log_ok:
-            detail = "the log is down, and a key can only be kept on it"
-            self._refuse(request.id, Refusal(ErrorKind.LOG_UNAVAILABLE, detail, "", 1.0), reply)
-            return
-        members = self._core.members
-        record = KeyTaken(
-            key=held.key, request=request.id, holder=members.me, incarnation=members.incarnation
-        )
-
-        def on_applied() -> None:
-            self._on_key_applied(request, held, reply)
-
-        seq = self._controller.log_link.append(record, on_applied)
-        if seq is None:
-            detail = "too much waits for the log"
-            self._refuse(request.id, Refusal(ErrorKind.LOG_UNAVAILABLE, detail, "", 1.0), reply)
-            return
-        self._held[request.id] = held
-
-    def _on_key_applied(self, request: Request, held: _Held, reply: Reply) -> None:
-        known = self._core.ledger.keys.get(held.key)
-        mine = known is not None and known.request == request.id
-        if request.id not in self._held:
-            if mine:
-                self._record_key(held.key, request.id, Outcome.NOT_RUN, None)
-            return
-        del self._held[request.id]
-        if mine:
-            self._submit(request, held)
-        elif known is not None:
-            self._repeat(known, request, held.key, reply)
-        else:
-            detail = "the key's record could not be kept"
-            self._refuse(request.id, Refusal(ErrorKind.LOG_UNAVAILABLE, detail), reply)
-
-    def _repeat(self, known: Key, request: Request, key: str, reply: Reply) -> None:
-        """Answer a repeated key from the first request's outcome."""
-        now = time.monotonic()
-        kind = self._key_error(known)
-        if kind is ErrorKind.KEY_IN_PROGRESS and now < request.deadline:
-            self._waiters.append(_Waiter(key, request.deadline, request.id, reply))
-            return
-        self._metrics.incr("requests.key-repeated")
-        done = known.done
-        if kind is not None or done is None:
-            kind = kind or ErrorKind.KEY_OUTCOME_UNKNOWN
-            detail = f"the first request with this key was {known.request}"
-            self._refuse(request.id, Refusal(kind, detail), reply)
-        else:
-            headers = {_REQUEST_ID: known.request, "Content-Type": done.content_type}
-            reply(HttpReply(done.status, headers, (done.body or "").encode()))
-
-    def _key_error(self, known: Key) -> ErrorKind | None:
-        alive = is_incarnation_alive(
-            self._core.members,
-            known.holder,
-            known.incarnation,
-            self._core.policy,
-            time.monotonic(),
-        )
-        return key_error(known, alive)
-
-    def _record_key(
-        self, key: str, request: RequestId, outcome: Outcome, answer: HttpReply | None
-    ) -> None:
-        body = None
-        if answer is not None and len(answer.body) <= MAX_KEPT_BODY:
-            body = _text(answer.body)
-        record = KeyDone(
-            key=key,
-            request=request,
-            outcome=outcome,
-            status=answer.status if answer else 0,
-            content_type=answer.headers.get("Content-Type", "") if answer else "",
-            body=body,
-        )
-        self._controller.log_link.append(record)
-
     def _tick(self) -> None:
         now = time.monotonic()
         self._sync()
         self._act(routing.tick(self.router, self._core.policy, now))
-        for waiter in list(self._waiters):
-            known = self._core.ledger.keys.get(waiter.key)
-            waits = known is not None and self._key_error(known) is ErrorKind.KEY_IN_PROGRESS
-            if not waits or now >= waiter.deadline:
-                self._waiters.remove(waiter)
-                self._finish_waiter(waiter, known)
-        self._expire_keyed(now)
-
-    def _finish_waiter(self, waiter: _Waiter, known: Key | None) -> None:
-        if known is None or _is_free(known):
-            detail = "the first request with this key was not run; send it again"
-            self._refuse(
-                waiter.request, Refusal(ErrorKind.OVERLOADED, detail, "", 0.1), waiter.reply
-            )
-            return
-        ended = Request(waiter.request, ServiceName(""), 0, False, 0.0, 0.0)
-        self._repeat(known, ended, waiter.key, waiter.reply)
-
-    def _expire_keyed(self, now: float) -> None:
-        """Refuse keyed requests whose record does not come back in time; they never run."""
-        for request, held in list(self._held.items()):
-            if not held.key or request in self.router.flights or held.reply is None:
-                continue
-            if now > held.deadline:
-                del self._held[request]
-                detail = "the key's record did not reach the log in time"
-                self._refuse(
-                    request, Refusal(ErrorKind.LOG_UNAVAILABLE, detail, "", 1.0), held.reply
-                )
+        self._keyed.tick(now)
 
     def _sync(self) -> None:
         """Let the router use exactly the runners that we own and may command now."""
@@ -369,19 +218,19 @@
         flight = self.router.flights[action.request]
         instance = self._core.members.listed[action.server]
         left_s = max(0.0, flight.req.deadline - time.monotonic())
-        headers = {**held.headers, _REQUEST_ID: _public_id(action.request)}
+        headers = {**held.headers, REQUEST_ID: public_id(action.request)}
         call = HttpCall(
             instance.address, held.method, held.path, headers, held.body, left_s + _GRACE_S
         )
         self._http.send(call, lambda result: self._on_runner(action, result))
 
     def _on_runner(self, action: ToRunner, result: HttpResult) -> None:
-        outcome = _judge(action.request, result)
+        outcome = judge(action.request, result)
         if outcome in (Result.ANSWERED, Result.SERVICE_ERROR):
             headers = {
                 name: value
                 for name, value in result.headers.items()
-                if name not in _NOT_PASSED_ON and name != "date"
+                if name not in NOT_PASSED_ON and name != "date"
             }
             if "content-type" in headers:
                 headers["Content-Type"] = headers.pop("content-type")
@@ -470,7 +319,7 @@
         self._metrics.incr("route.taken")
         self._submit(
             request,
-            _Held(
+            HeldRequest(
                 forward.method,
                 forward.path,
                 forward.headers,
@@ -489,7 +338,7 @@
             result, refusal = Result.ANSWERED, None
         else:
             refusal = Refusal(message.error, message.detail, "", message.retry_after_s)
-            result = _result_of(message.error)
+            result = result_of(message.error)
         self._act(
             routing.on_result(
                 self.router, request, attempt, result, self._core.policy, now, refusal
@@ -511,12 +360,12 @@
             return
         if held.key:
             outcome = ANSWERS[refusal.kind].outcome if refusal else Outcome.RAN
-            self._record_key(held.key, request, outcome, answer)
+            self._keyed.record(held.key, request, outcome, answer)
         if refusal is not None:
             self._refuse(request, refusal, held.reply)
         elif answer is not None:
             self._metrics.incr("requests.answered")
-            headers = {**answer.headers, _REQUEST_ID: request}
+            headers = {**answer.headers, REQUEST_ID: request}
             held.reply(HttpReply(answer.status, headers, answer.body))
 
     def _finish_forward(
@@ -545,88 +394,4 @@
             Decision(request, refusal.kind.value, refusal.detail, time.time(), version)
         )
         log("request.refused", request=request, error=refusal.kind.value, detail=refusal.detail)
-        reply(refusal_reply(refusal, {_REQUEST_ID: request}))
-
-
-def parse_headers(
-    request: RequestId, service: ServiceName, req: HttpRequest, default_ms: float, now: float
-) -> Request | Refusal:
-    """Read a request's own headers, or say which one is wrong."""
-    deadline_ms = _number(req.headers.get("spoolcrank-deadline-ms"), default_ms)
-    if deadline_ms is None or not 0 < deadline_ms <= MAX_DEADLINE_MS:
-        detail = f"Spoolcrank-Deadline-Ms must be above 0 and at most {MAX_DEADLINE_MS:g}"
-        return Refusal(ErrorKind.BAD_FIELD, detail, "Spoolcrank-Deadline-Ms")
-    urgency = _number(req.headers.get("spoolcrank-urgency"), _DEFAULT_URGENCY)
-    if urgency is None or urgency not in range(10):
-        detail = "Spoolcrank-Urgency must be a whole number from 0 to 9"
-        return Refusal(ErrorKind.BAD_FIELD, detail, "Spoolcrank-Urgency")
-    repeatable = req.headers.get("spoolcrank-repeatable", "").lower()
-    if repeatable not in ("", "yes", "no"):
-        detail = "Spoolcrank-Repeatable must be yes or no"
-        return Refusal(ErrorKind.BAD_FIELD, detail, "Spoolcrank-Repeatable")
-    if len(req.headers.get("idempotency-key", "")) > MAX_KEY:
-        detail = f"Idempotency-Key may have {MAX_KEY} characters"
-        return Refusal(ErrorKind.BAD_FIELD, detail, "Idempotency-Key")
-    may_repeat = repeatable == "yes" or (not repeatable and req.method in _SAFE_METHODS)
-    return Request(
-        id=request,
-        service=service,
-        urgency=int(urgency),
-        repeatable=may_repeat,
-        arrived_at=now,
-        deadline=now + deadline_ms / 1000,
-    )
-
-
-def _number(text: str | None, default: float) -> float | None:
-    if text is None:
-        return default
-    try:
-        return float(text)
-    except ValueError:
-        return None
-
-
-def _public_id(request: RequestId) -> str:
-    """Return the id that the caller knows; a forwarded request has its attempt behind it."""
-    return request.partition("/")[0]
-
-
-def _passed_on(headers: Mapping[str, str]) -> dict[str, str]:
-    return {name: value for name, value in headers.items() if name not in _NOT_PASSED_ON}
-
-
-def _text(body: bytes) -> str | None:
-    try:
-        return body.decode()
-    except UnicodeDecodeError:
-        return None
-
-
-def _is_free(key: Key) -> bool:
-    return key.done is not None and key.done.outcome is Outcome.NOT_RUN
-
-
-def _judge(request: RequestId, result: HttpResult) -> Result:
-    match result.failed:
-        case Failed.NOT_SENT:
-            return Result.NOT_SENT
-        case Failed.CUT:
-            return Result.CUT
-        case Failed.TIMED_OUT:
-            return Result.SILENT
-        case Failed.GARBLED:
-            return Result.FOREIGN
-        case None:
-            pass
-    answered_id = result.headers.get("spoolcrank-request-id", _public_id(request))
-    if answered_id != _public_id(request):
-        return Result.FOREIGN
-    return Result.SERVICE_ERROR if result.status >= 500 else Result.ANSWERED
-
-
-def _result_of(kind: ErrorKind) -> Result:
-    outcome = ANSWERS[kind].outcome
-    if outcome is Outcome.NOT_RUN:
-        return Result.REFUSED
-    return Result.SILENT if kind is ErrorKind.RUNNER_SILENT else Result.CUT
+        reply(refusal_reply(refusal, {REQUEST_ID: request}))
--- /dev/null
+++ b/spoolcrank/runner_answers.py
@@ -0,0 +1,38 @@
+"""Judge what came of a request that went to a runner or to a peer."""
+
+from spoolcrank._http import Failed, HttpResult
+from spoolcrank.errors import ANSWERS, ErrorKind, Outcome
+from spoolcrank.ids import RequestId
+from spoolcrank.routing import Result
+
+
+def public_id(request: RequestId) -> str:
+    """Return the id that the caller knows; a forwarded request has its attempt behind it."""
+    return request.partition("/")[0]
+
+
+def judge(request: RequestId, result: HttpResult) -> Result:
+    """Return what a runner's answer, or its absence, means for a request."""
+    match result.failed:
+        case Failed.NOT_SENT:
+            return Result.NOT_SENT
+        case Failed.CUT:
+            return Result.CUT
+        case Failed.TIMED_OUT:
+            return Result.SILENT
+        case Failed.GARBLED:
+            return Result.FOREIGN
+        case None:
+            pass
+    answered_id = result.headers.get("spoolcrank-request-id", public_id(request))
+    if answered_id != public_id(request):
+        return Result.FOREIGN
+    return Result.SERVICE_ERROR if result.status >= 500 else Result.ANSWERED
+
+
+def result_of(kind: ErrorKind) -> Result:
+    """Return what a peer's refusal means for a request that was forwarded to it."""
+    outcome = ANSWERS[kind].outcome
+    if outcome is Outcome.NOT_RUN:
+        return Result.REFUSED
+    return Result.SILENT if kind is ErrorKind.RUNNER_SILENT else Result.CUT
