--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -104,12 +104,16 @@
         self.loaded = True
         self.next_offset = end
 
-    def extend(self, records: Iterable[KeyedRecord], asked_at: float) -> list[KeyedRecord]:
+    def extend(
+        self, records: Iterable[KeyedRecord], end: int, asked_at: float
+    ) -> list[KeyedRecord]:
         """Take the records that follow `next_offset`; returns those not read before.
 
         Args:
-            records: with ascending offsets.
-            asked_at: when the read was sent; everything before it is now in the copy.
+            records: with ascending offsets; perhaps not all that there are.
+            end: where the log ended then.
+            asked_at: when the read was sent; once the copy reaches `end`, everything that was
+                written before it is in the copy.
         """
         news = []
         for one in records:
@@ -117,7 +121,8 @@
                 self.next_offset = one.offset + 1
                 news.append(one)
             self.apply(one)
-        self.read_at = max(self.read_at, asked_at)
+        if self.next_offset >= end:
+            self.read_at = max(self.read_at, asked_at)
         return news
 
     def apply(self, record: KeyedRecord) -> None:
--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -128,6 +128,8 @@
             return
         if got.outcome is ReadOutcome.FAILED:
             self._later(RETRY_S, self._read)
+        elif got.records and got.end > self.copy.next_offset:
+            self._read()
         elif self.eager:
             self._later(EAGER_GAP_S, self._read)
         else:
@@ -142,20 +144,25 @@
             self.begin()
             return False
         if got.outcome is ReadOutcome.OK:
-            news = self.copy.extend(got.records, asked_at)
+            news = self.copy.extend(got.records, got.end, asked_at)
             self._on_news(news)
         return True
 
     def _refresh(self) -> None:
         self._refreshing = True
         asked, self._asked = self._asked, []
-        asked_at = self._clock()
+        self._read_up(asked, self._clock())
+
+    def _read_up(self, asked: list[Refreshed], asked_at: float) -> None:
+        """Read, in as many parts as it takes, what the log held when it was asked for."""
 
         def got(records: Records) -> None:
-            self._refreshing = False
             ok = records.outcome is ReadOutcome.OK
-            if self.copy.loaded:
-                self._take(records, asked_at)
+            if self.copy.loaded and self._take(records, asked_at):
+                if ok and records.records and records.end > self.copy.next_offset:
+                    self._read_up(asked, asked_at)
+                    return
+            self._refreshing = False
             for done in asked:
                 done(ok)
             if self._asked:
--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -24,6 +24,11 @@
 CALL_S = 0.8
 """A call of the store without an answer is given up after so long, s; 200 usual answers."""
 
+READ_KB = 320
+"""Of one read, kB: more than the largest record (256), and half a second on the slowest links
+played (5 Mbit/s). A read that takes longer than a call may would begin again at its start, and
+never catch up."""
+
 _PRODUCER = "leader"
 _LENGTH = struct.Struct(">I")
 _SPAN = struct.Struct(">QQ")
@@ -74,7 +79,7 @@
 
     def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
         """Read from an offset on; waits for a first record."""
-        query = {**self._topic, "fromRev": str(from_offset)}
+        query = {**self._topic, "fromRev": str(from_offset), "max_kb": str(READ_KB)}
         if wait_ms:
             query["waitMs"] = str(wait_ms)
         self._send(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -55,6 +55,7 @@
 ROUTE = RouteName("quotes")
 ANSWER_S = 0.004
 CALL_S = 0.8
+READ_RECORDS = 6
 HOLD_MAX_S = 10.0
 STOP_S = 0.3
 CLOCK_RATE = 0.985
@@ -240,7 +241,7 @@
             elif from_offset < self.topic.kept_from:
                 self._tell(ANSWER_S, done, Records(ReadOutcome.EXPIRED))
             elif len(self.topic.records) > from_offset or self.store.world.now >= until:
-                got = tuple(self.topic.records[from_offset:])
+                got = tuple(self.topic.records[from_offset : from_offset + READ_RECORDS])
                 end = len(self.topic.records)
                 self._tell(ANSWER_S / 2, done, Records(ReadOutcome.OK, got, end))
             else:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -390,3 +390,21 @@
     world.run(3.0)
     assert runner.tasks
     assert world.broken == []
+
+
+def test_a_state_is_told_only_from_a_copy_that_has_caught_up() -> None:
+    """A slow instance read for ever the same large part; one part alone must not count as now."""
+    world = small()
+    reader = world.instances["entry-1"]
+    world.store.turned_away = {"entry-1"}
+    for number in range(12):
+        world.instances["entry-0"].submit(f"f{number}", QUICK)
+    world.run(0.5)
+    world.store.turned_away = set()
+    world.run_until(lambda: reader.follower.contact)
+    told: list[object] = []
+    for number in range(12):
+        reader.intake.state(JobId(f"f{number}"), told.append)
+    world.run(0.5)
+    assert len(told) == 12
+    assert all(isinstance(one, JobPhase) for one in told)
