--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -76,6 +76,7 @@
         self.on: dict[TaskKey, set[str]] = defaultdict(set)
         self.unreachable: set[tuple[str, str]] = set()
         self.late_orders = 0.0
+        self.lasting_jobs: set[str] = set()
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         self._lives = itertools.count(1)
@@ -310,7 +311,7 @@
                 self.end(key, EndKind.LAPSED)
             elif task.stop_at is not None and self.world.now >= task.stop_at:
                 self.end(key, EndKind.STOPPED)
-            elif not self.hangs:
+            elif not self.hangs and key.job not in self.world.lasting_jobs:
                 task.worked_s += 0.02
                 if task.worked_s >= task.work_s:
                     self.end(key, EndKind.FAILED if self.fails else EndKind.DONE)
