--- a/spoolcrank/job_index.py
+++ b/spoolcrank/job_index.py
@@ -6,19 +6,14 @@
 
 from spoolcrank.ids import JobId
 from spoolcrank.keyed_log import KeyedRecord, RecordKind, job_of_key, kind_of
-from spoolcrank.workflow import FINAL, JobPhase, RouteName
+from spoolcrank.workflow import FINAL, JobPhase, RouteName, stored_phase
 
 
 class _RouteOnly(msgspec.Struct):
     route: str
 
 
-class _PhaseOnly(msgspec.Struct, array_like=True):
-    phase: str
-
-
 _decode_route = msgspec.json.Decoder(_RouteOnly).decode
-_decode_phase = msgspec.json.Decoder(_PhaseOnly).decode
 
 
 @dataclass(slots=True)
@@ -48,7 +43,7 @@
         if kind is RecordKind.JOB:
             standing.route = RouteName(_decode_route(record.value).route)
         elif kind is RecordKind.PROGRESS:
-            standing.phase = JobPhase(_decode_phase(record.value).phase)
+            standing.phase = stored_phase(record.value)
         else:
             standing.cancelled = True
 
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -34,7 +34,7 @@
     RouteName,
     RunnerId,
     TaskKey,
-    encode,
+    encode_progress,
 )
 
 INHERITED_S = (SELF_FENCE_S + LEASE_MS / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
@@ -368,7 +368,7 @@
         if not (self._dirty or self._others or seen):
             return None
         records = [
-            KeyedRecord(progress_key(job_id), encode(self.jobs[job_id].progress()))
+            KeyedRecord(progress_key(job_id), encode_progress(self.jobs[job_id].progress()))
             for job_id in self._dirty
         ]
         batch = Batch(records + self._others, self._starts, seen)
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -4,6 +4,7 @@
 of a core, memory in megabytes.
 """
 
+import zlib
 from enum import Enum
 from typing import NamedTuple, NewType
 
@@ -202,4 +203,27 @@
 
 encode = msgspec.json.Encoder().encode
 decode_job = msgspec.json.Decoder(JobRecord).decode
-decode_progress = msgspec.json.Decoder(Progress).decode
+_decode_progress = msgspec.json.Decoder(Progress).decode
+
+PROGRESS_LEVEL = 1
+"""Of zlib, for stored progress: half of the bytes for some 15 microseconds a record (measured on
+made-up ones of 340 bytes). Every instance reads every record, some over links of 5 Mbit/s."""
+
+_PHASE_CODES = {phase.value: code for phase, code in zip(JobPhase, b"prcfx", strict=True)}
+_PHASES = {code: JobPhase(value) for value, code in _PHASE_CODES.items()}
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the stored form: one letter for the phase, then the whole, compressed."""
+    code = bytes((_PHASE_CODES[progress.phase],))
+    return code + zlib.compress(encode(progress), PROGRESS_LEVEL)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Read the stored form."""
+    return _decode_progress(zlib.decompress(value[1:]))
+
+
+def stored_phase(value: bytes) -> JobPhase:
+    """Read the phase alone, which every instance needs of every record."""
+    return _PHASES[value[0]]
