--- a/spoolcrank/_http.py
+++ b/spoolcrank/_http.py
@@ -36,7 +36,9 @@
         path: with the query.
         headers: sent as they are, with Host and Content-Length added.
         body: as sent.
-        timeout_s: for the whole call.
+        timeout_s: for the whole call, or until its answer begins where `quiet_s` is given.
+        quiet_s: a large answer over a slow link may take any time, as long as no pause in it is
+            longer than this; None where the whole call has to end within `timeout_s`.
     """
 
     address: Address
@@ -45,6 +47,7 @@
     headers: Mapping[str, str]
     body: bytes
     timeout_s: float
+    quiet_s: float | None = None
 
 
 class HttpResult(NamedTuple):
@@ -111,6 +114,9 @@
             self._close()
             self._pool.forget(self)
             return
+        if self.call.quiet_s is not None and self._timer is not None:
+            self._timer.cancel()
+            self._timer = self._pool.timers.after(self.call.quiet_s, self._on_timeout)
         self._parser.execute(data, len(data))
         if self._parser.errno is not None:
             self._finish(HttpResult(Failed.GARBLED), keep=False)
--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -22,12 +22,12 @@
 """Topics whose names begin so keep the newest record of each key for good."""
 
 CALL_S = 0.8
-"""A call of the store without an answer is given up after so long, s; 200 usual answers."""
+"""A call of the store whose answer does not begin, or pauses, for so long is given up, s; 200
+usual answers."""
 
 READ_KB = 320
 """Of one read, kB: more than the largest record (256), and half a second on the slowest links
-played (5 Mbit/s). A read that takes longer than a call may would begin again at its start, and
-never catch up."""
+played (5 Mbit/s)."""
 
 _PRODUCER = "leader"
 _LENGTH = struct.Struct(">I")
@@ -104,7 +104,11 @@
     ) -> None:
         path = f"/api/{call}?{urlencode(query)}"
         timeout_s = CALL_S + wait_ms / 1000.0
-        self._http.send(HttpCall(self._address, method, path, _NO_HEADERS, body, timeout_s), done)
+        # An instance that gave up a large answer on its way would begin it again for ever.
+        quiet_s = CALL_S if method == "GET" else None
+        self._http.send(
+            HttpCall(self._address, method, path, _NO_HEADERS, body, timeout_s, quiet_s), done
+        )
 
 
 def _frame(record: KeyedRecord) -> bytes:
