--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -42,7 +42,9 @@
 """Others wait so long for the one that a leader hands over to, s."""
 
 SMALLER_S = 0.4
-"""An instance much smaller than the last leader's waits so much longer to claim, s."""
+"""An instance much smaller than one that led or offered itself waits so much longer to claim, s:
+the whole jitter, so that a large one that lives comes first. Where small ones led a large fleet,
+each was too busy with its runners to be heard, and the next one claimed."""
 
 
 NO_HEIR = Incarnation("")
@@ -109,6 +111,7 @@
         self.confirmed_at = -1.0
         self.wrote_at = -1.0
         self._claimed_at = now
+        self._largest = processors
         self._offered_at = -1.0
         self._offer_jitter_s = random.Random(incarnation).uniform(0.0, OFFER_AFTER_S / 2)
         self._jitter_s = random.Random(incarnation).uniform(0.0, JITTER_S)
@@ -127,6 +130,7 @@
         if claim.term == self._given_up and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
         changed = claim != self.claim
+        self._largest = max(self._largest, claim.processors)
         if claim.term != self.claim.term:
             self._claimed_at = now
         self.claim = claim
@@ -143,6 +147,7 @@
     def read_offer(self, offer: Offer, now: float) -> bool:
         """Take an offer read from the log; returns whether this leader should hand over to it."""
         self._offered_at = now
+        self._largest = max(self._largest, offer.processors)
         return self.leads and offer.processors >= self.processors * MUCH_LARGER
 
     def own_offer(self, now: float) -> Offer:
@@ -191,7 +196,7 @@
             wait_s += SILENT_S
         if claim.resigned and claim.heir:
             wait_s += HEIR_S
-        if claim.processors >= self.processors * MUCH_LARGER:
+        if self._largest >= self.processors * MUCH_LARGER:
             wait_s += SMALLER_S
         return wait_s
 
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -35,6 +35,10 @@
 IDLE_POLL_S = 1.5
 """Between polls at a runner without runs, s; below the time after which it counts as stale."""
 
+MOST_ADOPTING = 32
+"""Runners that a new leader asks for the first time at once; their answers to one of half a core
+would hold up its own sign of life."""
+
 SILENT_POLL_S = 0.4
 """Between polls at a runner that does not answer, s."""
 
@@ -64,11 +68,15 @@
 def polls_due(state: Scheduler, now: float, may_extend: bool) -> list[Poll]:
     """Return the polls to send now, one at a time for each runner."""
     polls = []
+    adopting = sum(1 for one in state.runners.values() if one.polling and not one.adopted)
     for runner in state.runners.values():
+        if not runner.adopted and adopting >= MOST_ADOPTING:
+            continue
         if runner.polling or runner.gone or not runner.entry.address:
             continue
         if not _poll_is_due(runner, now):
             continue
+        adopting += 0 if runner.adopted else 1
         polls.append(_poll(state, runner, now, may_extend))
     return polls
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,8 +1,11 @@
 """The leader's whole path in simulated time: placing, taking over, faults of all kinds."""
 
+from functools import partial
+
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.orders import EndKind
+from spoolcrank.run_control import MOST_ADOPTING
 from spoolcrank.workflow import JobPhase, Step
 from tests.fleet_world import World, small
 
@@ -15,6 +18,15 @@
     return one.index.phase(JobId(job))
 
 
+def has_leader(world: World) -> bool:
+    return world.leader() is not None
+
+
+def large_leads(world: World) -> bool:
+    leader = world.leader()
+    return leader is not None and leader.name in ("large", "spare")
+
+
 def settle(world: World, *jobs: str, limit_s: float = 30.0) -> float:
     return world.run_until(
         lambda: all(phase(world, job) is JobPhase.COMPLETED for job in jobs), limit_s
@@ -408,3 +420,35 @@
     world.run(0.5)
     assert len(told) == 12
     assert all(isinstance(one, JobPhase) for one in told)
+
+
+def test_a_large_instance_claims_before_small_ones_after_any_death() -> None:
+    """Small ones that led a large fleet were each too busy to be heard, one after the other."""
+    for seed in range(5):
+        world = small(seed=seed)
+        for name in ("large", "spare"):
+            world.add_instance(name, processors=4.0)
+        world.run_until(partial(large_leads, world))
+        first = world.leader()
+        assert first is not None
+        first.kill()
+        world.run_until(partial(has_leader, world))
+        assert large_leads(world)
+
+
+def test_a_new_leader_asks_only_so_many_runners_at_once() -> None:
+    world = small(instances=2, runners=70)
+    leader = world.leader()
+    assert leader is not None
+    leader.kill()
+    world.run_until(lambda: world.leader() is not None)
+    scheduler = next(iter(world.instances.values())).dispatcher.scheduler
+    assert scheduler is not None
+    most = 0
+    for _ in range(40):
+        world.run(0.002)
+        asked = [one for one in scheduler.runners.values() if one.polling and not one.adopted]
+        most = max(most, len(asked))
+    world.run(1.0)
+    assert 0 < most <= MOST_ADOPTING
+    assert all(one.adopted for one in scheduler.runners.values())
