--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -37,6 +37,7 @@
     if now - runner.learnt_at < REPORT_EVERY_S:
         return
     runner.learnt_at = now
+    runner.filler_room = None
     shares = runner.filler_shares(now)
     for run in runner.runs.values():
         if run.serves and run.tail_ms > 0 and run.percent == 100:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from spoolcrank.contention import Contention
-from spoolcrank.runner_state import SERVING_USE, RunnerState
+from spoolcrank.runner_state import SERVING_USE, FillerRoom, RunnerState
 from spoolcrank.workflow import RunnerId, Step, TaskKey
 
 PRESSED_CORES = 2.0
@@ -25,6 +25,11 @@
 """Fillers may bring the usual tail of what serves to this share of its target; alone it is
 about 0.35, and one report in twenty says 0.65."""
 
+LOG_TAIL_SHARE = math.log(TAIL_SHARE)
+
+ROOM_S = 0.25
+"""What is worked out for a runner's next filler holds so long, s: figures come each half second."""
+
 SMALL_EFFECT = 0.06
 """A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
 
@@ -119,17 +124,44 @@
 ) -> tuple[float, ...]:
     if runner.idle_millicores < step.millicores * FILL_SHARE:
         return ()
-    if any(run.over_since is not None for run in runner.runs.values()):
-        return ()
-    effect = worst_effect(step.image, runner.share(step.millicores), runner, contention)
-    if runner.serving and not _tails_allow(step, runner, contention, now):
+    room = _filler_room(runner, contention, now)
+    if room.over:
         return ()
+    share = runner.share(step.millicores)
+    effect = 0.0
+    for image, left in room.left:
+        more = contention.weight(image, step.image) * share
+        if more > left:
+            return ()
+        effect = max(effect, more)
     harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
     # Runners that bear many fillers are left to those that few runners bear.
     borne = contention.borne(frozenset(runner.serving))
     return (*first, harmless, -round(borne, 1), -effect, float(runner.idle_millicores))
 
 
+def _filler_room(runner: RunnerState, contention: Contention, now: float) -> FillerRoom:
+    """Return what one more filler may add there; worked out anew when something has changed."""
+    held = runner.filler_room
+    if held is not None and now - held.at < ROOM_S:
+        return held
+    shares = runner.filler_shares(now)
+    bases: dict[str, float] = {}
+    over = False
+    for run in runner.runs.values():
+        if run.serves:
+            over = over or run.over_since is not None
+            usual = contention.base(run.image)
+            base = usual if run.base is None else max(usual, run.base)
+            bases[run.image] = max(base, bases.get(run.image, base))
+    left = tuple(
+        (image, LOG_TAIL_SHARE - base - contention.effect(image, shares.items()))
+        for image, base in bases.items()
+    )
+    room = runner.filler_room = FillerRoom(now, over, left)
+    return room
+
+
 def worst_effect(image: str, share: float, runner: RunnerState, contention: Contention) -> float:
     """Return the most that a filler would add to any serving task's logarithm there."""
     return max(
@@ -137,19 +169,6 @@
     )
 
 
-def _tails_allow(step: Step, runner: RunnerState, contention: Contention, now: float) -> bool:
-    shares = runner.filler_shares(now)
-    shares[step.image] = shares.get(step.image, 0.0) + runner.share(step.millicores)
-    limit = math.log(TAIL_SHARE)
-    effects = {image: contention.effect(image, shares.items()) for image in runner.serving}
-    for run in runner.runs.values():
-        if run.serves:
-            base = max(contention.base(run.image), run.base if run.base is not None else -math.inf)
-            if base + effects[run.image] > limit:
-                return False
-    return True
-
-
 def _score_serving(
     request: PlacementRequest,
     runner: RunnerState,
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -9,7 +9,7 @@
 from spoolcrank.objective import work_order
 from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, worst_effect
 from spoolcrank.runner_state import RunnerState, RunStage
-from spoolcrank.scheduler import Scheduler
+from spoolcrank.scheduler import NoPlace, Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
 
 MISSES = 3
@@ -19,6 +19,11 @@
 GATHER_LASTING_S = 0.25
 """Lasting jobs that come within so long are placed together by image, s; they run for minutes."""
 
+FILLER_RETRY_S = 0.1
+"""Fillers of an image that found no place are tried again after so long, s. Under overload each
+end of a task wakes the leader, and with 176 runners and 200 waiting jobs one pass over all of
+them took 160 ms."""
+
 FORECAST_S = 0.5
 """Between two samples of the demand of short tasks, s; about the time that one takes."""
 
@@ -128,13 +133,27 @@
             if misses.get(kind, 0) >= MISSES and not step.spec.lasting:
                 still_waits = True
                 continue
+            if step.spec.fills and _was_refused(state, kind, step, now):
+                still_waits = True
+                continue
             if not _place_step(state, job, held.number, number, step, runners, now):
                 misses[kind] = misses.get(kind, 0) + 1
                 still_waits = True
+                if step.spec.fills:
+                    until = now + FILLER_RETRY_S
+                    state.no_place[kind] = NoPlace(step.spec.millicores, until)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
+def _was_refused(
+    state: Scheduler, kind: tuple[ServiceName, str], step: StepState, now: float
+) -> bool:
+    """Tell whether such a filler found no place a moment ago."""
+    held = state.no_place.get(kind)
+    return held is not None and now < held.until and step.spec.millicores >= held.millicores
+
+
 def _place_step(
     state: Scheduler,
     job: JobState,
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -76,6 +76,20 @@
     until: float
 
 
+class FillerRoom(NamedTuple):
+    """What one runner's serving tasks leave to one more filler, worked out at a time.
+
+    Attributes:
+        at: when, monotonic seconds.
+        over: one of them is over its target.
+        left: per serving image, by how much the logarithm of its tail may still rise.
+    """
+
+    at: float
+    over: bool
+    left: tuple[tuple[str, float], ...]
+
+
 class RunStage(Enum):
     """How far the order of one run has come."""
 
@@ -173,6 +187,7 @@
     polling: bool = False
     polled_at: float = -1.0
     learnt_at: float = -1.0
+    filler_room: FillerRoom | None = None
     distrusted_until: float = -1.0
     distrust_s: float = 0.0
     odd_failures: int = 0
@@ -254,6 +269,7 @@
 
     def set_pace(self, run: Run, pace: int) -> None:
         """Take note of a filler's new pace."""
+        self.filler_room = None
         self.filled_millicores -= run.paced_millicores
         run.pace = pace
         self.filled_millicores += run.paced_millicores
@@ -271,6 +287,7 @@
         return run
 
     def _count(self, run: Run, sign: int) -> None:
+        self.filler_room = None
         self.used_millicores += sign * run.demand.millicores
         self.used_memory_mb += sign * run.demand.memory_mb
         self.used_accelerators += sign * run.demand.accelerators
@@ -287,6 +304,12 @@
     def fits(self, demand: Demand, task: TaskKey | None = None) -> bool:
         """Tell whether a demand fits into the room that is left and not promised to others."""
         room = self.entry.room
+        if not self.promised:
+            return (
+                self.used_millicores + demand.millicores <= room.millicores
+                and self.used_memory_mb + demand.memory_mb <= room.memory_mb
+                and self.used_accelerators + demand.accelerators <= room.accelerators
+            )
         promised = [one.demand for key, one in self.promised.items() if key != task]
         asked = [demand, *promised]
         return (
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -70,6 +70,13 @@
     fields: dict[str, Any]
 
 
+class NoPlace(NamedTuple):
+    """Fillers of an image that want so much or more found no place; not tried before a time."""
+
+    millicores: int
+    until: float
+
+
 class Batch(NamedTuple):
     """What is to be kept in one append, and what follows once it is.
 
@@ -101,6 +108,7 @@
         self.orders: list[Order] = []
         self.notes: list[Note] = []
         self.ready: dict[JobId, None] = {}
+        self.no_place: dict[tuple[ServiceName, str], NoPlace] = {}
         self._dirty: dict[JobId, None] = {}
         self._starts: list[tuple[RunnerId, TaskKey, int]] = []
         self._ended: list[tuple[float, JobId]] = []
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -12,10 +12,12 @@
 from spoolcrank.orders import Pace, Poll, Report, RunningRow
 from spoolcrank.pacing import learn, set_paces
 from spoolcrank.packing import PlacementRequest, choose
+from spoolcrank.placing import FILLER_RETRY_S
+from spoolcrank.placing import place as place_waiting
 from spoolcrank.regrouping import Move, Regrouping
 from spoolcrank.run_control import UNSEEN_OVER_S, poll_answered
 from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
-from spoolcrank.scheduler import Scheduler
+from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.workflow import (
     Demand,
     JobRecord,
@@ -276,6 +278,37 @@
     assert place(QUIET, [one], taught()) == ""
 
 
+SOME = msgspec.structs.replace(LOUD, millicores=1800)
+
+
+def test_what_a_runner_leaves_to_fillers_follows_what_comes_and_goes() -> None:
+    one = runner("i-1")
+    contention = taught()
+    put(one, SERVING)
+    assert place(SOME, [one], contention) == "i-1"
+    loud = put(one, SOME, job="cd")
+    assert place(SOME, [one], contention) == ""
+    one.remove(loud)
+    assert place(SOME, [one], contention) == "i-1"
+
+
+def test_fillers_that_found_no_place_are_tried_again_a_moment_later() -> None:
+    """A pass over 200 waiting jobs and 176 runners took 160 ms, up to a hundred times a second."""
+    one = runner("i-1")
+    put(one, SERVING)
+    there = put(one, SOME, job="cd")
+    state = leader(one)
+    state.routes = {RouteName("q"): RoutePolicy(SERVICE, 2, 3)}
+    record = JobRecord(RouteName("q"), SERVICE, 2, 3, 100, 2.0, Workflow("", (SOME,)))
+    state.add_job(JobId("ee"), record, 1, None, False, NOW, 0.0)
+    place_waiting(state, NOW, 0.0)
+    one.remove(there)
+    place_waiting(state, NOW + FILLER_RETRY_S / 2, 0.0)
+    assert TaskKey(JobId("ee"), 0, 0, 0) not in one.runs
+    place_waiting(state, NOW + FILLER_RETRY_S, 0.0)
+    assert TaskKey(JobId("ee"), 0, 0, 0) in one.runs
+
+
 def report(key: TaskKey, figure: float) -> Report:
     return Report(2000.0, (RunningRow(key, 1, "", 100, figure),), ())
 
