--- a/spoolcrank/caller_request.py
+++ b/spoolcrank/caller_request.py
@@ -6,7 +6,7 @@
 from spoolcrank._web import HttpRequest, Reply
 from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.ids import InstanceId, RequestId, ServiceName
-from spoolcrank.routing import Request
+from spoolcrank.route_state import Request
 
 MAX_KEY = 200
 MAX_DEADLINE_MS = 600_000.0
--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -21,7 +21,7 @@
 from spoolcrank.membership import Heartbeat, other_entries
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import join_key
-from spoolcrank.routing import (
+from spoolcrank.route_state import (
     Count,
     Deliver,
     FreeSlots,
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -25,6 +25,7 @@
 from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
 from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
 from spoolcrank.log_follower import LogFollower
+from spoolcrank.notes import GRAVE
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
 from spoolcrank.placing import forecast, place
@@ -48,23 +49,6 @@
 """Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
 below the 2 s after which a leaving runner must get no start."""
 
-GRAVE = frozenset(
-    {
-        "start-refused",
-        "stop-refused",
-        "runner-silent",
-        "runner-gone",
-        "runner-unlisted",
-        "runner-distrusted",
-        "task-hangs",
-        "run-released",
-        "job-ended",
-        "end-not-ours",
-        "run-not-ours",
-    }
-)
-"""Notes that are left out last."""
-
 
 class Dispatcher:
     """Reads, writes and orders for the scheduler of one instance."""
--- a/spoolcrank/keyed_requests.py
+++ b/spoolcrank/keyed_requests.py
@@ -13,7 +13,7 @@
 from spoolcrank.membership import is_incarnation_alive
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import KeyDone, KeyTaken
-from spoolcrank.routing import Request
+from spoolcrank.route_state import Request
 
 MAX_KEPT_BODY = 16 << 10
 """Of an answer kept for repeats, bytes; longer ones are told as run, without their body."""
--- a/spoolcrank/routing.py
+++ b/spoolcrank/routing.py
@@ -6,172 +6,48 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import NamedTuple
 
 from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.ids import AvailabilityZone, InstanceId, RequestId, ServiceName
 from spoolcrank.policy import Policy
+from spoolcrank.route_choice import best_peer, best_runner, peer_cost, runner_cost, slot_limit
+from spoolcrank.route_state import (
+    FIRST_GUESS_S,
+    MAX_TOKENS,
+    Count,
+    Deliver,
+    Flight,
+    FreeSlots,
+    PeerRunners,
+    Refuse,
+    Request,
+    Result,
+    RouteAction,
+    Router,
+    Runner,
+    ToPeer,
+    ToRunner,
+)
 
 _SMOOTHING = 0.25
 _USUAL_SMOOTHING = 0.025
-_FIRST_GUESS_S = 0.02
 _MAX_TRIES = 4
 _QUEUE_TRIES = 3
-_MAX_TOKENS = 20.0
 _MIN_QUEUE = 8
 _MIN_RETRY_AFTER_S = 0.05
-_SPREAD = 1.0
-_NEAR_HOP_S = 0.004
-_FAR_HOP_S = 0.006
 _FADE_AFTER_S = 1.0
 _FADE = 0.1
 _ALIKE = 1.3
 _FORWARD_MAX_S = 60.0
 
 
-class Request(NamedTuple):
-    """A request as far as routing needs it.
-
-    Attributes:
-        deadline: by the monotonic clock, in seconds.
-        origin: the entry instance that forwarded it; None for a caller's own.
-    """
-
-    id: RequestId
-    service: ServiceName
-    urgency: int
-    repeatable: bool
-    arrived_at: float
-    deadline: float
-    origin: InstanceId | None = None
-
-
-class Result(Enum):
-    """How an attempt at a runner or a peer came out."""
-
-    ANSWERED = "answered"
-    SERVICE_ERROR = "service-error"
-    NOT_SENT = "not-sent"
-    CUT = "cut"
-    SILENT = "silent"
-    FOREIGN = "foreign"
-    REFUSED = "refused"
-
-
-class ToRunner(NamedTuple):
-    """Send a request to one of our runners."""
-
-    request: RequestId
-    attempt: int
-    server: InstanceId
-
-
-class ToPeer(NamedTuple):
-    """Forward a request to the owner of other runners."""
-
-    request: RequestId
-    attempt: int
-    peer: InstanceId
-
-
-class Refuse(NamedTuple):
-    """Give a request its final answer, an error of ours."""
-
-    request: RequestId
-    refusal: Refusal
-
-
-class Deliver(NamedTuple):
-    """Give a request the answer that an attempt brought."""
-
-    request: RequestId
-    attempt: int
-
-
-class Count(NamedTuple):
-    """Count a decision under a name."""
-
-    name: str
-
-
-RouteAction = ToRunner | ToPeer | Refuse | Deliver | Count
-
-
-@dataclass
-class Runner:
-    """One runner that we own."""
-
-    server: InstanceId
-    service: ServiceName
-    slots: int
-    busy: int = 0
-    open_from: float = 0.0
-    held: int = 0
-    failures: int = 0
-    out_until: float = 0.0
-    latency_s: float = _FIRST_GUESS_S
-    samples: int = 0
-    sampled_at: float = 0.0
-
-
-class FreeSlots(NamedTuple):
-    """Free slots of one runner and what a request takes there of late."""
-
-    slots: int
-    latency_s: float
-
-
-class PeerRunners(NamedTuple):
-    """What a peer told of its free slots for one service."""
-
-    peer: InstanceId
-    zone: AvailabilityZone
-    free_slots: int
-    heard_at: float
-    latency_s: float = _FIRST_GUESS_S
-
-
-@dataclass
-class Flight:
-    """A request that was not answered yet."""
-
-    req: Request
-    tries: int = 0
-    open: dict[int, InstanceId] = field(default_factory=dict)
-    sent_at: float = 0.0
-    hedged: bool = False
-    maybe_ran: bool = False
-    avoid: set[InstanceId] = field(default_factory=set)
-
-
-@dataclass
-class Router:
-    """The routing state of one entry instance."""
-
-    me: InstanceId
-    zone: AvailabilityZone
-    runners: dict[InstanceId, Runner] = field(default_factory=dict)
-    peers: dict[ServiceName, dict[InstanceId, PeerRunners]] = field(default_factory=dict)
-    forwarded: dict[InstanceId, dict[int, float]] = field(default_factory=dict)
-    flights: dict[RequestId, Flight] = field(default_factory=dict)
-    queue: dict[ServiceName, list[RequestId]] = field(default_factory=dict)
-    shares: dict[ServiceName, float] = field(default_factory=dict)
-    late: dict[int, InstanceId] = field(default_factory=dict)
-    usual_s: dict[ServiceName, float] = field(default_factory=dict)
-    tail_s: dict[ServiceName, float] = field(default_factory=dict)
-    tokens: float = _MAX_TOKENS / 2
-    next_attempt: int = 0
-
-
 def free_slots(router: Router, server: InstanceId, policy: Policy, now: float) -> int:
     """Return how many requests a runner of ours could take from peers now."""
     runner = router.runners.get(server)
     if runner is None:
         return 0
     waiting = len(router.queue.get(runner.service, []))
-    return max(0, _limit(router, runner, policy, now) - runner.busy - waiting)
+    return max(0, slot_limit(router, runner, policy, now) - runner.busy - waiting)
 
 
 def known_slots(router: Router, service: ServiceName) -> float:
@@ -180,64 +56,11 @@
     return max(own, router.shares.get(service, 0.0))
 
 
-def _limit(router: Router, runner: Runner, policy: Policy, now: float) -> int:
-    slots = runner.slots
-    if now < runner.open_from:
-        slots = max(0, slots - runner.held)
-    if runner.failures >= policy.routing.suspect_failures:
-        return min(slots, 1) if now >= runner.out_until else 0
-    usual = router.usual_s.get(runner.service, _FIRST_GUESS_S)
-    if runner.samples and runner.latency_s > policy.routing.slow_ratio * usual:
-        return min(slots, max(1, runner.slots // 2))
-    return slots
-
-
-def _best_runner(router: Router, flight: Flight, policy: Policy, now: float) -> Runner | None:
-    best: Runner | None = None
-    best_cost = float("inf")
-    for runner in router.runners.values():
-        if runner.service != flight.req.service or runner.server in flight.avoid:
-            continue
-        if runner.busy >= _limit(router, runner, policy, now):
-            continue
-        probing = runner.failures >= policy.routing.suspect_failures
-        if probing and not flight.req.repeatable:
-            continue
-        cost = _cost(runner)
-        if cost < best_cost:
-            best, best_cost = runner, cost
-    return best
-
-
-def _cost(runner: Runner) -> float:
-    return runner.latency_s * (1.0 + _SPREAD * runner.busy / max(1, runner.slots))
-
-
-def _peer_cost(router: Router, one: PeerRunners) -> float:
-    return one.latency_s + (_NEAR_HOP_S if one.zone == router.zone else _FAR_HOP_S)
-
-
-def _best_peer(router: Router, flight: Flight, policy: Policy, now: float) -> PeerRunners | None:
-    best: PeerRunners | None = None
-    best_cost = float("inf")
-    for one in router.peers.get(flight.req.service, {}).values():
-        if one.peer in flight.avoid:
-            continue
-        if now - one.heard_at > policy.membership.dead_after_s:
-            continue
-        under_way = router.forwarded.get(one.peer, {}).values()
-        since = sum(1 for sent in under_way if sent > one.heard_at)
-        cost = _peer_cost(router, one) * (1.0 + _SPREAD * since / max(1, one.free_slots))
-        if one.free_slots > since and cost < best_cost:
-            best, best_cost = one, cost
-    return best
-
-
 def submit(router: Router, req: Request, policy: Policy, now: float) -> list[RouteAction]:
     """Take a request in: run it, forward it, queue it or refuse it."""
     flight = Flight(req)
     router.flights[req.id] = flight
-    router.tokens = min(_MAX_TOKENS, router.tokens + policy.routing.retry_share)
+    router.tokens = min(MAX_TOKENS, router.tokens + policy.routing.retry_share)
     if req.deadline <= now:
         return _refuse(router, flight, ErrorKind.DEADLINE_EXCEEDED, "came past its deadline", 0)
     if not router.queue.get(req.service):
@@ -250,8 +73,8 @@
 def _dispatch(
     router: Router, flight: Flight, policy: Policy, now: float
 ) -> ToRunner | ToPeer | None:
-    runner = _best_runner(router, flight, policy, now)
-    peer = _best_peer(router, flight, policy, now) if flight.req.origin is None else None
+    runner = best_runner(router, flight, policy, now)
+    peer = best_peer(router, flight, policy, now) if flight.req.origin is None else None
     if runner is not None and (peer is None or not _much_slower(router, runner, peer, policy)):
         return _send_to_runner(router, flight, runner, now)
     if peer is not None:
@@ -261,7 +84,7 @@
 
 def _much_slower(router: Router, runner: Runner, peer: PeerRunners, policy: Policy) -> bool:
     """Tell whether a peer's runner is worth a hop although one of ours is free."""
-    return _cost(runner) > policy.routing.steer_ratio * _peer_cost(router, peer)
+    return runner_cost(runner) > policy.routing.steer_ratio * peer_cost(router, peer)
 
 
 def _attempt(router: Router, flight: Flight, target: InstanceId, now: float) -> int:
@@ -294,7 +117,7 @@
 
 def wait_estimate(router: Router, service: ServiceName, ahead: int) -> float:
     """Return how long a request waits behind `ahead` others, in seconds."""
-    usual = router.usual_s.get(service, _FIRST_GUESS_S)
+    usual = router.usual_s.get(service, FIRST_GUESS_S)
     return usual * (ahead + 1) / max(1.0, known_slots(router, service))
 
 
@@ -310,7 +133,7 @@
     waiting = router.queue.setdefault(req.service, [])
     ahead = sum(1 for other in waiting if _order(router.flights[other]) <= _order(flight))
     wait_s = wait_estimate(router, req.service, ahead)
-    usual = router.usual_s.get(req.service, _FIRST_GUESS_S)
+    usual = router.usual_s.get(req.service, FIRST_GUESS_S)
     if now + wait_s + usual > req.deadline:
         detail = f"would wait {wait_s:.3f} s, past its deadline"
         return _refuse(router, flight, ErrorKind.OVERLOADED, detail, wait_s)
@@ -563,7 +386,7 @@
     if flight.req.origin is not None and not _reachable(router, flight, policy, now):
         detail = f"{router.me} owns no runner of {flight.req.service} any more"
         return _refuse(router, flight, ErrorKind.NO_RUNNER, detail, 0)
-    usual = router.usual_s.get(flight.req.service, _FIRST_GUESS_S)
+    usual = router.usual_s.get(flight.req.service, FIRST_GUESS_S)
     if flight.maybe_ran or now + usual <= flight.req.deadline:
         return []
     detail = "no slot came free early enough to answer before the deadline"
@@ -618,7 +441,7 @@
             known.pop(peer, None)
     for service, runners in free.items():
         open_runners = [one for one in runners if one.slots > 0]
-        quickest = min((one.latency_s for one in open_runners), default=_FIRST_GUESS_S)
+        quickest = min((one.latency_s for one in open_runners), default=FIRST_GUESS_S)
         count = sum(one.slots for one in open_runners if one.latency_s <= _ALIKE * quickest)
         found = PeerRunners(peer, zone, count, now, quickest)
         router.peers.setdefault(service, {})[peer] = found
--- a/spoolcrank/runner_answers.py
+++ b/spoolcrank/runner_answers.py
@@ -3,7 +3,7 @@
 from spoolcrank._http import Failed, HttpResult
 from spoolcrank.errors import ANSWERS, ErrorKind, Outcome
 from spoolcrank.ids import RequestId
-from spoolcrank.routing import Result
+from spoolcrank.route_state import Result
 
 
 def public_id(request: RequestId) -> str:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -13,6 +13,7 @@
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.keyed_log import LEARNT_KEY, KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
+from spoolcrank.notes import Note
 from spoolcrank.objective import objective_s
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
 from spoolcrank.runner_state import (
@@ -63,13 +64,6 @@
     max_attempts: int
 
 
-class Note(NamedTuple):
-    """One decision to be logged, with what decided it."""
-
-    name: str
-    fields: dict[str, Any]
-
-
 class NoPlace(NamedTuple):
     """Fillers of an image that want so much or more found no place; not tried before a time."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,16 @@
 from spoolcrank.errors import ANSWERS, ErrorKind, Outcome, Refusal
 from spoolcrank.ids import AvailabilityZone, InstanceId, RequestId, ServiceName
 from spoolcrank.policy import DEFAULT
-from spoolcrank.routing import FreeSlots, Refuse, Request, Result, Router, Runner, ToPeer, ToRunner
+from spoolcrank.route_state import (
+    FreeSlots,
+    Refuse,
+    Request,
+    Result,
+    Router,
+    Runner,
+    ToPeer,
+    ToRunner,
+)
 
 SERVICE = ServiceName("quotes")
 ZONE = AvailabilityZone("a")
