--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,8 @@
 import json
 import os
 import struct
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -311,3 +313,14 @@
     assert 'spoolcrank_events_total{event="took-over"} 1.0' in text
     assert 'spoolcrank_seconds_bucket{le="0.05",what="POST 200"} 1.0' in text
     assert "spoolcrank_leads 1.0" in text
+
+
+def test_the_daemon_starts_without_the_libraries_that_only_the_command_line_needs() -> None:
+    """A replaced instance of 0.43 cores was of use only seconds after its start."""
+    code = (
+        "import sys; from spoolcrank.__main__ import without_pkg_resources\n"
+        "with without_pkg_resources():\n    import spoolcrank.platform.daemon\n"
+        "print(sorted({'pkg_resources', 'typer', 'rich', 'lark'} & set(sys.modules)))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
