--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from spoolcrank.contention import Contention
+from spoolcrank.ids import ServiceName
 from spoolcrank.runner_state import SERVING_USE, FillerRoom, RunnerState
 from spoolcrank.workflow import RunnerId, Step, TaskKey
 
@@ -34,6 +35,9 @@
 """A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
 
 
+NO_SERVICE = ServiceName("")
+
+
 class PlacementRequest(NamedTuple):
     """One waiting task as the choice sees it.
 
@@ -45,6 +49,7 @@
         reserve: millicores that a lasting task leaves to short ones on its runner; one that has
             run before leaves none, as it has to be back at work while there is any room.
         task: which one; room that is promised to it counts for it.
+        service: whose runners may take it.
     """
 
     step: Step
@@ -53,6 +58,7 @@
     rack: str = ""
     reserve: int = 0
     task: TaskKey | None = None
+    service: ServiceName = NO_SERVICE
 
 
 def choose(
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -180,6 +180,7 @@
             task.refused_by,
             reserve=0 if task.run else state.reserve,
             task=key,
+            service=state.service_of(job),
         )
         runner = _wanted(state, task, request, runners, now)
         if runner is None:
@@ -206,7 +207,12 @@
     found = choose(request, meant, state.contention, now)
     if found is None and meant and now < task.wanted_until:
         return None
-    return found or choose(request, runners, state.contention, now)
+    found = found or choose(request, runners, state.contention, now)
+    if found is None and request.step.lasting and task.run:
+        # Back at work anywhere is better than none: its runner may have failed by the task's fault.
+        others = state.distrusted(request.service, now)
+        found = choose(request, others, state.contention, now)
+    return found
 
 
 def _place_gang(
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -244,7 +244,11 @@
         return self.entry.leaving or (self.gone_from is not None and now >= self.gone_from)
 
     def usable(self, now: float) -> bool:
-        """Tell whether new work may go there."""
+        """Tell whether new work should go there."""
+        return self.reachable(now) and now >= self.distrusted_until
+
+    def reachable(self, now: float) -> bool:
+        """Tell whether new work may go there, though it may have failed oddly a moment ago."""
         return (
             self.adopted
             and self.listed
@@ -252,7 +256,6 @@
             and not self.leaves(now)
             and self.silent_since is None
             and now - self.answered_at <= FRESH_S
-            and now >= self.distrusted_until
         )
 
     def distrust(self, now: float) -> None:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -425,6 +425,14 @@
                 pools.setdefault(runner.entry.service, []).append(runner)
         return pools
 
+    def distrusted(self, service: ServiceName, now: float) -> list[RunnerState]:
+        """Return the runners of a service that failed oddly but could take work."""
+        return [
+            runner
+            for runner in self.runners.values()
+            if runner.entry.service == service and runner.reachable(now) and not runner.usable(now)
+        ]
+
     def waiting_jobs(self) -> Iterable[JobState]:
         """Return the jobs that have tasks waiting for a place."""
         return (self.jobs[job_id] for job_id in self.ready)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -22,10 +22,13 @@
     Demand,
     JobRecord,
     Phase,
+    Progress,
     RouteName,
     RunnerId,
     Step,
+    StepMark,
     TaskKey,
+    TaskMark,
     Workflow,
 )
 
@@ -309,6 +312,21 @@
     assert TaskKey(JobId("ee"), 0, 0, 0) in one.runs
 
 
+def test_a_lasting_task_that_ran_before_goes_to_a_distrusted_runner_rather_than_nowhere() -> None:
+    """It waited beside room for up to 16 s (hunted at Bengal: LOST)."""
+    one, full = runner("i-1"), runner("i-2", 1000)
+    one.distrust(NOW)
+    state = leader(one, full)
+    state.routes = {RouteName("q"): RoutePolicy(SERVICE, 0, 3)}
+    record = JobRecord(RouteName("q"), SERVICE, 0, 3, 100, 2.0, Workflow("", (SERVING,)))
+    ran = Progress("running", (StepMark(0, 0, False, (TaskMark(0, 0, 1),)),))
+    state.add_job(JobId("ee"), record, 1, ran, False, NOW, 0.0)
+    state.add_job(JobId("ff"), record, 2, None, False, NOW - 5, 0.0)
+    place_waiting(state, NOW, 0.0)
+    assert TaskKey(JobId("ee"), 0, 0, 0) in one.runs
+    assert TaskKey(JobId("ff"), 0, 0, 0) not in one.runs
+
+
 def report(key: TaskKey, figure: float) -> Report:
     return Report(2000.0, (RunningRow(key, 1, "", 100, figure),), ())
 
