--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -315,12 +315,22 @@
     assert "spoolcrank_leads 1.0" in text
 
 
-def test_the_daemon_starts_without_the_libraries_that_only_the_command_line_needs() -> None:
+def test_the_daemon_starts_without_the_libraries_that_only_the_command_line_needs(
+    tmp_path: Path,
+) -> None:
     """A replaced instance of 0.43 cores was of use only seconds after its start."""
+    (tmp_path / "pkg_resources.py").write_text("print('imported'); declare_namespace = print")
     code = (
         "import sys; from spoolcrank.__main__ import without_pkg_resources\n"
         "with without_pkg_resources():\n    import spoolcrank.platform.daemon\n"
         "print(sorted({'pkg_resources', 'typer', 'rich', 'lark'} & set(sys.modules)))"
     )
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    path = os.pathsep.join([str(tmp_path), str(Path(__file__).parents[1])])
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONPATH": path},
+    )
     assert done.stdout.strip() == "[]"
