Bound what one silent connection costs

Cause: kept connections may fall silent without a reset. Each call that took one from the pool cost its whole time (0.6 to 1.5 s), one after the other, up to 64 times; one silent append took 0.88 s of the 1.3 s after which others claim the lead, one silent poll made its runner unusable. Change: a time-out without a byte closes every kept connection to that address that has not answered since; reads, the leader's fenced appends and waiting polls are sent once more over a new connection after 0.3 s (a job's own record is not: its refusal would hide that the first was kept). Sockets that are only written to (peers) close after 3 s without an acknowledgement.

--- a/spoolcrank/_dialer.py
+++ b/spoolcrank/_dialer.py
@@ -14,6 +14,12 @@
 
 from spoolcrank.ids import Address
 
+UNACKNOWLEDGED_MS = 3000
+"""A connection whose bytes the other side does not acknowledge for so long is closed, ms: peers
+write several times a second and read nothing back on it, so only this shows them that it fell
+silent. Six times the
+queueing at which the platform calls a link choked."""
+
 _READ_SIZE = 65536
 _IN_PROGRESS = (0, errno.EINPROGRESS, errno.EWOULDBLOCK)
 
@@ -67,6 +73,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
         conn = Connection(self, sock, wire)
         self._conns[sock] = conn
         error = sock.connect_ex((host, int(port)))
--- a/spoolcrank/_http.py
+++ b/spoolcrank/_http.py
@@ -4,6 +4,7 @@
 never used again, so an answer cannot reach the wrong request.
 """
 
+import time
 from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import NamedTuple
@@ -39,6 +40,9 @@
         timeout_s: for the whole call, or until its answer begins where `quiet_s` is given.
         quiet_s: a large answer over a slow link may take any time, as long as no pause in it is
             longer than this; None where the whole call has to end within `timeout_s`.
+        again_s: a call that may be carried out twice without harm is sent once more, over a new
+            connection, when a kept one has said nothing for so long; None for never. Kept
+            connections may have gone silent without a reset while new ones work.
     """
 
     address: Address
@@ -48,6 +52,7 @@
     body: bytes
     timeout_s: float
     quiet_s: float | None = None
+    again_s: float | None = None
 
 
 class HttpResult(NamedTuple):
@@ -87,17 +92,20 @@
         self._parser = HttpParser(_PARSE_RESPONSE, False)
         self._timer: Timer | None = None
         self._sent = False
-        self._reused = False
+        self._begun_at = 0.0
+        self.answered_at: float | None = None
+        self.heard = False
         self.conn: Connection | None = None
 
     def start(self, call: HttpCall, done: Done) -> None:
         self.call = call
         self._done = done
+        self._begun_at = time.monotonic()
+        self.heard = False
         self._parser = HttpParser(_PARSE_RESPONSE, False)
         self._sent = False
         self._timer = self._pool.timers.after(call.timeout_s, self._on_timeout)
         if self.conn is not None and self.conn.connected:
-            self._reused = True
             self._send()
 
     def _send(self) -> None:
@@ -114,6 +122,7 @@
             self._close()
             self._pool.forget(self)
             return
+        self.heard = True
         if self.call.quiet_s is not None and self._timer is not None:
             self._timer.cancel()
             self._timer = self._pool.timers.after(self.call.quiet_s, self._on_timeout)
@@ -149,13 +158,24 @@
 
     def _on_timeout(self) -> None:
         failed = Failed.TIMED_OUT if self._sent else Failed.NOT_SENT
+        if self._sent and not self.heard:
+            self._pool.drop_unproven(self.address, self._begun_at)
         self._finish(HttpResult(failed, sent=self._sent), keep=False)
 
+    def give_up(self) -> None:
+        """End the call without an answer."""
+        self._finish(HttpResult(Failed.TIMED_OUT, sent=self._sent), keep=False)
+
+    def close(self) -> None:
+        """Close the connection, on which no call is."""
+        self._close()
+
     def _finish(self, result: HttpResult, keep: bool) -> None:
         done, self._done, self.call = self._done, None, None
         if self._timer is not None:
             self._timer.cancel()
         if keep and self.conn is not None:
+            self.answered_at = time.monotonic()
             self._pool.give_back(self)
         else:
             self._close()
@@ -168,6 +188,52 @@
             self.conn = None
 
 
+class _SentTwice:
+    """One call that may be sent over a second connection; the first whole answer counts."""
+
+    def __init__(self, pool: "HttpClient", call: HttpCall, again_s: float, done: Done) -> None:
+        self._pool = pool
+        self._call = call
+        self._done: Done | None = done
+        self._began_at = time.monotonic()
+        self._sent = False
+        self._first = pool.begin(call, lambda got: self._on_result(self._first, got))
+        self._second: _Exchange | None = None
+        self._timer = pool.timers.after(again_s, lambda: self._again(again_s))
+
+    def _again(self, after_s: float) -> None:
+        first = self._first
+        if self._done is None or first.heard or first.answered_at is None:
+            return
+        left_s = max(0.0, self._call.timeout_s - after_s)
+        call = self._call._replace(timeout_s=left_s)
+        second = self._second = _Exchange(self._pool, call.address)
+        self._pool.start(second, call, lambda got: self._on_result(second, got))
+
+    def _on_result(self, exchange: _Exchange, got: HttpResult) -> None:
+        done = self._done
+        if done is None:
+            return
+        self._sent = self._sent or got.sent
+        other = self._second if exchange is self._first else self._first
+        waits = other is not None and other.call is not None
+        if got.failed is not None and waits:
+            return
+        self._done = None
+        self._timer.cancel()
+        if other is not None and waits:
+            if other is self._first:
+                self._pool.drop_unproven(other.address, self._began_at)
+            other.give_up()
+        done(got if got.failed is None else got._replace(sent=self._sent))
+
+    def give_up(self) -> None:
+        """End the call without an answer."""
+        for exchange in (self._first, self._second):
+            if exchange is not None and exchange.call is not None:
+                exchange.give_up()
+
+
 class HttpClient:
     """Send calls over pooled connections."""
 
@@ -178,17 +244,40 @@
 
     def send(self, call: HttpCall, done: Done) -> Callable[[], None]:
         """Send a call; `done` is told once. Returns a way to give the call up."""
+        if call.again_s is not None:
+            return _SentTwice(self, call, call.again_s, done).give_up
+        exchange = self.begin(call, done)
+
+        def give_up() -> None:
+            if exchange.call is call:
+                exchange.give_up()
+
+        return give_up
+
+    def begin(self, call: HttpCall, done: Done) -> _Exchange:
+        """Send a call over a kept connection, or over a new one where none is kept."""
         idle = self._idle.get(call.address)
         exchange = idle.pop() if idle else _Exchange(self, call.address)
+        self.start(exchange, call, done)
+        return exchange
+
+    def start(self, exchange: _Exchange, call: HttpCall, done: Done) -> None:
+        """Send a call over one connection, opened if it is new."""
         exchange.start(call, done)
         if exchange.conn is None:
             exchange.conn = self._dialer.dial(call.address, exchange)
 
-        def give_up() -> None:
-            if exchange.call is call:
-                exchange._finish(HttpResult(Failed.TIMED_OUT, sent=exchange._sent), keep=False)
-
-        return give_up
+    def drop_unproven(self, address: Address, since: float) -> None:
+        """Close the kept connections to an address that have answered nothing since a time.
+
+        One of them has been silent since then; others may be silent too, and each would cost
+        one more call its whole time.
+        """
+        for exchange in self._idle.pop(address, []):
+            if exchange.answered_at is not None and exchange.answered_at >= since:
+                self._idle.setdefault(address, []).append(exchange)
+            else:
+                exchange.close()
 
     def give_back(self, exchange: _Exchange) -> None:
         """Keep a clean connection for the next call."""
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -26,6 +26,11 @@
 ORDER_S = 0.6
 """An order without an answer counts as unanswered after so long, s; many usual answers."""
 
+AGAIN_S = 0.3
+"""A poll that waits, without any answer over a kept connection for so long after its wait, is sent
+again over a new one, s: the runner is not taken as silent for one connection's sake, and its
+lease goes on."""
+
 _REFUSALS = {
     "fence": OrderResult.OUTRANKED,
     # The run, or a later one of the task, was stopped or has ended there.
@@ -112,6 +117,7 @@
             body,
             ORDER_S + order.wait_ms / 1000.0,
             lambda got: done(_polled(got)),
+            AGAIN_S + order.wait_ms / 1000.0 if order.wait_ms else None,
         )
 
     def _order(
@@ -126,13 +132,22 @@
         body: dict[str, Any],
         timeout_s: float,
         done: Callable[[HttpResult], None],
+        again_s: float | None = None,
     ) -> None:
         headers = {
             "Content-Type": "application/json",
             "Spoolcrank-Expect-Instance": target.runner,
         }
         self._http.send(
-            HttpCall(target.address, "POST", f"/api/{call}", headers, _encode(body), timeout_s),
+            HttpCall(
+                target.address,
+                "POST",
+                f"/api/{call}",
+                headers,
+                _encode(body),
+                timeout_s,
+                again_s=again_s,
+            ),
             done,
         )
 
--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -25,6 +25,12 @@
 """A call of the store whose answer does not begin, or pauses, for so long is given up, s; 200
 usual answers."""
 
+AGAIN_S = 0.3
+"""A read, or an append of the leader, without any answer over a kept connection for so long is
+sent again over a new one, s. Nothing is done twice by it: the store gives a repeated sequence its
+first answer. It is above the answers of a slow store that were seen (0.24) and lets the leader be
+heard again within the 1.3 s after which others claim."""
+
 READ_KB = 320
 """Of one read, kB: more than the largest record (256), and half a second on the slowest links
 played (5 Mbit/s)."""
@@ -106,8 +112,10 @@
         timeout_s = CALL_S + wait_ms / 1000.0
         # An instance that gave up a large answer on its way would begin it again for ever.
         quiet_s = CALL_S if method == "GET" else None
+        again_s = AGAIN_S + wait_ms / 1000.0 if method == "GET" or "producer" in query else None
         self._http.send(
-            HttpCall(self._address, method, path, _NO_HEADERS, body, timeout_s, quiet_s), done
+            HttpCall(self._address, method, path, _NO_HEADERS, body, timeout_s, quiet_s, again_s),
+            done,
         )
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -75,3 +75,124 @@
 
 def test_a_call_with_a_time_for_the_whole_is_given_up_after_it() -> None:
     assert _call(_first_part_only, PAUSE_S, None).failed is Failed.TIMED_OUT
+
+
+class SilentAfterFirst:
+    """A server whose connections answer one call each and then keep open and say nothing.
+
+    Connections beyond the first `silent` answer every call.
+    """
+
+    def __init__(self, silent: int) -> None:
+        self._silent = silent
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
+        self.accepted = 0
+        self.calls = 0
+        self.refuses = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            if self.refuses:
+                conn.close()
+                continue
+            self.accepted += 1
+            falls_silent = self.accepted <= self._silent
+            threading.Thread(target=self._serve, args=(conn, falls_silent), daemon=True).start()
+
+    def _serve(self, conn: socket.socket, falls_silent: bool) -> None:
+        answered = False
+        with conn:
+            while conn.recv(4096):
+                self.calls += 1
+                if falls_silent and answered:
+                    continue
+                answered = True
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+class Client:
+    """Sends calls to one server from a loop of its own."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._runtime = Runtime()
+        self._stop = self._runtime.run_in_thread()
+
+    def call(self, timeout_s: float, again_s: float | None = None) -> HttpResult:
+        return self.together(1, timeout_s, again_s)[0]
+
+    def together(
+        self, count: int, timeout_s: float, again_s: float | None = None
+    ) -> list[HttpResult]:
+        told: list[HttpResult] = []
+        answered = threading.Event()
+
+        def done(got: HttpResult) -> None:
+            told.append(got)
+            if len(told) == count:
+                answered.set()
+
+        call = HttpCall(self._address, "GET", "/", {}, b"", timeout_s, again_s=again_s)
+
+        def send() -> None:
+            for _ in range(count):
+                self._runtime.http.send(call, done)
+
+        self._runtime.post(send)
+        assert answered.wait(WAIT_S)
+        return told
+
+    def close(self) -> None:
+        self._stop()
+
+
+def test_one_time_out_drops_every_kept_connection_that_may_be_silent_too() -> None:
+    """Each of them cost one more call its whole time: seconds in a row without an answer."""
+    server = SilentAfterFirst(3)
+    client = Client(server.address)
+    assert all(got.ok for got in client.together(3, WAIT_S))
+    assert client.call(PAUSE_S).failed is Failed.TIMED_OUT
+    assert client.call(WAIT_S).ok
+    client.close()
+    server.close()
+
+
+def test_a_repeatable_call_is_answered_though_its_connection_fell_silent() -> None:
+    server = SilentAfterFirst(1)
+    client = Client(server.address)
+    assert client.call(WAIT_S).ok
+    assert client.call(WAIT_S, again_s=PAUSE_S).ok
+    assert server.accepted == 2
+    client.close()
+    server.close()
+
+
+def test_a_call_over_a_new_connection_is_not_sent_twice() -> None:
+    """A server that is only slow, or gone, gets no second call."""
+    server = SilentAfterFirst(0)
+    client = Client(server.address)
+    assert client.call(WAIT_S, again_s=0.0).ok
+    assert server.calls == 1
+    client.close()
+    server.close()
+
+
+def test_a_call_sent_twice_without_an_answer_says_that_it_may_have_been_taken() -> None:
+    server = SilentAfterFirst(1)
+    client = Client(server.address)
+    assert client.call(WAIT_S).ok
+    server.refuses = True
+    got = client.call(PAUSE_S * 3, again_s=PAUSE_S)
+    assert got.failed is not None
+    assert got.sent
+    client.close()
+    server.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from spoolcrank import leadership
 from spoolcrank._http import Failed, HttpCall, HttpResult
 from spoolcrank.errors import ErrorKind, SettingsError, SpoolcrankError
 from spoolcrank.figures import Figures
@@ -108,6 +109,19 @@
     assert told[0].more
 
 
+def test_only_what_does_no_harm_twice_is_sent_again_over_a_new_connection() -> None:
+    """A job's record is not: a refusal of the second sending would hide that the first was kept."""
+    http = Http(answer(200, {"offset": 7, "end": 9}))
+    log = StoreLog(http, STORE, "jobs")
+    log.append(Append([KeyedRecord("j/a", b"one")]), lambda got: None)
+    log.append(Append([KeyedRecord("p/a", b"one")], WriterFence(3, 5)), lambda got: None)
+    log.read(10, 700, lambda got: None)
+    assert [call.again_s is not None for call in http.calls] == [False, True, True]
+    heartbeat, silent = leadership.HEARTBEAT_S, leadership.SILENT_S
+    assert http.calls[1].again_s is not None
+    assert heartbeat + 2 * http.calls[1].again_s < silent
+
+
 def started(result: HttpResult) -> OrderResult:
     told: list[Any] = []
     target = Target(RunnerId("i-1"), Address("10.0.0.1:80"), 4)
