--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -15,7 +15,10 @@
 from spoolcrank.__main__ import METRICS_PORT
 from spoolcrank.errors import SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
-from spoolcrank.log_search import lines_about
+from spoolcrank.job_report import plot as draw_report
+from spoolcrank.job_report import report_table
+from spoolcrank.job_times import job_times
+from spoolcrank.log_search import lines_about, parsed
 from spoolcrank.resources import Resources
 from spoolcrank.settings import check_entry
 
@@ -199,6 +202,22 @@
     raise typer.Exit(1 if found.differences else 0)
 
 
+@app.command("report")
+def report_command(
+    logs: Annotated[list[Path], typer.Argument(help="log files of all instances")],
+    plot: Annotated[str, typer.Option(help="PNG file for a plot (extra `plots`)")] = "",
+) -> None:
+    """Tell from instances' logs where the time of each queue's jobs went."""
+    texts = [text for path in logs for text in path.read_text(encoding="utf-8").splitlines()]
+    jobs = job_times(parsed(texts))
+    if not jobs:
+        _ERRORS.print("no line of a job that was accepted and ended stands in these logs")
+        raise typer.Exit(_EXIT_BAD)
+    Console(width=200).print(report_table(jobs))
+    if plot:
+        draw_report(jobs, plot)
+
+
 @app.command("why")
 def why_command(
     wanted: Annotated[str, typer.Argument(metavar="ID", help="a job, a request's path, a runner")],
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -10,6 +10,7 @@
 
 from spoolcrank._timers import Timers
 from spoolcrank.contention import decode_learnt
+from spoolcrank.job_state import JobState
 from spoolcrank.keyed_log import (
     LEADER_KEY,
     LEARNT_KEY,
@@ -131,12 +132,27 @@
         job = job_of_key(record.key)
         if kind is RecordKind.JOB:
             resumed = self._add_job(scheduler, record, now)
-            self._telemetry.log("job-read", job=job, offset=record.offset, resumed=resumed)
+            self._tell_job(scheduler.jobs[job], record.offset, resumed)
         elif kind is RecordKind.CANCEL:
             self._telemetry.log("cancel-read", job=job, offset=record.offset)
             scheduler.cancel(job, now)
         self._wake()
 
+    def _tell_job(self, job: JobState, offset: int, resumed: bool) -> None:
+        steps = job.record.workflow.steps
+        self._telemetry.log(
+            "job-read",
+            job=job.id,
+            offset=offset,
+            resumed=resumed,
+            queue=job.record.route,
+            objective_s=round(job.objective_s, 2),
+            after=[step.after for step in steps],
+            tasks=[step.count for step in steps],
+            millicores=[step.millicores for step in steps],
+            estimate_ms=[step.estimate_ms for step in steps],
+        )
+
     def _add_job(self, scheduler: Scheduler, record: KeyedRecord, now: float) -> bool:
         job = job_of_key(record.key)
         copy = self._follower.copy
@@ -205,7 +221,8 @@
             scheduler.contention.restore(decode_learnt(learnt))
         for key, record in list(copy.newest.items()):
             if record.value and kind_of(key) is RecordKind.JOB:
-                self._add_job(scheduler, record, now)
+                if not self._add_job(scheduler, record, now):
+                    self._tell_job(scheduler.jobs[job_of_key(key)], record.offset, False)
         self._telemetry.log("took-over", grave=True, term=term, jobs=len(scheduler.jobs))
         self._wake()
 
--- a/spoolcrank/log_search.py
+++ b/spoolcrank/log_search.py
@@ -27,11 +27,12 @@
         wanted: the id of a job, a runner, an instance or part of a path.
         texts: log lines; what stands before the first brace of each is passed over.
     """
-    found = [line for line in _parsed(texts) if _names(line, wanted)]
+    found = [line for line in parsed(texts) if _names(line, wanted)]
     return sorted(found, key=lambda line: line.at)
 
 
-def _parsed(texts: Iterable[str]) -> Iterator[Line]:
+def parsed(texts: Iterable[str]) -> Iterator[Line]:
+    """Yield the log lines among some texts; what stands before the first brace is passed over."""
     for text in texts:
         begin = text.find("{")
         if begin < 0:
