--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -11,7 +11,6 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 import msgspec
 
@@ -28,15 +27,17 @@
 SWING_VARIANCE = 0.16
 """Of a task's base around its image's: measured standard deviations were 0.4 on two sites."""
 
-SWING_S = 3.5
-"""Time in which a base falls back to its image's by a factor e, s: measured on two sites, bases
-one second apart correlate by 0.75, two by 0.5; the load of a task swings within some ten."""
+SWING_S = 5.0
+"""Time in which a step's load falls back to its image's by a factor e, s: measured on two sites,
+loads one second apart correlate by about 0.9, two by 0.6; they swing within some ten."""
 
-FORGETTING = 0.01
-"""Added to a weight's variance by each report that bears on it: weights drift in minutes."""
+FORGETTING = 0.002
+"""Added to a weight's variance by each report that bears on it: weights drift in minutes. At 0.01
+some of them followed the swing of the load, harmless to 2.5 and back within 14 s."""
 
-IMAGE_GAIN = 0.01
-"""Share of the way that the base of an image goes towards one task's base with each report."""
+IMAGE_GAIN = 0.001
+"""Share of the way that the base of an image goes towards one step's load with each report; some
+tens come each second, and the base is to outlast a swing."""
 
 PRIOR_BASE = math.log(0.35)
 """Base of an image never seen alone; measured medians are 0.33 to 0.4 of the target."""
@@ -67,25 +68,30 @@
 """The mix that is expected before the first filler came."""
 
 
-class TaskBase(NamedTuple):
-    """The base of one serving task: logarithm of tail over target without fillers.
+@dataclass(slots=True)
+class StepLoad:
+    """The load of one lasting step: logarithm of its tasks' tail over target without fillers.
+
+    All tasks of a step share it, wherever they run: on two sites their tails beside the same
+    second correlate by 0.75 to 0.9, those of two steps by 0.05.
 
     Attributes:
-        level: as estimated at a time.
+        level: as estimated at a time; nothing is known before the first report.
         variance: of that estimate.
         at: the time, monotonic seconds.
     """
 
-    level: float
-    variance: float
-    at: float
+    level: float = 0.0
+    variance: float = SWING_VARIANCE
+    at: float | None = None
 
-    def ahead(self, usual: float, now: float) -> "TaskBase":
-        """Return what is to be expected at a later time, between here and the usual."""
+    def ahead(self, usual: float, now: float) -> tuple[float, float]:
+        """Return level and variance to be expected at a time, between here and the usual."""
+        if self.at is None:
+            return usual, SWING_VARIANCE
         rest = math.exp(-max(0.0, now - self.at) / SWING_S)
         level = usual + (self.level - usual) * rest
-        variance = SWING_VARIANCE + (self.variance - SWING_VARIANCE) * rest * rest
-        return TaskBase(level, variance, now)
+        return level, SWING_VARIANCE + (self.variance - SWING_VARIANCE) * rest * rest
 
 
 class LearntWeight(msgspec.Struct, frozen=True, array_like=True):
@@ -104,10 +110,6 @@
     weights: tuple[LearntWeight, ...] = ()
 
 
-encode_learnt = msgspec.json.Encoder().encode
-decode_learnt = msgspec.json.Decoder(tuple[LearntImage, ...]).decode
-
-
 @dataclass(slots=True)
 class _Judgement:
     """How a pair counts: how likely it is harmless, and the weight that is reckoned with."""
@@ -248,40 +250,31 @@
         """Return what fillers add to the logarithm; each is an image and its share."""
         return sum(self.weight(serving, image) * share for image, share in fillers)
 
-    def task_base(self, serving: str, base: TaskBase | None, now: float) -> TaskBase:
-        """Return what a task's base is expected to be at a time."""
-        usual = self.base(serving)
-        return TaskBase(usual, SWING_VARIANCE, now) if base is None else base.ahead(usual, now)
-
     def learn(
-        self,
-        serving: str,
-        base: TaskBase | None,
-        ratio: float,
-        fillers: dict[str, float],
-        now: float,
-    ) -> TaskBase:
-        """Take one report; returns the task's new base.
+        self, serving: str, load: StepLoad, ratio: float, fillers: dict[str, float], now: float
+    ) -> None:
+        """Take one report of a serving task into its step's load and the weights of its image.
 
         Args:
             serving: the image of the task that serves.
-            base: of this task so far, None for a new one.
+            load: of its step.
             ratio: its tail latency over its target, above 0.
             fillers: share of the instance that each filler image used beside it.
             now: monotonic seconds.
         """
-        before = self.task_base(serving, base, now)
+        usual = self.base(serving)
+        level, variance = load.ahead(usual, now)
         weights = self._weights.setdefault(serving, _Weights())
         seen = [
             (weights.place(image), share)
             for image, share in fillers.items()
             if share >= LEAST_SHARE
         ]
-        expected = before.level + sum(weights.means[place] * share for place, share in seen)
+        expected = level + sum(weights.means[place] * share for place, share in seen)
         residual = math.log(ratio) - expected
         residual = max(-LARGEST_RESIDUAL, min(LARGEST_RESIDUAL, residual))
-        gain = before.variance / weights.update(seen, residual, before.variance + NOISE_VARIANCE)
-        level = before.level + gain * residual
-        of_image = self.base(serving)
-        self._bases[serving] = of_image + IMAGE_GAIN * (level - of_image)
-        return TaskBase(level, (1.0 - gain) * before.variance, now)
+        gain = variance / weights.update(seen, residual, variance + NOISE_VARIANCE)
+        load.level = level + gain * residual
+        load.variance = (1.0 - gain) * variance
+        load.at = now
+        self._bases[serving] = usual + IMAGE_GAIN * (load.level - usual)
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
-from spoolcrank.contention import decode_learnt
 from spoolcrank.job_state import JobState
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -25,7 +24,9 @@
 )
 from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
 from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
+from spoolcrank.learnt import decode_learnt
 from spoolcrank.log_follower import LogFollower
+from spoolcrank.mechanisms import Mechanism
 from spoolcrank.notes import GRAVE
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
@@ -34,7 +35,7 @@
 from spoolcrank.run_control import polls_due, tick
 from spoolcrank.runner_listing import list_runners
 from spoolcrank.runner_port import RunnerPort
-from spoolcrank.runner_state import RunnerEntry
+from spoolcrank.runner_state import LEASE_MS, RunnerEntry
 from spoolcrank.scheduler import Batch, RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, Appended, LogPort, WriterFence
 from spoolcrank.telemetry import Telemetry
@@ -66,6 +67,8 @@
         telemetry: Telemetry,
         clock: Callable[[], float] = time.monotonic,
         time_of_day: Callable[[], float] = time.time,
+        lease_ms: int = LEASE_MS,
+        without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self.leadership = leadership
         self.scheduler: Scheduler | None = None
@@ -76,6 +79,8 @@
         self._sender = OrderSender(runners, clock, self._on_answer, self._guard)
         self._timers = timers
         self._telemetry = telemetry
+        self._lease_ms = lease_ms
+        self._without = without
         self._clock = clock
         self._time_of_day = time_of_day
         self._writer: LeaderWriter | None = None
@@ -210,15 +215,18 @@
         )
         self._regrouping = Regrouping()
         self._heir = NO_HEIR
-        scheduler = Scheduler(term, now, self.leadership.leader_wrote_at)
+        scheduler = Scheduler(term, now, self.leadership.leader_wrote_at, self._lease_ms)
         scheduler.routes = dict(self._routes)
+        scheduler.without = self._without
         self.scheduler = scheduler
         self.leadership.confirmed(now)
         self._runner_follower.begin()
         copy = self._follower.copy
         learnt = copy.value(LEARNT_KEY)
         if learnt:
-            scheduler.contention.restore(decode_learnt(learnt))
+            stored = decode_learnt(learnt)
+            scheduler.contention.restore(stored.images)
+            scheduler.times.restore(stored.times)
         for key, record in list(copy.newest.items()):
             if record.value and kind_of(key) is RecordKind.JOB:
                 if not self._add_job(scheduler, record, now):
@@ -287,8 +295,9 @@
             self.scheduler.drop_ended(now)
             self.scheduler.keep_learnt(now)
             forecast(self.scheduler, now)
-            for task, source, destination in self._regrouping.moves(self.scheduler, now):
-                self.scheduler.move(task, source, destination, now)
+            if self.scheduler.uses(Mechanism.REGROUPING):
+                for task, source, destination in self._regrouping.moves(self.scheduler, now):
+                    self.scheduler.move(task, source, destination, now)
         self._work()
 
     def _wake(self) -> None:
--- a/spoolcrank/filler_pace.py
+++ b/spoolcrank/filler_pace.py
@@ -33,8 +33,7 @@
     state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, pace: int, now: float
 ) -> None:
     """Let a filler work at a share of its speed from now on."""
-    runner.set_pace(run, pace)
-    run.paced_at = now
+    runner.set_pace(run, pace, now)
     if pace > HALF_PACE:
         run.slow_since = None
     elif run.slow_since is None:
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from spoolcrank.contention import StepLoad
 from spoolcrank.ids import JobId
 from spoolcrank.workflow import (
     JobPhase,
@@ -45,12 +46,21 @@
 
 @dataclass
 class StepState:
-    """One step of one round; `waiting` holds the indices of its waiting tasks, in order."""
+    """One step of one round.
+
+    Attributes:
+        spec: what was asked for.
+        tasks: in order.
+        waiting: the indices of the waiting ones, in order.
+        done: how many are.
+        load: of its tasks together, where they serve.
+    """
 
     spec: Step
     tasks: list[TaskState]
     waiting: dict[int, None]
     done: int = 0
+    load: StepLoad = field(default_factory=StepLoad)
 
     @staticmethod
     def fresh(spec: Step) -> "StepState":
--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -16,8 +16,8 @@
 from spoolcrank.log_search import Line
 from spoolcrank.workflow import TaskKey
 
-DECISIONS = frozenset({"task-bound", "took-over"})
-"""Nothing was decided between the last binding of a leader and the next one's takeover."""
+DECISIONS = frozenset({"job-read", "task-bound", "took-over"})
+"""Nothing was decided between the last of these by one leader and the next one's takeover."""
 
 
 class Cause(Enum):
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -22,10 +22,11 @@
 JITTER_S = 0.4
 """Claims of several instances are spread over so long, s; about ten appends of the log."""
 
-SELF_FENCE_S = 4.0
-"""A leader whose newest write was confirmed longer ago extends no lease, s. With the lease it
-says for how long tasks live through an outage of the store (7 s), and for how long those of a
-runner that died with its leader have to wait (9 s; after 10 s they would count as lost)."""
+SELF_FENCE_S = 1.7
+"""A leader whose newest write was confirmed longer ago extends no lease, s: two calls of the store.
+With the lease (7.5 s) it says for how long tasks live through an outage of the store, and for how
+long those of a runner that died with its leader have to wait (9.5 s with the clocks' drift; after
+10 s they would count as lost)."""
 
 
 MUCH_LARGER = 1.5
--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -3,6 +3,7 @@
 import math
 
 from spoolcrank.filler_pace import AIM, LEAST_PACE, fillers, order_pace
+from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import Report
 from spoolcrank.packing import SMALL_EFFECT, SURELY_HARMLESS
 from spoolcrank.placing import has_harmless_place
@@ -49,7 +50,7 @@
     for run in runner.runs.values():
         if run.serves and run.tail_ms > 0 and run.percent == 100:
             ratio = run.tail_ms / run.target_ms
-            run.base = state.contention.learn(run.image, run.base, ratio, shares, now)
+            state.contention.learn(run.image, run.load, ratio, shares, now)
 
 
 def filler_use(runner: RunnerState, report: Report, now: float) -> dict[str, float]:
@@ -85,9 +86,11 @@
         _slow_down(state, runner, pressed, ratio, now)
     elif ratio <= RELAXED:
         _speed_up(state, runner, pressed, ratio, now)
-    if all(run.over_since is None for run in runner.runs.values()):
+    calm = all(run.over_since is None for run in runner.runs.values())
+    if calm and state.uses(Mechanism.FREEING):
         _free_harmless(state, runner, now)
-    _move_slow(state, runner, now)
+    if state.uses(Mechanism.MOVING):
+        _move_slow(state, runner, now)
 
 
 def _most_pressed(runner: RunnerState) -> Run | None:
@@ -163,7 +166,7 @@
     shares = runner.filler_shares(now)
     effects = {image: state.contention.effect(image, shares.items()) for image in runner.serving}
     return max(
-        state.contention.task_base(run.image, run.base, now).level + effects[run.image]
+        run.load.ahead(state.contention.base(run.image), now)[0] + effects[run.image]
         for run in runner.runs.values()
         if run.serves
     )
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -169,7 +169,7 @@
     for run in runner.runs.values():
         if run.serves:
             over = over or run.over_since is not None
-            base = contention.task_base(run.image, run.base, now + AHEAD_S).level
+            base, _ = run.load.ahead(contention.base(run.image), now + AHEAD_S)
             bases[run.image] = max(base, bases.get(run.image, base))
     left = tuple(
         (image, LOG_TAIL_SHARE - base - contention.effect(image, shares.items()))
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -6,12 +6,16 @@
 from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
-from spoolcrank.objective import work_order
+from spoolcrank.mechanisms import Mechanism
+from spoolcrank.objective import Prospect, work_order
 from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, worst_effect
 from spoolcrank.runner_state import RunnerState, RunStage
 from spoolcrank.scheduler import NoPlace, Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
 
+Kind = tuple[ServiceName, str]
+"""A service and an image: tasks of one kind compete for the same places."""
+
 MISSES = 3
 """A pass over waiting work ends for tasks of one image after so many steps that found no place;
 trying all of a long queue costs more than a place that is found a pass later."""
@@ -51,7 +55,7 @@
     demand = _short_running(state) + _short_waiting(state)
     state.short_demand += share * (demand - state.short_demand)
     usable = sum(1 for runner in state.runners.values() if runner.usable(now))
-    if state.short_demand < 1.0 or not usable:
+    if state.short_demand < 1.0 or not usable or not state.uses(Mechanism.RESERVE):
         state.reserve = 0
     else:
         state.reserve = max(LEAST_RESERVE, int(RESERVE * state.short_demand / usable))
@@ -101,10 +105,12 @@
     for job_id in list(state.timed):
         _open_due(state, state.jobs[job_id], time_of_day_ms)
     pools = state.pools(now)
-    misses: dict[tuple[ServiceName, str], int] = {}
-    ready = [state.jobs[job_id] for job_id in state.ready]
-    for job in sorted(ready, key=lambda one: _rank(state, one, now)):
-        _place_job(state, job, pools, misses, now)
+    misses: dict[Kind, int] = {}
+    claimed: dict[Kind, Prospect] = {}
+    ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
+    ready.sort(key=lambda one: one[0])
+    for rank, job in ready:
+        _place_job(state, job, Prospect(max(0, rank[3][0])), pools, misses, claimed, now)
 
 
 def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
@@ -117,11 +123,14 @@
 def _place_job(
     state: Scheduler,
     job: JobState,
+    prospect: Prospect,
     pools: Mapping[ServiceName, list[RunnerState]],
-    misses: dict[tuple[ServiceName, str], int],
+    misses: dict[Kind, int],
+    claimed: dict[Kind, Prospect],
     now: float,
 ) -> None:
-    if job.lasting and not job.begun and now - job.accepted_at < GATHER_LASTING_S:
+    gathers = state.uses(Mechanism.GATHERING) and job.lasting and not job.begun
+    if gathers and now - job.accepted_at < GATHER_LASTING_S:
         return
     service = state.service_of(job)
     runners = pools.get(service, [])
@@ -134,21 +143,31 @@
                 still_waits = True
                 continue
             if step.spec.fills and _was_refused(state, kind, step, now):
+                _claim(state, claimed, kind, prospect)
+                still_waits = True
+                continue
+            # What has more to gain waits for the next place of its image: no less takes it.
+            if step.spec.fills and claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
             if not _place_step(state, job, held.number, number, step, runners, now):
                 misses[kind] = misses.get(kind, 0) + 1
                 still_waits = True
                 if step.spec.fills:
+                    _claim(state, claimed, kind, prospect)
                     until = now + FILLER_RETRY_S
                     state.no_place[kind] = NoPlace(step.spec.millicores, until)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
-def _was_refused(
-    state: Scheduler, kind: tuple[ServiceName, str], step: StepState, now: float
-) -> bool:
+def _claim(state: Scheduler, claimed: dict[Kind, Prospect], kind: Kind, prospect: Prospect) -> None:
+    """Let a job that found no place have the next one of its kind before any of less prospect."""
+    if state.uses(Mechanism.CLAIMS):
+        claimed.setdefault(kind, prospect)
+
+
+def _was_refused(state: Scheduler, kind: Kind, step: StepState, now: float) -> bool:
     """Tell whether such a filler found no place a moment ago."""
     held = state.no_place.get(kind)
     return held is not None and now < held.until and step.spec.millicores >= held.millicores
@@ -190,7 +209,7 @@
             return False
         held[runner.id] = held.get(runner.id, 0) + 1
         state.bind(job, key, task.run + 1, runner, now)
-        if step.spec.target_ms:
+        if step.spec.target_ms and state.uses(Mechanism.MAKING_WAY):
             make_way(state, runner, step.spec.image, now)
     return not held_back
 
@@ -291,4 +310,4 @@
         if job.begun:
             return (priority, 0, "", (-1, job.order))
         return (priority, 1, job.record.workflow.steps[0].image, (0, job.order))
-    return (priority, 0, "", work_order(job, now))
+    return (priority, 0, "", work_order(job, state.times, now))
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -17,12 +17,14 @@
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
+from spoolcrank.mechanisms import Mechanism, switched_off
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import configuration_of, runner_of
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import FILE_VARIABLE, PlatformSettings, read_settings
 from spoolcrank.platform.store import StoreLog
 from spoolcrank.routes import RouteTable
+from spoolcrank.runner_state import LEASE_MS
 from spoolcrank.scheduler import RoutePolicy
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.workflow import RouteName
@@ -51,7 +53,13 @@
 class PlatformDaemon:
     """One instance: takes jobs in, and schedules when it leads."""
 
-    def __init__(self, runtime: Runtime, cfg: PlatformSettings, metrics_port: int) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        cfg: PlatformSettings,
+        metrics_port: int,
+        without: frozenset[Mechanism] = frozenset(),
+    ) -> None:
         self._runtime = runtime
         self._cfg = cfg
         self._routes: RouteTable | None = None
@@ -81,13 +89,21 @@
             PlatformRunners(http),
             timers,
             self.telemetry,
+            lease_ms=min(LEASE_MS, cfg.longest_lease_ms),
+            without=without,
         )
         api = ClientApi(self.intake, self.index, lambda: self._routes, self.telemetry, self.figures)
         self._clients = runtime.serve(cfg.clients, api.answer, "clients")
         self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
         runtime.serve(address_on(cfg.ip, metrics_port), self._answer_metrics, "metrics")
         runtime.on_stop(self._stop)
-        self.telemetry.log("start", grave=True, incarnation=incarnation, clients=cfg.clients)
+        self.telemetry.log(
+            "start",
+            grave=True,
+            incarnation=incarnation,
+            clients=cfg.clients,
+            without=sorted(one.value for one in without),
+        )
         self._configuration.begin()
         self.follower.begin()
 
@@ -198,11 +214,12 @@
     """Run the daemon until it is told to stop; wrong settings end it with one line."""
     try:
         cfg = read_settings(os.environ.get(FILE_VARIABLE, ""))
+        without = switched_off()
     except SettingsError as exc:
         sys.stderr.write(f"spoolcrank: {exc}\n")
         sys.exit(_EXIT_BAD_SETTINGS)
     runtime = Runtime()
-    daemon = PlatformDaemon(runtime, cfg, metrics_port)
+    daemon = PlatformDaemon(runtime, cfg, metrics_port, without)
     signal.signal(signal.SIGHUP, lambda number, frame: runtime.post(daemon.reload))
     runtime.run_here()
 
--- a/spoolcrank/platform/settings.py
+++ b/spoolcrank/platform/settings.py
@@ -22,6 +22,8 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = msgspec.field(name="graceS", default=6.0)
+    # The longest lease that runners keep, not how long anything is held back.
+    longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=10_000)
 
 
 class _Limits(msgspec.Struct):
@@ -50,8 +52,9 @@
         clients: where clients reach it.
         ready: where the balancer asks whether it takes requests.
         store: the store's address.
-        processors: of the instance, in cores of the fleet's usual speed.
         grace_s: from the signal to stop until it is killed, seconds.
+        processors: of the instance, in cores of the fleet's usual speed.
+        longest_lease_ms: runners cut longer leases to that.
     """
 
     instance_id: InstanceId
@@ -62,6 +65,7 @@
     store: Address
     grace_s: float
     processors: float = 1.0
+    longest_lease_ms: int = 10_000
 
 
 _decode = msgspec.json.Decoder(_File).decode
@@ -82,4 +86,5 @@
         raw.platform.address,
         raw.bounds.grace_s,
         raw.limits.share * raw.limits.cores,
+        raw.bounds.longest_lease_ms,
     )
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -6,6 +6,7 @@
 lease that was granted to it has passed.
 """
 
+from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import (
     Answered,
     EndedRow,
@@ -56,10 +57,18 @@
 """A task that is so far, percent, ends before a leaving runner does; others resume elsewhere."""
 
 HUNG_AFTER = 3.0
-"""A task without progress for so many times its estimate stands still."""
+"""A filler without progress for so many times its likely time stands still, as others may leave it
+nothing for a while; a member of a gang too, as it waits for the others."""
 
 HUNG_LEAST_S = 2.5
-"""No task counts as standing still before so long, s; reports come each second."""
+"""None of these counts as standing still before so long, s; reports come each second."""
+
+COUNTED_HUNG_AFTER = 0.6
+"""A task whose processors are counted, and so its own, stands still after a report without progress
+that came so much of its likely time after the last change; it would have shown."""
+
+COUNTED_HUNG_S = 0.9
+"""None of them counts so before so long, s: just below the time between two reports."""
 
 
 # Polls
@@ -163,9 +172,10 @@
     if run.stage in (RunStage.ORDERED, RunStage.UNSURE):
         run.stage = RunStage.RUNNING
         run.since = now
-    if row.percent != run.percent:
-        run.percent = row.percent
+    if row.percent != max(0, run.percent):
         run.moved_at = now
+    run.percent = row.percent
+    run.reported_at = now
     if run.serves:
         run.tail_ms = row.figure
         _watch_target(runner, run, now)
@@ -332,7 +342,7 @@
     if answered.result is OrderResult.DONE:
         return
     if run.pace == pace.percent:
-        runner.set_pace(run, UNKNOWN_PACE)
+        runner.set_pace(run, UNKNOWN_PACE, now)
         run.paced_at = now - SETTLE_S
     state.note("pace-refused", task=pace.task, run=pace.run, result=answered.result.value)
 
@@ -389,11 +399,16 @@
     job = state.jobs.get(key.job)
     if job is None or runner.silent_since is not None or run.percent < 0:
         return
-    estimate_s = job.record.workflow.steps[key.step].estimate_ms / 1000.0
-    patience_s = max(HUNG_LEAST_S, estimate_s * HUNG_AFTER)
     if run.fills and run.pace < 100:
         return
-    if now - max(run.moved_at, run.since) >= patience_s:
+    step = job.record.workflow.steps[key.step]
+    usual_s = state.times.expected_ms(job.record.route, step.estimate_ms) / 1000.0
+    if run.fills or step.gang or not state.uses(Mechanism.HANGS):
+        patience_s = max(HUNG_LEAST_S, usual_s * HUNG_AFTER)
+    else:
+        patience_s = max(COUNTED_HUNG_S, usual_s * COUNTED_HUNG_AFTER)
+    # Only time that reports have covered says anything.
+    if run.reported_at - max(run.moved_at, run.since) >= patience_s:
         state.note("task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent)
         runner.distrust(now)
         job.task(key).refused_by = runner.id
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -49,7 +49,7 @@
 def _list_runner(state: Scheduler, entry: RunnerEntry, now: float) -> None:
     held = state.runners.get(entry.id)
     if held is None:
-        state.runners[entry.id] = RunnerState(entry)
+        state.runners[entry.id] = RunnerState(entry, lease_ms=state.lease_ms)
         state.note("runner-listed", runner=entry.id, leaving=entry.leaving)
         return
     if held.entry.leaving != entry.leaving:
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -9,12 +9,14 @@
 from enum import Enum
 from typing import NamedTuple
 
-from spoolcrank.contention import TaskBase
+from spoolcrank.contention import StepLoad
 from spoolcrank.ids import Address, AvailabilityZone, ServiceName
 from spoolcrank.workflow import Demand, RunnerId, TaskKey
 
-LEASE_MS = 5000
-"""What one order grants, ms: a takeover (under 3 s) and a poll (1 s) must fit into it."""
+LEASE_MS = 7500
+"""What one order grants, ms, where the runners allow it. Tasks live on behind a cut for so long,
+less the time since the last poll (1 s): zones are cut off for 5.3 to 6.3 s in the users' days, and
+with 5 s every task there lapsed just before the end. What dies with its runner waits as long."""
 
 CLOCK_DRIFT = 0.02
 """A runner's clock may be so much slower than ours; stated by the platform."""
@@ -113,13 +115,16 @@
         since: when the stage began, monotonic seconds.
         percent: newest progress or pace, -1 before the first report.
         moved_at: when `percent` last changed.
+        reported_at: when its runner last listed it.
         tries: orders sent so far in this stage.
         tail_ms: newest tail latency of a task that serves, 0 if unknown.
         over_since: since when every report had the tail over its target; None if not.
-        base: what is learnt of the logarithm of its tail over its target without fillers.
+        load: of its step, where it serves; shared by all tasks of the step.
         used_millicores: newest use of any other task, 0 if unknown.
         pace: percent at which it may work.
         paced_at: when that was set last.
+        worked_before_s: seconds at full pace that it had worked by then.
+        resumed: it began from a checkpoint, or before this leader saw it.
         slow_since: since when it works at half its pace or less; None at more.
     """
 
@@ -135,16 +140,25 @@
     checkpoints: bool = False
     percent: int = -1
     moved_at: float = 0.0
+    reported_at: float = 0.0
     tries: int = 0
     tail_ms: float = 0.0
     over_since: float | None = None
-    base: TaskBase | None = None
+    load: StepLoad = field(default_factory=StepLoad)
     used_millicores: float = 0.0
     pace: int = 100
     paced_at: float = 0.0
+    worked_before_s: float = 0.0
+    resumed: bool = False
     slow_since: float | None = None
     in_flight: bool = False
 
+    def worked_s(self, now: float) -> float:
+        """Return for how long it has been at work, in seconds at full pace."""
+        return self.worked_before_s + max(0.0, now - max(self.since, self.paced_at)) * (
+            self.pace / 100.0
+        )
+
     @property
     def paced_millicores(self) -> int:
         """Return what it uses at its pace if it can."""
@@ -164,6 +178,7 @@
         adopted: it has answered under this leader's fence, so older orders are void there.
         gone: it does not exist any more; nothing runs on it.
         listed: its entry stands in the store.
+        lease_ms: what one order grants here.
         gone_from: its entry is missing, and from then on it counts as leaving; None if listed.
         granted_ms: the latest time, on the runner's clock, that any order may keep it alive to.
         granted_known: whether `granted_ms` covers what earlier leaders granted too.
@@ -176,6 +191,7 @@
     adopted: bool = False
     gone: bool = False
     listed: bool = True
+    lease_ms: int = LEASE_MS
     gone_from: float | None = None
     clock_ms: float = 0.0
     clock_at: float = -1.0
@@ -229,7 +245,9 @@
         While the runner is silent nothing more is granted, so that its runs surely end.
         """
         if self.silent_since is None:
-            self.granted_ms = max(self.granted_ms, float(int(self.clock_lower(now)) + LEASE_MS))
+            self.granted_ms = max(
+                self.granted_ms, float(int(self.clock_lower(now)) + self.lease_ms)
+            )
         return int(self.granted_ms)
 
     def surely_ended(self, now: float) -> bool:
@@ -271,9 +289,11 @@
         self.distrust_s = 0.0
         self.odd_failures = 0
 
-    def set_pace(self, run: Run, pace: int) -> None:
+    def set_pace(self, run: Run, pace: int, now: float) -> None:
         """Take note of a filler's new pace."""
         self.filler_room = None
+        run.worked_before_s = run.worked_s(now)
+        run.paced_at = now
         self.filled_millicores -= run.paced_millicores
         run.pace = pace
         self.filled_millicores += run.paced_millicores
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -8,11 +8,13 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from spoolcrank.contention import Contention, encode_learnt
+from spoolcrank.contention import Contention
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.keyed_log import LEARNT_KEY, KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
+from spoolcrank.learnt import Learnt, encode_learnt
+from spoolcrank.mechanisms import Mechanism
 from spoolcrank.notes import Note
 from spoolcrank.objective import objective_s
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
@@ -26,6 +28,7 @@
     RunStage,
     unlisted,
 )
+from spoolcrank.step_times import StepTimes
 from spoolcrank.workflow import (
     FINAL,
     JobPhase,
@@ -88,14 +91,19 @@
 class Scheduler:
     """What one leader knows and decides during its term."""
 
-    def __init__(self, term: int, now: float, predecessor_wrote_at: float) -> None:
+    def __init__(
+        self, term: int, now: float, predecessor_wrote_at: float, lease_ms: int = LEASE_MS
+    ) -> None:
         self.term = term
+        self.lease_ms = lease_ms
+        self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
         self.predecessor_wrote_at = predecessor_wrote_at
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
+        self.times = StepTimes()
         self.reserve = 0
         self.short_demand = 0.0
         self.forecast_at = now
@@ -114,6 +122,10 @@
         """Keep one decision for the log."""
         self.notes.append(Note(name, fields))
 
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is in use."""
+        return mechanism not in self.without
+
     # Jobs
 
     def add_job(
@@ -130,7 +142,7 @@
         if job_id in self.jobs:
             return
         job = JobState(job_id, record, order)
-        job.objective_s = objective_s(job)
+        job.objective_s = objective_s(job, self.times)
         job.accepted_at = now
         if progress is not None:
             job.restore(progress)
@@ -151,16 +163,20 @@
     def _inherit(self, key: TaskKey, task: TaskState, job: JobState) -> None:
         runner = self.runners.get(task.runner)
         if runner is None:
-            runner = RunnerState(unlisted(task.runner, job.record.service), listed=False)
+            runner = RunnerState(
+                unlisted(task.runner, job.record.service), listed=False, lease_ms=self.lease_ms
+            )
             self.runners[task.runner] = runner
         run = self.new_run(job, key, task.run, RunStage.UNSURE, self.began_at)
+        run.resumed = True
         if run.fills:
             run.pace = UNKNOWN_PACE
         runner.add(key, run)
 
     def new_run(self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float) -> Run:
         """Return a run of a task as it counts against a runner."""
-        spec = job.record.workflow.steps[key.step]
+        step = job.rounds[key.round].steps[key.step]
+        spec = step.spec
         return Run(
             number,
             stage,
@@ -172,6 +188,7 @@
             target_ms=spec.target_ms,
             lasting=spec.lasting,
             checkpoints=spec.checkpoints,
+            load=step.load,
         )
 
     def cancel(self, job_id: JobId, now: float) -> None:
@@ -251,6 +268,9 @@
         step = job.rounds[key.round].steps[key.step]
         self._dirty[job.id] = None
         if how is EndKind.DONE and not step.spec.lasting:
+            if self.uses(Mechanism.TIMES) and run.stage is RunStage.RUNNING and not run.resumed:
+                took_ms = run.worked_s(now) * 1000.0
+                self.times.learn(job.record.route, step.spec.estimate_ms, took_ms)
             self._finish_task(job, key, step, task, now)
             return
         if how is EndKind.FAILED:
@@ -338,7 +358,9 @@
         job.begun = True
         if job.phase is JobPhase.PENDING:
             job.phase = JobPhase.RUNNING
-        runner.add(key, self.new_run(job, key, number, RunStage.RECORDED, now))
+        run = self.new_run(job, key, number, RunStage.RECORDED, now)
+        run.resumed = bool(task.saved)
+        runner.add(key, run)
         self._dirty[job.id] = None
         self._starts.append((runner.id, key, number))
         self.note(
@@ -401,8 +423,9 @@
             return
         self._learnt_at = now
         learnt = self.contention.learnt()
-        if learnt:
-            self._others.append(KeyedRecord(LEARNT_KEY, encode_learnt(learnt)))
+        times = self.times.learnt()
+        if learnt or times:
+            self._others.append(KeyedRecord(LEARNT_KEY, encode_learnt(Learnt(learnt, times))))
 
     def drop_ended(self, now: float) -> None:
         """Drop the records of jobs that ended long ago and hold no run any more."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,8 @@
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import read_settings
 from spoolcrank.platform.store import StoreLog
+from spoolcrank.runner_listing import list_runners
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.store_port import Append, AppendOutcome, ReadOutcome, WriterFence
 from spoolcrank.telemetry import HELD_BYTES, Telemetry
 from spoolcrank.workflow import Demand, RunnerId, TaskKey
@@ -254,6 +256,18 @@
         read_settings(str(path))
 
 
+def test_leases_are_no_longer_than_the_runners_keep_them(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(settings_text(bounds={"holdMaxMs": 6000}))
+    assert read_settings(str(path)).longest_lease_ms == 6000
+    state = Scheduler(1, 0.0, 0.0, lease_ms=6000)
+    entry = runner_of("i-1", json.dumps({"service": "s", "address": "10.0.0.1:80"}).encode())
+    list_runners(state, {entry.id: entry}, -1.0, 0.0)
+    runner = state.runners[entry.id]
+    runner.heard(1000.0, 0.0, 0.0)
+    assert runner.grant(0.0) == 7000
+
+
 def test_requirements_are_pinned_in_step_with_the_project() -> None:
     from packaging.requirements import Requirement
 
