--- a/spoolcrank/filler_pace.py
+++ b/spoolcrank/filler_pace.py
@@ -16,7 +16,7 @@
 """A filler that is held back works at this share at least, percent, but where a tail stays over its
 target. One that crawls holds its place, its memory and all later steps of its job: at 10 the job
 missed its time all the same, fillers earned 0.086 less of what they were owed and serving jobs as
-much as at 40 (6 pairs of plays)."""
+much as at 40 (6 paired days)."""
 
 HALF_PACE = 50
 """At this pace or less a filler counts as slow, percent."""
--- a/spoolcrank/objective.py
+++ b/spoolcrank/objective.py
@@ -83,7 +83,7 @@
 
     Begun ones go by the end of their time: what was done for a job that comes too late is lost. Of
     those not begun the newest come first: with all of their time left they surely make it, where
-    the oldest might not (by the end of their time instead: -0.014 worth in 6 pairs of plays).
+    the oldest might not (by the end of their time: 0.014 of all worth less in 6 paired days).
     """
     kind = prospect(job, times, now)
     if kind is Prospect.BEGUN:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -27,7 +27,7 @@
 it is about 0.38, and one report in ten says over 0.62 (24,000 reports of two deployments). A second
 over the target loses four times what the task earns in it, as much as some 17 core-seconds of
 fillers earn. At 0.6 serving jobs earned 0.047 less of what they were owed, fillers as much as at
-0.5 (6 pairs of plays)."""
+0.5 (6 paired days)."""
 
 LOG_TAIL_SHARE = math.log(TAIL_SHARE)
 
@@ -40,8 +40,8 @@
 SURELY_HARMLESS = 0.85
 """A filler that does not matter to a serving image with this likelihood is neither kept from
 its side while the load there is high, nor slowed beside it. Without it a third of the processors
-that harmless fillers had on their runners stood idle in a played overload; fillers earned 0.08
-more of what they were owed (6 pairs of plays, of this and the runners' bound on it together)."""
+that harmless fillers had on their runners stood idle under overload; with it fillers earned 0.08
+more of what they were owed (6 paired days)."""
 
 SMALL_EFFECT = 0.06
 """A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -33,7 +33,7 @@
 
 READ_KB = 320
 """Of one read, kB: more than the largest record (256), and half a second on the slowest links
-played (5 Mbit/s)."""
+seen (5 Mbit/s)."""
 
 _PRODUCER = "leader"
 _LENGTH = struct.Struct(">I")
