Correct comments that named more than their runs gave

Cause: on reading the change again, four comments gave as measured what was chosen, or on two sites what one gave: the spread and the time of a step's load (chosen; only reports of single tasks were measured, 0.75 and 0.5 at one and two seconds), the correlation of one job's tails (one deployment), 24,000 reports (one deployment), 600 steps (they were 1,200); the gain beside SURELY_HARMLESS came from a looser form. Measured: nothing new. Conclusion: figures now say what gave them.

--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -25,11 +25,11 @@
 """Of one report's logarithm around the sum; a report is a rough figure of half a second."""
 
 SWING_VARIANCE = 0.16
-"""Of a task's base around its image's: measured standard deviations were 0.4 on two sites."""
+"""Of a step's load around its image's; chosen, from reports that spread by about 0.4 alone."""
 
 SWING_S = 5.0
-"""Time in which a step's load falls back to its image's by a factor e, s: measured on two sites,
-loads one second apart correlate by about 0.9, two by 0.6; they swing within some ten."""
+"""Time in which a step's load falls back to its image's by a factor e, s: chosen. On two
+deployments a task's reports one second apart correlate by 0.75, two by 0.5, noise included."""
 
 FORGETTING = 0.002
 """Added to a weight's variance by each report that bears on it: weights drift in minutes. At 0.01
@@ -72,8 +72,8 @@
 class StepLoad:
     """The load of one lasting step: logarithm of its tasks' tail over target without fillers.
 
-    All tasks of a step share it, wherever they run: on two sites their tails beside the same
-    second correlate by 0.75 to 0.9, those of two steps by 0.05.
+    All tasks of a step share it, wherever they run: on one deployment their tails in the
+    same second correlate by 0.75 to 0.9, those of two steps by 0.05.
 
     Attributes:
         level: as estimated at a time; nothing is known before the first report.
--- a/spoolcrank/objective.py
+++ b/spoolcrank/objective.py
@@ -20,7 +20,7 @@
 
 UNEVEN = 0.25
 """Deviation of the logarithm of the times of one step's tasks, measured on one deployment (0.23
-to 0.26 in 600 steps of two queues): a step lasts as long as its longest task."""
+to 0.26 in 1,200 steps of two queues): a step lasts as long as its longest task."""
 
 
 class Prospect(IntEnum):
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -24,7 +24,7 @@
 
 TAIL_SHARE = 0.5
 """Fillers may bring what is expected of a serving task's tail to this share of its target. Alone
-it is about 0.38, and one report in ten says over 0.62 (24,000 reports of two deployments). A second
+it is about 0.38, and one report in ten says over 0.62 (24,000 reports of one deployment). A second
 over the target loses four times what the task earns in it, as much as some 17 core-seconds of
 fillers earn. At 0.6 serving jobs earned 0.047 less of what they were owed, fillers as much as at
 0.5 (6 paired days)."""
@@ -41,7 +41,8 @@
 """A filler that does not matter to a serving image with this likelihood is neither kept from
 its side while the load there is high, nor slowed beside it. Without it a third of the processors
 that harmless fillers had on their runners stood idle under overload; with it fillers earned 0.08
-more of what they were owed (6 paired days)."""
+more of what they were owed (6 paired days, in a form that also let them be beside a tail over
+its target)."""
 
 SMALL_EFFECT = 0.06
 """A filler that adds less to the logarithm of a tail is no cause of a tail over its target."""
