Tell why fillers wait, and what became of jobs that never ended

Cause: lines named no image, the report left out jobs without an end, and nothing told why a waiting filler found no place; so the hypotheses of the incident could not be told apart. No decision changed.

--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -15,8 +15,8 @@
 from spoolcrank.__main__ import METRICS_PORT
 from spoolcrank.errors import SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
+from spoolcrank.job_report import image_table, report_table
 from spoolcrank.job_report import plot as draw_report
-from spoolcrank.job_report import report_table
 from spoolcrank.job_times import job_times
 from spoolcrank.log_search import lines_about, parsed
 from spoolcrank.resources import Resources
@@ -213,7 +213,9 @@
     if not jobs:
         _ERRORS.print("no line of a job that was accepted and ended stands in these logs")
         raise typer.Exit(_EXIT_BAD)
-    Console(width=200).print(report_table(jobs))
+    console = Console(width=200)
+    console.print(report_table(jobs))
+    console.print(image_table(jobs))
     if plot:
         draw_report(jobs, plot)
 
--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -228,6 +228,14 @@
         """Return how likely a filler does not matter to a serving image, 0 to 1."""
         return self._judgement(serving, filler).harmless
 
+    def belief(self, serving: str, filler: str) -> tuple[float, float]:
+        """Return mean and variance of what is learnt of a pair's weight."""
+        held = self._weights.get(serving)
+        place = None if held is None else held.index.get(filler)
+        if held is None or place is None:
+            return PRIOR_WEIGHT, PRIOR_VARIANCE
+        return held.means[place], held.covariances[place][place]
+
     def borne(self, serving: frozenset[str]) -> float:
         """Return the share of the expected fillers that likely matters to none of the images."""
         share = self._borne.get(serving)
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
+from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
 from spoolcrank.job_state import JobState
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -85,6 +86,7 @@
         self._time_of_day = time_of_day
         self._writer: LeaderWriter | None = None
         self._regrouping = Regrouping()
+        self._told_backlog_at = -BACKLOG_EVERY_S
         self._claiming = False
         self._woken = False
         self._leaving = False
@@ -153,6 +155,7 @@
             queue=job.record.route,
             objective_s=round(job.objective_s, 2),
             after=[step.after for step in steps],
+            images=[step.image for step in steps],
             tasks=[step.count for step in steps],
             millicores=[step.millicores for step in steps],
             estimate_ms=[step.estimate_ms for step in steps],
@@ -295,6 +298,9 @@
             self.scheduler.drop_ended(now)
             self.scheduler.keep_learnt(now)
             forecast(self.scheduler, now)
+            if now - self._told_backlog_at >= BACKLOG_EVERY_S:
+                self._told_backlog_at = now
+                tell_backlog(self.scheduler, now)
             if self.scheduler.uses(Mechanism.REGROUPING):
                 for task, source, destination in self._regrouping.moves(self.scheduler, now):
                     self.scheduler.move(task, source, destination, now)
--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -1,8 +1,8 @@
-"""Work out from instances' logs where the time of each finished job went.
+"""Work out from instances' logs where the time of each job went.
 
 The path that decided when a job ended is walked backwards: from the task that ended last over
 its runs and the gaps between them to the step it waited for, and on to the job's acceptance. So
-every second of a job has one cause.
+every second of a job has one cause. A job that never ended is walked from the last line on.
 """
 
 from bisect import bisect_right
@@ -50,6 +50,7 @@
     queue: str = ""
     objective_s: float = 0.0
     after: list[list[int]] = field(default_factory=list)
+    images: list[str] = field(default_factory=list)
     runs: dict[TaskKey, list[Run]] = field(default_factory=lambda: defaultdict(list))
     bound: dict[TaskKey, float] = field(default_factory=dict)
     paces: dict[TaskKey, list[tuple[float, float]]] = field(
@@ -57,15 +58,24 @@
     )
 
 
+UNFINISHED = "unfinished"
+"""Phase of a job that has no end in the logs."""
+
+MEASURED = frozenset({"completed", UNFINISHED})
+"""Phases whose time is accounted for; a cancelled job's end says nothing of the scheduler."""
+
+
 class JobTimes(NamedTuple):
-    """One finished job.
+    """One job that completed or never ended.
 
     Attributes:
         job: its id.
         queue: it came in by.
-        took_s: from its acceptance to its end.
+        took_s: from its acceptance to its end, or to the last line.
         objective_s: within what time it should have finished, as the leader reckoned.
         seconds: by cause; they add up to `took_s`.
+        phase: "completed" or "unfinished".
+        images: of its steps.
     """
 
     job: JobId
@@ -73,23 +83,44 @@
     took_s: float
     objective_s: float
     seconds: dict[Cause, float]
+    phase: str
+    images: tuple[str, ...]
 
 
 def job_times(lines: Iterable[Line]) -> list[JobTimes]:
-    """Return where the time of each completed job went."""
+    """Return where the time of each job that completed or never ended went."""
     ordered = sorted(lines, key=lambda line: line.at)
     jobs: dict[JobId, _Job] = defaultdict(_Job)
     for line in ordered:
         _take(jobs, line)
+    for job in jobs.values():
+        _close(job, ordered[-1].at)
     leaderless = _leaderless(ordered)
     return [
-        JobTimes(job_id, job.queue, job.ended_at - job.accepted_at, job.objective_s, seconds)
+        JobTimes(
+            job_id,
+            job.queue,
+            job.ended_at - job.accepted_at,
+            job.objective_s,
+            _walk(job, leaderless),
+            job.phase,
+            tuple(job.images),
+        )
         for job_id, job in jobs.items()
-        if job.phase == "completed" and job.accepted_at >= 0 and job.read_at >= 0
-        for seconds in [_walk(job, leaderless)]
+        if job.phase in MEASURED and job.accepted_at >= 0 and job.read_at >= 0
     ]
 
 
+def _close(job: _Job, last_at: float) -> None:
+    """Let what has no end yet count up to the last line."""
+    if job.phase:
+        return
+    job.phase = UNFINISHED
+    job.ended_at = last_at
+    for key, bound_at in job.bound.items():
+        job.runs[key].append(Run(bound_at, last_at, UNFINISHED))
+
+
 def _take(jobs: dict[JobId, _Job], line: Line) -> None:
     fields = line.fields
     if "task" in fields:
@@ -105,6 +136,7 @@
         job.queue = str(fields.get("queue", ""))
         job.objective_s = float(fields.get("objective_s", 0.0))
         job.after = fields.get("after", [])
+        job.images = fields.get("images", [])
     elif line.event == "job-ended":
         job.ended_at, job.phase = line.at, str(fields["phase"])
 
@@ -143,6 +175,11 @@
     seconds: dict[Cause, float] = defaultdict(float)
     key = _last_task(job, range(len(job.after)))
     until = job.ended_at
+    if job.phase == UNFINISHED:
+        # What came after the last run of all was a wait for the next place.
+        last_at = job.runs[key][-1].ended_at if key is not None else job.read_at
+        _wait(seconds, Cause.PLACE, last_at, until, leaderless)
+        until = last_at
     while key is not None:
         ready_at, before = _ready(job, key)
         until = _walk_task(job, key, ready_at, until, seconds, leaderless)
@@ -195,7 +232,7 @@
     in_all = ended_at - run.bound_at
     if run.how == "failed":
         seconds[Cause.FAILED] += in_all
-    elif run.how not in ("done", "stopped"):
+    elif run.how not in ("done", "stopped", UNFINISHED):
         seconds[Cause.LOST] += in_all
     else:
         at_work = _at_pace(job.paces[key], run.bound_at, ended_at)
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Iterable
+from enum import Enum
 from typing import NamedTuple
 
 from spoolcrank.contention import Contention
@@ -51,6 +52,15 @@
 NO_SERVICE = ServiceName("")
 
 
+class Obstacle(Enum):
+    """Why a runner takes no more of a filler."""
+
+    ROOM = "room"
+    IDLE = "processors"
+    OVER = "over-target"
+    HARM = "harm"
+
+
 class PlacementRequest(NamedTuple):
     """One waiting task as the choice sees it.
 
@@ -141,22 +151,42 @@
     now: float,
     first: tuple[float, ...],
 ) -> tuple[float, ...]:
-    if runner.idle_millicores < step.millicores * FILL_SHARE:
+    effect = _filler_effect(step, runner, contention, now)
+    if isinstance(effect, Obstacle):
         return ()
+    harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
+    # Runners that bear many fillers are left to those that few runners bear.
+    borne = contention.borne(frozenset(runner.serving))
+    return (*first, harmless, -round(borne, 1), -effect, float(runner.idle_millicores))
+
+
+def _filler_effect(
+    step: Step, runner: RunnerState, contention: Contention, now: float
+) -> float | Obstacle:
+    """Return the most that one more filler adds to a tail's logarithm there, or what forbids it."""
+    if runner.idle_millicores < step.millicores * FILL_SHARE:
+        return Obstacle.IDLE
     room = _filler_room(runner, contention, now)
     if room.over:
-        return ()
+        return Obstacle.OVER
     share = runner.share(step.millicores)
     effect = 0.0
     for image, left in room.left:
         more = contention.weight(image, step.image) * share
         if contention.harmless(image, step.image) < SURELY_HARMLESS and more > left:
-            return ()
+            return Obstacle.HARM
         effect = max(effect, more)
-    harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
-    # Runners that bear many fillers are left to those that few runners bear.
-    borne = contention.borne(frozenset(runner.serving))
-    return (*first, harmless, -round(borne, 1), -effect, float(runner.idle_millicores))
+    return effect
+
+
+def filler_obstacle(
+    step: Step, runner: RunnerState, contention: Contention, now: float
+) -> Obstacle | None:
+    """Return why a runner takes no more of a filler, or None where it would."""
+    if not runner.fits(step.demand):
+        return Obstacle.ROOM
+    effect = _filler_effect(step, runner, contention, now)
+    return effect if isinstance(effect, Obstacle) else None
 
 
 def _filler_room(runner: RunnerState, contention: Contention, now: float) -> FillerRoom:
--- a/tests/test_job_times.py
+++ b/tests/test_job_times.py
@@ -81,3 +81,36 @@
     )
     assert round(held.seconds[Cause.NO_LEADER], 6) == 2.0
     assert round(held.seconds[Cause.PLACE], 6) == 1.0
+
+
+def test_a_job_that_never_ended_is_told_with_what_it_still_waited_for() -> None:
+    read = line(1.2, "job-read", job=JOB, queue="q", objective_s=3.0, after=[[]], images=["blue"])
+    held = job_times(
+        [
+            line(1.0, "job-accepted", job=JOB),
+            read,
+            on(2.2, "task-bound", 0),
+            on(3.2, "run-ended", 0, how="stopped"),
+            line(9.2, "leader", term=2),
+        ]
+    )[0]
+    assert held.phase == "unfinished"
+    assert held.images == ("blue",)
+    assert round(held.took_s, 6) == 8.2
+    assert round(held.seconds[Cause.PLACE], 6) == 7.0
+    assert round(held.seconds[Cause.WORK], 6) == 1.0
+    assert round(sum(held.seconds.values()), 6) == 8.2
+
+
+def test_a_run_that_never_ended_counts_as_work_at_its_pace() -> None:
+    held = job_times(
+        [
+            line(1.0, "job-accepted", job=JOB),
+            line(1.0, "job-read", job=JOB, queue="q", objective_s=3.0, after=[[]]),
+            on(1.0, "task-bound", 0),
+            on(3.0, "paced", 0, percent=50),
+            line(7.0, "leader", term=2),
+        ]
+    )[0]
+    assert round(held.seconds[Cause.WORK], 6) == 4.0
+    assert round(held.seconds[Cause.PACE], 6) == 2.0
