Promise waiting tasks a runner ahead, so that starts go on without the store

A successor asks the runner as for any bound run. Tests: the next step starts while the store is away, a successor inherits such starts, and the state machine finds a promise used before it is kept.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
+from spoolcrank.ahead import RECORDS_LATE_S, Promises, start_promised
 from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
 from spoolcrank.job_state import JobState
 from spoolcrank.keyed_log import (
@@ -86,6 +87,7 @@
         self._time_of_day = time_of_day
         self._writer: LeaderWriter | None = None
         self._regrouping = Regrouping()
+        self._promises = Promises()
         self._told_backlog_at = -BACKLOG_EVERY_S
         self._claiming = False
         self._woken = False
@@ -298,6 +300,8 @@
             self.scheduler.drop_ended(now)
             self.scheduler.keep_learnt(now)
             forecast(self.scheduler, now)
+            if self.scheduler.uses(Mechanism.PROMISES):
+                self._promises.renew(self.scheduler, now)
             if now - self._told_backlog_at >= BACKLOG_EVERY_S:
                 self._told_backlog_at = now
                 tell_backlog(self.scheduler, now)
@@ -333,6 +337,11 @@
         now = self._clock()
         listed_at = self._runner_follower.copy.read_at
         may_place = not self._leaving and self._runner_follower.copy.loaded
+        writer = self._writer
+        late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
+        scheduler.may_extend = self.leadership.may_extend(now)
+        if may_place and late:
+            start_promised(scheduler, now)
         if may_place and now - listed_at <= STALE_LIST_S:
             place(scheduler, now, self._time_of_day() * 1000.0)
         self._write(scheduler, now)
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -25,7 +25,8 @@
     """One task: where it stands, its newest run, checkpoint and failures.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
-    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
+    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads. `ahead`
+    is the runner that the next run is promised to in the records, `ahead_kept` that it is kept.
     """
 
     phase: Phase = Phase.WAITING
@@ -37,11 +38,13 @@
     not_before: float = 0.0
     wanted: RunnerId = NO_RUNNER
     wanted_until: float = 0.0
+    ahead: RunnerId = NO_RUNNER
+    ahead_kept: bool = False
 
     @property
     def untouched(self) -> bool:
         """Tell whether nothing about the task needs to be stored."""
-        return self.phase is Phase.WAITING and self.run == 0
+        return self.phase is Phase.WAITING and self.run == 0 and self.ahead == NO_RUNNER
 
 
 @dataclass
@@ -222,13 +225,19 @@
     if step.finished:
         return StepMark(number, step_number, True)
     tasks = tuple(
-        TaskMark(index, task.phase.value, task.run, task.runner, task.saved, task.failures)
-        for index, task in enumerate(step.tasks)
-        if not task.untouched
+        _task_mark(index, task) for index, task in enumerate(step.tasks) if not task.untouched
     )
     return StepMark(number, step_number, False, tasks) if tasks else None
 
 
+def _task_mark(index: int, task: TaskState) -> TaskMark:
+    """Return what is stored of a task; one promised to a runner counts as bound there."""
+    if task.phase is Phase.WAITING and task.ahead != NO_RUNNER:
+        bound = Phase.BOUND.value
+        return TaskMark(index, bound, task.run + 1, task.ahead, task.saved, task.failures)
+    return TaskMark(index, task.phase.value, task.run, task.runner, task.saved, task.failures)
+
+
 def _restore_task(step: StepState, mark: TaskMark) -> None:
     task = step.tasks[mark.index]
     task.phase = Phase(mark.phase)
--- a/spoolcrank/leader_writer.py
+++ b/spoolcrank/leader_writer.py
@@ -39,12 +39,14 @@
         self._sequence = FIRST_SEQUENCE
         self._on_lost = on_lost
         self.busy = False
+        self.busy_since = 0.0
         self.closed = False
         self.stuck_since: float | None = None
 
     def write(self, writing: Writing) -> None:
         """Append; only while not `busy`."""
         self.busy = True
+        self.busy_since = self._clock()
         self._sequence += 1
         fence = WriterFence(self._term, self._sequence)
         self._send(writing._replace(append=writing.append._replace(fence=fence)), self._clock())
--- a/spoolcrank/mechanisms.py
+++ b/spoolcrank/mechanisms.py
@@ -25,6 +25,7 @@
     GATHERING = "gathering"
     TIMES = "times"
     HANGS = "hangs"
+    PROMISES = "promises"
 
 
 def switched_off(environment: Mapping[str, str] = os.environ) -> frozenset[Mechanism]:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -81,11 +81,13 @@
         records: to be appended.
         starts: to be ordered once the records are kept.
         seen: per runner, the ends that may be forgotten then.
+        promises: tasks that are promised to a runner then.
     """
 
     records: list[KeyedRecord]
     starts: list[tuple[RunnerId, TaskKey, int]]
     seen: dict[RunnerId, int]
+    promises: list[tuple[RunnerId, TaskKey, int]]
 
 
 class Scheduler:
@@ -104,6 +106,7 @@
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
         self.times = StepTimes()
+        self.may_extend = True
         self.reserve = 0
         self.short_demand = 0.0
         self.forecast_at = now
@@ -113,6 +116,7 @@
         self.no_place: dict[tuple[ServiceName, str], NoPlace] = {}
         self._dirty: dict[JobId, None] = {}
         self._starts: list[tuple[RunnerId, TaskKey, int]] = []
+        self._promises: list[tuple[RunnerId, TaskKey, int]] = []
         self._ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
         self._others: list[KeyedRecord] = []
@@ -335,7 +339,7 @@
         run.tries += 1
         run.in_flight = True
         payload = job.record.workflow.payload
-        until_ms = runner.grant(now)
+        until_ms = runner.grant(now) if self.may_extend else int(runner.granted_ms)
         target = self.target(runner)
         self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
 
@@ -352,6 +356,8 @@
         if meant is not None:
             meant.promised.pop(key, None)
         task.wanted = NO_RUNNER
+        promised = task.ahead_kept and task.ahead == runner.id and number == task.run + 1
+        task.ahead, task.ahead_kept = NO_RUNNER, False
         task.phase = Phase.BOUND
         task.run = number
         task.runner = runner.id
@@ -362,16 +368,32 @@
         run.resumed = bool(task.saved)
         runner.add(key, run)
         self._dirty[job.id] = None
-        self._starts.append((runner.id, key, number))
+        if promised:
+            # The records name this run and runner already.
+            run.stage = RunStage.ORDERED
+            self.order_start(key, runner, run, now)
+        else:
+            self._starts.append((runner.id, key, number))
         self.note(
             "task-bound",
             task=key,
             run=number,
             runner=runner.id,
+            promised=promised,
             idle_millicores=runner.idle_millicores,
             report_age_ms=round((now - runner.answered_at) * 1000),
         )
 
+    def promise(self, job: JobState, key: TaskKey, runner: RunnerId) -> None:
+        """Promise the next run of a waiting task to a runner, or to none."""
+        task = job.task(key)
+        if task.phase is not Phase.WAITING or task.ahead == runner:
+            return
+        task.ahead, task.ahead_kept = runner, False
+        self._dirty[job.id] = None
+        if runner != NO_RUNNER:
+            self._promises.append((runner, key, task.run + 1))
+
     def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
         """Stop a task, to be started at another runner."""
         task = self.jobs[key.job].task(key)
@@ -395,14 +417,22 @@
             KeyedRecord(progress_key(job_id), encode_progress(self.jobs[job_id].progress()))
             for job_id in self._dirty
         ]
-        batch = Batch(records + self._others, self._starts, seen)
+        batch = Batch(records + self._others, self._starts, seen, self._promises)
         self._dirty = {}
         self._starts = []
+        self._promises = []
         self._others = []
         return batch
 
     def batch_kept(self, batch: Batch, now: float) -> None:
         """Go on with what waited for a batch to be kept."""
+        for runner_id, key, number in batch.promises:
+            job = self.jobs.get(key.job)
+            if job is not None and job.has(key):
+                task = job.task(key)
+                # A later promise may already be on its way: only what still stands is kept.
+                if task.ahead == runner_id and task.run + 1 == number:
+                    task.ahead_kept = True
         for runner_id, seen in batch.seen.items():
             runner = self.runners.get(runner_id)
             if runner is not None:
--- /dev/null
+++ b/tests/test_ahead.py
@@ -0,0 +1,113 @@
+"""Starts go on while the store is away, by promises that its records hold; nothing starts twice."""
+
+import pytest
+
+from spoolcrank.ahead import MOST_PROMISES
+from spoolcrank.job_state import JobState
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
+from tests.fleet_world import World, small
+from tests.test_dispatch import phase, settle
+
+FIRST = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=600)
+NEXT = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=600, after=(0,))
+
+
+def started(world: World, step: int) -> int:
+    return sum(bool(times) for key, times in world.starts.items() if key.step == step)
+
+
+def at_work(work_s: float) -> World:
+    """Return a world whose runners hold leases, with one job at work on its first step."""
+    world = small()
+    for one in world.runners.values():
+        one.work_s = work_s
+    world.instances["entry-0"].submit("f1", FIRST, NEXT)
+    world.run(1.0)
+    return world
+
+
+def test_the_next_step_starts_while_the_store_is_away() -> None:
+    world = at_work(2.0)
+    world.store.silent = True
+    world.run(4.0)
+    assert started(world, 1) == 4
+    world.store.silent = False
+    settle(world, "f1")
+    assert phase(world, "f1") is JobPhase.COMPLETED
+    assert max(len(times) for times in world.starts.values()) == 1
+    assert world.broken == []
+
+
+def test_a_start_by_promise_is_inherited_and_not_made_again() -> None:
+    world = at_work(1.4)
+    world.store.silent = True
+    world.run(2.0)
+    assert started(world, 1) == 4
+    leader = world.leader()
+    assert leader is not None
+    for one in world.runners.values():
+        one.work_s = 9.0
+    leader.kill()
+    world.store.silent = False
+    settle(world, "f1", limit_s=40.0)
+    assert world.broken == []
+
+
+def test_no_promise_is_used_before_it_is_kept() -> None:
+    state, key = promised_but_not_kept()
+    runner = next(iter(state.runners.values()))
+    state.bind(state.jobs[key.job], key, 1, runner, 1.0)
+    assert state.orders == []
+
+
+def promised_but_not_kept() -> tuple[Scheduler, TaskKey]:
+    world = small()
+    world.instances["entry-0"].submit("f1", FIRST)
+    world.run_until(lambda: world.leader() is not None and bool(_jobs(world)))
+    leader = world.leader()
+    assert leader is not None
+    state = leader.dispatcher.scheduler
+    assert state is not None
+    job = next(iter(state.jobs.values()))
+    fresh = JobState(job.id, job.record, job.order)
+    fresh.open_round(0)
+    state.jobs[job.id] = fresh
+    state.orders.clear()
+    key = TaskKey(job.id, 0, 0, 0)
+    state.promise(fresh, key, next(iter(state.runners)))
+    return state, key
+
+
+def _jobs(world: World) -> list[JobState]:
+    leader = world.leader()
+    state = leader.dispatcher.scheduler if leader is not None else None
+    return list(state.jobs.values()) if state is not None else []
+
+
+def test_a_promise_that_was_changed_meanwhile_is_not_taken_as_kept() -> None:
+    state, key = promised_but_not_kept()
+    batch = state.take_batch()
+    assert batch is not None
+    other = list(state.runners)[1]
+    state.promise(state.jobs[key.job], key, other)
+    state.batch_kept(batch, 1.0)
+    assert not state.jobs[key.job].task(key).ahead_kept
+
+
+@pytest.mark.parametrize("jobs", [40])
+def test_no_runner_is_promised_more_than_an_outage_could_use(jobs: int) -> None:
+    world = small()
+    for number in range(jobs):
+        world.instances["entry-0"].submit(f"{number:04x}", FIRST)
+    world.run(1.5)
+    promised: dict[RunnerId, int] = {}
+    for job in _jobs(world):
+        for held in job.rounds.values():
+            for step in held.steps:
+                for index in step.waiting:
+                    runner = step.tasks[index].ahead
+                    if runner:
+                        promised[runner] = promised.get(runner, 0) + 1
+    assert promised
+    assert max(promised.values()) <= MOST_PROMISES
