Take each instance's offer to lead once

Cause: a leader that loads its log anew gets the newest record of each key, the last offer among them, and resigned for an instance that had led and died since. Change: an offer counts once, by its offset.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -93,6 +93,7 @@
         self._woken = False
         self._leaving = False
         self._heir = NO_HEIR
+        self._newest_offer = -1
         self._on_left: Callable[[], None] | None = None
         self._routes: Mapping[RouteName, RoutePolicy] = {}
         timers.every(TICK_S, self._tick)
@@ -198,6 +199,10 @@
             self._take_over(claim.term, now)
 
     def _on_offer(self, record: KeyedRecord, now: float) -> None:
+        # A log that is loaded anew gives the newest offer again; who made it may be gone.
+        if record.offset <= self._newest_offer:
+            return
+        self._newest_offer = record.offset
         offer = decode_offer(record.value)
         if self.leadership.read_offer(offer, now) and self.scheduler is not None:
             self._telemetry.log(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -415,6 +415,23 @@
     assert took_s < 3.0
 
 
+def test_a_leader_that_reads_its_log_anew_hands_over_to_nobody_that_is_gone() -> None:
+    """It read the offer of an instance that had led and died since, and resigned for it."""
+    world = small()
+    large = world.add_instance("large", processors=4.0)
+    world.run_until(lambda: large.leadership.leads, 12.0)
+    large.kill()
+    world.run_until(lambda: world.leader() is not None)
+    world.run(1.0)
+    leader = world.leader()
+    assert leader is not None
+    before = [name for name, _ in leader.logged.lines].count("hands-over")
+    leader.follower.begin()
+    world.run(2.0)
+    assert world.leader() is leader
+    assert [name for name, _ in leader.logged.lines].count("hands-over") == before
+
+
 def test_lasting_tasks_leave_a_runner_whose_entry_went_without_a_word() -> None:
     """Some runners never say that they leave; their tasks stayed until they died with them."""
     world = small()
