Gather records in a module of their own; bound leases by the newest confirmed write

Change: batches and what they wait for in batching and unkept; the time until which leases may be extended stands with the scheduler; promises only for jobs that live, on runners of the job's present service, dropped with the job; a job found running by a promise counts as begun. The soak brought instances back with one undo that might be of another fault: it now undoes until one lives.

--- a/spoolcrank/ahead.py
+++ b/spoolcrank/ahead.py
@@ -9,13 +9,12 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.objective import work_order
 from spoolcrank.packing import PlacementRequest, choose, could_ever_hold, worst_effect
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import RunnerId, TaskKey
+from spoolcrank.workflow import FINAL, RunnerId, TaskKey
 
 PROMISE_EVERY_S = 0.5
 """Between two rounds of promises, s: each rewrites the records of some jobs. Chosen; a tenth of the
@@ -96,7 +95,8 @@
 
 def _in_order(state: Scheduler, now: float) -> list[JobState]:
     """Return the jobs that promises are made to, in the order of work."""
-    jobs = [job for job in state.jobs.values() if not job.lasting and job.rounds]
+    alive = [job for job in state.jobs.values() if job.phase not in FINAL]
+    jobs = [job for job in alive if job.rounds and not job.lasting]
     return sorted(jobs, key=lambda job: work_order(job, state.times, now))
 
 
@@ -123,23 +123,23 @@
             for number, step in list(held.ready()):
                 for index in list(step.waiting):
                     key = TaskKey(job.id, held.number, number, index)
-                    runner = promised_runner(state, key, step, now)
+                    runner = _promised_runner(state, job, key, now)
                     if runner is not None:
                         state.bind(job, key, step.tasks[index].run + 1, runner, now)
 
 
-def promised_runner(
-    state: Scheduler, key: TaskKey, step: StepState, now: float
+def _promised_runner(
+    state: Scheduler, job: JobState, key: TaskKey, now: float
 ) -> RunnerState | None:
     """Return the runner that a task was promised to, if it may start there now."""
-    task = step.tasks[key.number]
+    task = job.task(key)
     runner = state.runners.get(task.ahead) if task.ahead_kept else None
     if runner is None or not runner.usable(now) or task.not_before > now:
         return None
+    if runner.entry.service != state.service_of(job):
+        return None
     if runner.granted_ms - runner.clock_lower(now) < LEAST_LEASE_MS:
         return None
-    request = PlacementRequest(step.spec, {}, task.refused_by, task=key, service=NO_SERVICE)
+    step = job.record.workflow.steps[key.step]
+    request = PlacementRequest(step, {}, task.refused_by, task=key)
     return choose(request, [runner], state.contention, now)
-
-
-NO_SERVICE = ServiceName("")
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -11,6 +11,7 @@
 from spoolcrank._timers import Timers
 from spoolcrank.ahead import RECORDS_LATE_S, Promises, start_promised
 from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
+from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, take_batch
 from spoolcrank.job_state import JobState
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -38,9 +39,10 @@
 from spoolcrank.runner_listing import list_runners
 from spoolcrank.runner_port import RunnerPort
 from spoolcrank.runner_state import LEASE_MS, RunnerEntry
-from spoolcrank.scheduler import Batch, RoutePolicy, Scheduler
+from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, Appended, LogPort, WriterFence
 from spoolcrank.telemetry import Telemetry
+from spoolcrank.unkept import Batch
 from spoolcrank.workflow import RouteName, RunnerId, decode_job, decode_progress, encode
 
 TICK_S = 0.1
@@ -229,7 +231,7 @@
         scheduler.routes = dict(self._routes)
         scheduler.without = self._without
         self.scheduler = scheduler
-        self.leadership.confirmed(now)
+        self._confirmed(scheduler, now)
         self._runner_follower.begin()
         copy = self._follower.copy
         learnt = copy.value(LEARNT_KEY)
@@ -302,8 +304,8 @@
             return
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
-            self.scheduler.drop_ended(now)
-            self.scheduler.keep_learnt(now)
+            drop_ended(self.scheduler, now)
+            keep_learnt(self.scheduler, now)
             forecast(self.scheduler, now)
             if self.scheduler.uses(Mechanism.PROMISES):
                 self._promises.renew(self.scheduler, now)
@@ -344,7 +346,6 @@
         may_place = not self._leaving and self._runner_follower.copy.loaded
         writer = self._writer
         late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
-        scheduler.may_extend = self.leadership.may_extend(now)
         if may_place and late:
             start_promised(scheduler, now)
         if may_place and now - listed_at <= STALE_LIST_S:
@@ -360,11 +361,11 @@
             # What is not kept yet was not ordered, and no runner forgets its end: nothing is lost.
             self._write_claim(writer, resigned=True)
             return
-        batch = scheduler.take_batch()
+        batch = take_batch(scheduler)
         if batch is not None:
             self.leadership.wrote_at = now
             if not batch.records:
-                scheduler.batch_kept(batch, now)
+                batch_kept(scheduler, batch, now)
                 return
             append = Append(batch.records)
             writer.write(Writing(append, lambda sent_at: self._on_kept(batch, sent_at)))
@@ -376,22 +377,28 @@
         claim = self.leadership.own_claim(resigned, self._heir)
 
         def kept(sent_at: float) -> None:
-            self.leadership.confirmed(sent_at)
+            if self.scheduler is not None:
+                self._confirmed(self.scheduler, sent_at)
             if resigned:
                 self._step_down("handed over")
 
         writer.write(Writing(Append([KeyedRecord(LEADER_KEY, encode(claim))]), kept))
 
+    def _confirmed(self, scheduler: Scheduler, sent_at: float) -> None:
+        """Take note of a write that was kept: leases may be extended for a while from then."""
+        self.leadership.confirmed(sent_at)
+        scheduler.extends_until = self.leadership.extends_until
+
     def _on_kept(self, batch: Batch, sent_at: float) -> None:
         scheduler = self.scheduler
         if scheduler is None:
             return
         now = self._clock()
-        self.leadership.confirmed(sent_at)
+        self._confirmed(scheduler, sent_at)
         if now - sent_at > SELF_FENCE_S / 2:
             self._step_down("a write was confirmed too late")
             return
-        scheduler.batch_kept(batch, now)
+        batch_kept(scheduler, batch, now)
         self._work()
 
     # Orders
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -148,6 +148,19 @@
         """Return how many rounds the job has; one without times has one."""
         return max(1, self.record.workflow.rounds)
 
+    def begin(self) -> None:
+        """Take note that a task is bound."""
+        self.begun = True
+        if self.phase is JobPhase.PENDING:
+            self.phase = JobPhase.RUNNING
+
+    def drop_promises(self) -> None:
+        """Forget which runners the next runs are promised to."""
+        for held in self.rounds.values():
+            for step in held.steps:
+                for task in step.tasks:
+                    task.ahead, task.ahead_kept = NO_RUNNER, False
+
     def open_round(self, number: int) -> RoundState:
         """Return a round, begun afresh if it is new."""
         held = self.rounds.get(number)
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -176,7 +176,12 @@
 
     def may_extend(self, now: float) -> bool:
         """Tell whether this leader may still extend leases of runners."""
-        return self.leads and now - self.confirmed_at <= SELF_FENCE_S
+        return self.leads and now <= self.extends_until
+
+    @property
+    def extends_until(self) -> float:
+        """Return until when this leader may extend leases, by its newest confirmed write."""
+        return self.confirmed_at + SELF_FENCE_S
 
     def duty(self, now: float) -> Duty:
         """Return what to do now; asked several times a second."""
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -21,7 +21,7 @@
 from spoolcrank.pacing import SETTLE_S, filler_use, learn, set_paces
 from spoolcrank.runner_state import UNKNOWN_PACE, Run, RunnerState, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
-from spoolcrank.workflow import FINAL, TaskKey
+from spoolcrank.workflow import FINAL, JobPhase, TaskKey
 
 START_TRIES = 2
 """A start without an answer is sent so often before it is stopped instead; most that were
@@ -184,6 +184,10 @@
     job = state.jobs.get(row.task.job)
     if job is None or not job.has(row.task):
         return
+    if job.phase is JobPhase.PENDING:
+        # An earlier leader started it by a promise and could not record that it did.
+        job.begin()
+        state.unkept.change(job.id)
     if row.saved:
         job.task(row.task).saved = row.saved
     if job.phase in FINAL and run.stage is RunStage.RUNNING:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -5,15 +5,14 @@
 on the runners.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from spoolcrank.contention import Contention
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
-from spoolcrank.keyed_log import LEARNT_KEY, KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.leadership import SELF_FENCE_S
-from spoolcrank.learnt import Learnt, encode_learnt
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.notes import Note
 from spoolcrank.objective import objective_s
@@ -29,6 +28,7 @@
     unlisted,
 )
 from spoolcrank.step_times import StepTimes
+from spoolcrank.unkept import BoundRun, Unkept
 from spoolcrank.workflow import (
     FINAL,
     JobPhase,
@@ -38,19 +38,12 @@
     RouteName,
     RunnerId,
     TaskKey,
-    encode_progress,
 )
 
 INHERITED_S = (SELF_FENCE_S + LEASE_MS / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
 """A runner that this leader never reached runs nothing any more so long after the last write
 of the earlier leader, s: that one extends for SELF_FENCE_S at most, by LEASE_MS at most."""
 
-KEEP_ENDED_S = 150.0
-"""Records of an ended job are dropped after so long, s; states are asked for 120 s."""
-
-KEEP_LEARNT_S = 3.0
-"""What is learnt of pairs is stored so often, s; some kilobytes that every instance reads."""
-
 MOVE_PATIENCE_S = 1.5
 """A moved task waits so long for room at the runner that it is meant for, s: where two groups
 change places, a stop takes up to 0.9 s."""
@@ -74,22 +67,6 @@
     until: float
 
 
-class Batch(NamedTuple):
-    """What is to be kept in one append, and what follows once it is.
-
-    Attributes:
-        records: to be appended.
-        starts: to be ordered once the records are kept.
-        seen: per runner, the ends that may be forgotten then.
-        promises: tasks that are promised to a runner then.
-    """
-
-    records: list[KeyedRecord]
-    starts: list[tuple[RunnerId, TaskKey, int]]
-    seen: dict[RunnerId, int]
-    promises: list[tuple[RunnerId, TaskKey, int]]
-
-
 class Scheduler:
     """What one leader knows and decides during its term."""
 
@@ -106,7 +83,7 @@
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
         self.times = StepTimes()
-        self.may_extend = True
+        self.extends_until = math.inf
         self.reserve = 0
         self.short_demand = 0.0
         self.forecast_at = now
@@ -114,13 +91,10 @@
         self.notes: list[Note] = []
         self.ready: dict[JobId, None] = {}
         self.no_place: dict[tuple[ServiceName, str], NoPlace] = {}
-        self._dirty: dict[JobId, None] = {}
-        self._starts: list[tuple[RunnerId, TaskKey, int]] = []
-        self._promises: list[tuple[RunnerId, TaskKey, int]] = []
-        self._ended: list[tuple[float, JobId]] = []
+        self.unkept = Unkept()
+        self.ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
-        self._others: list[KeyedRecord] = []
-        self._learnt_at = now
+        self.learnt_at = now
 
     def note(self, name: str, **fields: Any) -> None:
         """Keep one decision for the log."""
@@ -155,7 +129,7 @@
         for key, task in job.bound():
             self._inherit(key, task, job)
         if job.phase in FINAL:
-            self._ended.append((now, job_id))
+            self.ended.append((now, job_id))
             return
         if record.workflow.rounds:
             self.timed[job_id] = None
@@ -204,10 +178,11 @@
 
     def _end_job(self, job: JobState, phase: JobPhase, now: float) -> None:
         job.phase = phase
-        self._dirty[job.id] = None
+        self.unkept.change(job.id)
         self.ready.pop(job.id, None)
         self.timed.pop(job.id, None)
-        self._ended.append((now, job.id))
+        job.drop_promises()
+        self.ended.append((now, job.id))
         self.note("job-ended", job=job.id, phase=phase.value)
         for key, task in list(job.bound()):
             self.stop_run(key, task.runner, now)
@@ -252,7 +227,7 @@
         task.phase = Phase.WAITING
         task.runner = NO_RUNNER
         job.rounds[key.round].steps[key.step].waiting[key.number] = None
-        self._dirty[job.id] = None
+        self.unkept.change(job.id)
         if job.phase not in FINAL:
             self.ready[job.id] = None
 
@@ -270,7 +245,7 @@
         self.note("run-ended", task=key, run=run.number, runner=runner.id, how=how.value)
         task.saved = saved or task.saved
         step = job.rounds[key.round].steps[key.step]
-        self._dirty[job.id] = None
+        self.unkept.change(job.id)
         if how is EndKind.DONE and not step.spec.lasting:
             if self.uses(Mechanism.TIMES) and run.stage is RunStage.RUNNING and not run.resumed:
                 took_ms = run.worked_s(now) * 1000.0
@@ -339,7 +314,9 @@
         run.tries += 1
         run.in_flight = True
         payload = job.record.workflow.payload
-        until_ms = runner.grant(now) if self.may_extend else int(runner.granted_ms)
+        # Without the store another may lead by now: it counts on no lease being granted any more.
+        extends = now <= self.extends_until
+        until_ms = runner.grant(now) if extends else int(runner.granted_ms)
         target = self.target(runner)
         self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
 
@@ -361,19 +338,17 @@
         task.phase = Phase.BOUND
         task.run = number
         task.runner = runner.id
-        job.begun = True
-        if job.phase is JobPhase.PENDING:
-            job.phase = JobPhase.RUNNING
+        job.begin()
         run = self.new_run(job, key, number, RunStage.RECORDED, now)
         run.resumed = bool(task.saved)
         runner.add(key, run)
-        self._dirty[job.id] = None
+        self.unkept.change(job.id)
         if promised:
             # The records name this run and runner already.
             run.stage = RunStage.ORDERED
             self.order_start(key, runner, run, now)
         else:
-            self._starts.append((runner.id, key, number))
+            self.unkept.starts.append(BoundRun(runner.id, key, number))
         self.note(
             "task-bound",
             task=key,
@@ -390,9 +365,9 @@
         if task.phase is not Phase.WAITING or task.ahead == runner:
             return
         task.ahead, task.ahead_kept = runner, False
-        self._dirty[job.id] = None
+        self.unkept.change(job.id)
         if runner != NO_RUNNER:
-            self._promises.append((runner, key, task.run + 1))
+            self.unkept.promises.append(BoundRun(runner, key, task.run + 1))
 
     def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
         """Stop a task, to be started at another runner."""
@@ -406,70 +381,6 @@
         self.note("task-moves", task=key, runner=source, to=destination)
         self.stop_run(key, source, now)
 
-    # Records
-
-    def take_batch(self) -> Batch | None:
-        """Return what has to be kept now, or None; a later batch waits for this one."""
-        seen = {one.id: one.seen_next for one in self.runners.values() if one.seen_next > one.seen}
-        if not (self._dirty or self._others or seen):
-            return None
-        records = [
-            KeyedRecord(progress_key(job_id), encode_progress(self.jobs[job_id].progress()))
-            for job_id in self._dirty
-        ]
-        batch = Batch(records + self._others, self._starts, seen, self._promises)
-        self._dirty = {}
-        self._starts = []
-        self._promises = []
-        self._others = []
-        return batch
-
-    def batch_kept(self, batch: Batch, now: float) -> None:
-        """Go on with what waited for a batch to be kept."""
-        for runner_id, key, number in batch.promises:
-            job = self.jobs.get(key.job)
-            if job is not None and job.has(key):
-                task = job.task(key)
-                # A later promise may already be on its way: only what still stands is kept.
-                if task.ahead == runner_id and task.run + 1 == number:
-                    task.ahead_kept = True
-        for runner_id, seen in batch.seen.items():
-            runner = self.runners.get(runner_id)
-            if runner is not None:
-                runner.seen = max(runner.seen, seen)
-        for runner_id, key, number in batch.starts:
-            runner = self.runners.get(runner_id)
-            run = runner.runs.get(key) if runner is not None else None
-            if runner is None or run is None or run.number != number:
-                continue
-            if run.stage is RunStage.RECORDED:
-                run.stage = RunStage.ORDERED
-                run.since = now
-                self.order_start(key, runner, run, now)
-
-    def keep_learnt(self, now: float) -> None:
-        """Store what is learnt of pairs now and then, for the next leader."""
-        if now - self._learnt_at < KEEP_LEARNT_S:
-            return
-        self._learnt_at = now
-        learnt = self.contention.learnt()
-        times = self.times.learnt()
-        if learnt or times:
-            self._others.append(KeyedRecord(LEARNT_KEY, encode_learnt(Learnt(learnt, times))))
-
-    def drop_ended(self, now: float) -> None:
-        """Drop the records of jobs that ended long ago and hold no run any more."""
-        kept: list[tuple[float, JobId]] = []
-        for ended_at, job_id in self._ended:
-            job = self.jobs[job_id]
-            if now - ended_at < KEEP_ENDED_S or next(job.bound(), None) is not None:
-                kept.append((ended_at, job_id))
-                continue
-            del self.jobs[job_id]
-            keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
-            self._others += [KeyedRecord(key, b"") for key in keys]
-        self._ended = kept
-
     def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
         """Return the runners that may get new work, by service."""
         pools: dict[ServiceName, list[RunnerState]] = {}
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -3,7 +3,9 @@
 import pytest
 
 from spoolcrank.ahead import MOST_PROMISES
+from spoolcrank.batching import batch_kept, take_batch
 from spoolcrank.job_state import JobState
+from spoolcrank.orders import Start
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests.fleet_world import World, small
@@ -87,11 +89,11 @@
 
 def test_a_promise_that_was_changed_meanwhile_is_not_taken_as_kept() -> None:
     state, key = promised_but_not_kept()
-    batch = state.take_batch()
+    batch = take_batch(state)
     assert batch is not None
     other = list(state.runners)[1]
     state.promise(state.jobs[key.job], key, other)
-    state.batch_kept(batch, 1.0)
+    batch_kept(state, batch, 1.0)
     assert not state.jobs[key.job].task(key).ahead_kept
 
 
@@ -111,3 +113,43 @@
                         promised[runner] = promised.get(runner, 0) + 1
     assert promised
     assert max(promised.values()) <= MOST_PROMISES
+
+
+def test_a_start_without_the_store_extends_no_lease() -> None:
+    """A successor that cannot reach the runner counts on the leases granted before."""
+    state, key = promised_but_not_kept()
+    state.jobs[key.job].task(key).ahead_kept = True
+    runner = next(iter(state.runners.values()))
+    granted_ms = runner.granted_ms
+    now = runner.answered_at + 3.0
+    state.extends_until = now - 1.0
+    state.bind(state.jobs[key.job], key, 1, runner, now)
+    (order,) = state.orders
+    assert isinstance(order, Start)
+    assert order.until_ms == int(granted_ms)
+    assert runner.granted_ms == granted_ms
+
+
+def test_work_without_promises_goes_on_once_the_store_is_back() -> None:
+    world = small()
+    for one in world.runners.values():
+        one.work_s = 3.0
+    many = Step(count=80, millicores=1000, memory_mb=100, estimate_ms=3000)
+    world.instances["entry-0"].submit("f1", many)
+    world.run(1.0)
+    world.store.silent = True
+    world.run(9.5)
+    leader = world.leader()
+    assert leader is not None
+    world.store.silent = False
+    settle(world, "f1")
+    assert not [fields for name, fields in leader.logged.lines if name == "start-refused"]
+    assert world.broken == []
+
+
+def test_a_cancelled_job_leaves_no_promise_in_its_record() -> None:
+    state, key = promised_but_not_kept()
+    state.cancel(key.job, 1.0)
+    batch = take_batch(state)
+    assert batch is not None
+    assert state.jobs[key.job].progress().steps == ()
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -9,11 +9,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from spoolcrank import job_intake, order_sender, run_control
+from spoolcrank.batching import KEEP_ENDED_S
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.orders import Answered, OrderResult
 from spoolcrank.runner_state import RunnerState
-from spoolcrank.scheduler import KEEP_ENDED_S, Scheduler
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, JobPhase, Step
 from tests.fleet_world import World, small
 
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -167,7 +167,7 @@
         world.run(chance.uniform(0.2, 2.5))
         if undone and chance.random() < 0.5:
             undone.pop(chance.randrange(len(undone)))()
-        if not world.instances:
+        while not world.instances:
             undone.pop(0)()
     for undo in undone:
         undo()
