Call what the records give to runners ahead preassignment

Cause: a promise was already the place kept at a runner for a moved task; two meanings under one word mislead.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -26,13 +26,13 @@
         for job_id in unkept.jobs
     ]
     state.unkept = Unkept()
-    return Batch(records + unkept.others, unkept.starts, seen, unkept.promises)
+    return Batch(records + unkept.others, unkept.starts, seen, unkept.preassigned)
 
 
 def batch_kept(state: Scheduler, batch: Batch, now: float) -> None:
     """Go on with what waited for a batch to be kept."""
-    for promised in batch.promises:
-        _promise_kept(state, promised)
+    for bound in batch.preassigned:
+        _preassignment_kept(state, bound)
     for runner_id, seen in batch.seen.items():
         runner = state.runners.get(runner_id)
         if runner is not None:
@@ -41,14 +41,14 @@
         _start(state, bound, now)
 
 
-def _promise_kept(state: Scheduler, promised: BoundRun) -> None:
-    job = state.jobs.get(promised.task.job)
-    if job is None or not job.has(promised.task):
+def _preassignment_kept(state: Scheduler, bound: BoundRun) -> None:
+    job = state.jobs.get(bound.task.job)
+    if job is None or not job.has(bound.task):
         return
-    task = job.task(promised.task)
-    # A later promise may already be on its way: only what still stands is kept.
-    if task.ahead == promised.runner and task.run + 1 == promised.number:
-        task.ahead_kept = True
+    task = job.task(bound.task)
+    # A later one may already be on its way: only what still stands is kept.
+    if task.preassigned == bound.runner and task.run + 1 == bound.number:
+        task.preassigned_kept = True
 
 
 def _start(state: Scheduler, bound: BoundRun, now: float) -> None:
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping
 
 from spoolcrank._timers import Timers
-from spoolcrank.ahead import RECORDS_LATE_S, Promises, start_promised
 from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
 from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, take_batch
 from spoolcrank.job_state import JobState
@@ -34,6 +33,7 @@
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
 from spoolcrank.placing import forecast, place
+from spoolcrank.preassignment import RECORDS_LATE_S, Preassignments, start_preassigned
 from spoolcrank.regrouping import Regrouping
 from spoolcrank.run_control import polls_due, tick
 from spoolcrank.runner_listing import list_runners
@@ -89,7 +89,7 @@
         self._time_of_day = time_of_day
         self._writer: LeaderWriter | None = None
         self._regrouping = Regrouping()
-        self._promises = Promises()
+        self._preassignments = Preassignments()
         self._told_backlog_at = -BACKLOG_EVERY_S
         self._claiming = False
         self._woken = False
@@ -307,8 +307,8 @@
             drop_ended(self.scheduler, now)
             keep_learnt(self.scheduler, now)
             forecast(self.scheduler, now)
-            if self.scheduler.uses(Mechanism.PROMISES):
-                self._promises.renew(self.scheduler, now)
+            if self.scheduler.uses(Mechanism.PREASSIGNING):
+                self._preassignments.renew(self.scheduler, now)
             if now - self._told_backlog_at >= BACKLOG_EVERY_S:
                 self._told_backlog_at = now
                 tell_backlog(self.scheduler, now)
@@ -347,7 +347,7 @@
         writer = self._writer
         late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
         if may_place and late:
-            start_promised(scheduler, now)
+            start_preassigned(scheduler, now)
         if may_place and now - listed_at <= STALE_LIST_S:
             place(scheduler, now, self._time_of_day() * 1000.0)
         self._write(scheduler, now)
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -25,8 +25,8 @@
     """One task: where it stands, its newest run, checkpoint and failures.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
-    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads. `ahead`
-    is the runner that the next run is promised to in the records, `ahead_kept` that it is kept.
+    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads. `preassigned`
+    is the runner that the records give the next run to already, once `preassigned_kept`.
     """
 
     phase: Phase = Phase.WAITING
@@ -38,13 +38,13 @@
     not_before: float = 0.0
     wanted: RunnerId = NO_RUNNER
     wanted_until: float = 0.0
-    ahead: RunnerId = NO_RUNNER
-    ahead_kept: bool = False
+    preassigned: RunnerId = NO_RUNNER
+    preassigned_kept: bool = False
 
     @property
     def untouched(self) -> bool:
         """Tell whether nothing about the task needs to be stored."""
-        return self.phase is Phase.WAITING and self.run == 0 and self.ahead == NO_RUNNER
+        return self.phase is Phase.WAITING and self.run == 0 and self.preassigned == NO_RUNNER
 
 
 @dataclass
@@ -154,12 +154,12 @@
         if self.phase is JobPhase.PENDING:
             self.phase = JobPhase.RUNNING
 
-    def drop_promises(self) -> None:
-        """Forget which runners the next runs are promised to."""
+    def drop_preassigned(self) -> None:
+        """Forget which runners the next runs are preassigned to."""
         for held in self.rounds.values():
             for step in held.steps:
                 for task in step.tasks:
-                    task.ahead, task.ahead_kept = NO_RUNNER, False
+                    task.preassigned, task.preassigned_kept = NO_RUNNER, False
 
     def open_round(self, number: int) -> RoundState:
         """Return a round, begun afresh if it is new."""
@@ -244,10 +244,10 @@
 
 
 def _task_mark(index: int, task: TaskState) -> TaskMark:
-    """Return what is stored of a task; one promised to a runner counts as bound there."""
-    if task.phase is Phase.WAITING and task.ahead != NO_RUNNER:
+    """Return what is stored of a task; a preassigned one counts as bound there."""
+    if task.phase is Phase.WAITING and task.preassigned != NO_RUNNER:
         bound = Phase.BOUND.value
-        return TaskMark(index, bound, task.run + 1, task.ahead, task.saved, task.failures)
+        return TaskMark(index, bound, task.run + 1, task.preassigned, task.saved, task.failures)
     return TaskMark(index, task.phase.value, task.run, task.runner, task.saved, task.failures)
 
 
--- a/spoolcrank/mechanisms.py
+++ b/spoolcrank/mechanisms.py
@@ -25,7 +25,7 @@
     GATHERING = "gathering"
     TIMES = "times"
     HANGS = "hangs"
-    PROMISES = "promises"
+    PREASSIGNING = "preassigning"
 
 
 def switched_off(environment: Mapping[str, str] = os.environ) -> frozenset[Mechanism]:
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -185,7 +185,7 @@
     if job is None or not job.has(row.task):
         return
     if job.phase is JobPhase.PENDING:
-        # An earlier leader started it by a promise and could not record that it did.
+        # An earlier leader started it as preassigned and could not record that it did.
         job.begin()
         state.unkept.change(job.id)
     if row.saved:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -181,7 +181,7 @@
         self.unkept.change(job.id)
         self.ready.pop(job.id, None)
         self.timed.pop(job.id, None)
-        job.drop_promises()
+        job.drop_preassigned()
         self.ended.append((now, job.id))
         self.note("job-ended", job=job.id, phase=phase.value)
         for key, task in list(job.bound()):
@@ -333,8 +333,8 @@
         if meant is not None:
             meant.promised.pop(key, None)
         task.wanted = NO_RUNNER
-        promised = task.ahead_kept and task.ahead == runner.id and number == task.run + 1
-        task.ahead, task.ahead_kept = NO_RUNNER, False
+        recorded = task.preassigned_kept and task.preassigned == runner.id
+        task.preassigned, task.preassigned_kept = NO_RUNNER, False
         task.phase = Phase.BOUND
         task.run = number
         task.runner = runner.id
@@ -343,7 +343,7 @@
         run.resumed = bool(task.saved)
         runner.add(key, run)
         self.unkept.change(job.id)
-        if promised:
+        if recorded:
             # The records name this run and runner already.
             run.stage = RunStage.ORDERED
             self.order_start(key, runner, run, now)
@@ -354,20 +354,20 @@
             task=key,
             run=number,
             runner=runner.id,
-            promised=promised,
+            preassigned=recorded,
             idle_millicores=runner.idle_millicores,
             report_age_ms=round((now - runner.answered_at) * 1000),
         )
 
-    def promise(self, job: JobState, key: TaskKey, runner: RunnerId) -> None:
-        """Promise the next run of a waiting task to a runner, or to none."""
+    def preassign(self, job: JobState, key: TaskKey, runner: RunnerId) -> None:
+        """Let a runner have the next run of a waiting task, or none; see `preassignment`."""
         task = job.task(key)
-        if task.phase is not Phase.WAITING or task.ahead == runner:
+        if task.phase is not Phase.WAITING or task.preassigned == runner:
             return
-        task.ahead, task.ahead_kept = runner, False
+        task.preassigned, task.preassigned_kept = runner, False
         self.unkept.change(job.id)
         if runner != NO_RUNNER:
-            self.unkept.promises.append(BoundRun(runner, key, task.run + 1))
+            self.unkept.preassigned.append(BoundRun(runner, key, task.run + 1))
 
     def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
         """Stop a task, to be started at another runner."""
--- a/spoolcrank/unkept.py
+++ b/spoolcrank/unkept.py
@@ -9,7 +9,7 @@
 
 
 class BoundRun(NamedTuple):
-    """A run of a task that is bound, or promised, to a runner."""
+    """A run of a task that is bound, or preassigned, to a runner."""
 
     runner: RunnerId
     task: TaskKey
@@ -23,13 +23,13 @@
         records: to be appended.
         starts: to be ordered once the records are kept.
         seen: per runner, the ends that may be forgotten then.
-        promises: tasks that are promised to a runner then.
+        preassigned: runs that may be ordered on without another record then.
     """
 
     records: list[KeyedRecord]
     starts: list[BoundRun]
     seen: dict[RunnerId, int]
-    promises: list[BoundRun]
+    preassigned: list[BoundRun]
 
 
 @dataclass
@@ -39,13 +39,13 @@
     Attributes:
         jobs: those whose progress has changed, in that order.
         starts: runs to be ordered once their record is kept.
-        promises: runs that are promised once their record is kept.
+        preassigned: runs that are preassigned once their record is kept.
         others: records that belong to no job's progress.
     """
 
     jobs: dict[JobId, None] = field(default_factory=dict)
     starts: list[BoundRun] = field(default_factory=list)
-    promises: list[BoundRun] = field(default_factory=list)
+    preassigned: list[BoundRun] = field(default_factory=list)
     others: list[KeyedRecord] = field(default_factory=list)
 
     def change(self, job: JobId) -> None:
