--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -25,8 +25,8 @@
     """One task: where it stands, its newest run, checkpoint and failures.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
-    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads. `preassigned`
-    is the runner that the records give the next run to already, once `preassigned_kept`.
+    `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
+    `preassigned` is the runner that the records give the next run to, once `preassigned_kept`.
     """
 
     phase: Phase = Phase.WAITING
