Change whole groups first, and exchange single tasks where none fits

Change: groups of one image move or change places as before, at 1.5 cores for each task; where none can, exchanges of single tasks are weighed.

--- a/spoolcrank/regrouping.py
+++ b/spoolcrank/regrouping.py
@@ -1,23 +1,21 @@
 """Move serving tasks so that more runners can bear more fillers.
 
 Which fillers slow which images is learnt only while they run, after the serving tasks were
-placed, and what comes and goes mixes them again. A runner is worth to fillers what serving and
-short tasks leave of it, times the share of the expected fillers that likely slow none of its
-images. Exchanges of single tasks between two runners, each of which lessens what the images of
-one runner take from each other's fillers, are tried one after the other on a copy of the
-grouping; as many of them are carried out as open the most for the tasks that they move.
+placed. A runner is worth to fillers what serving and short tasks leave of it, times the share
+of the expected fillers that likely slow none of its images. Groups of one image are moved to
+other runners, or swapped with a group there, where that sum rises enough for each moved task;
+where no group can, single tasks are exchanged.
 """
 
-from collections import Counter
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from spoolcrank.ids import ServiceName
+from spoolcrank.contention import Contention
+from spoolcrank.exchanges import STAY_S, Move, at_work, exchange_tasks
 from spoolcrank.packing import open_cores
-from spoolcrank.runner_state import SERVING_USE, Run, RunnerState, RunStage
+from spoolcrank.runner_state import SERVING_USE, Run, RunnerState
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import FINAL, Demand, Phase, RunnerId, Step, TaskKey
+from spoolcrank.workflow import FINAL, Demand, RunnerId, Step, TaskKey
 
 REGROUP_S = 0.5
 """Between two plans, s; a moved task is back at work in about one."""
@@ -25,86 +23,36 @@
 BUSY_S = 2.0
 """A runner takes part in no other change for so long, s; by then its moves have ended."""
 
-LEAST_GAIN = 0.8
-"""Processors for fillers that a plan must open for each task it moves, cores. A task's absence of
-a second costs about what three core-seconds of fillers earn, and those beside its new place that
-it bears badly lose some more, so that this pays within ten seconds. At 0.5 and 1.2 jobs of fillers
-earned alike within 0.01 of what they were owed (14 plays each)."""
+LEAST_GAIN = 1.5
+"""Processors for fillers that a change must open for each task moved, cores. A task's absence
+costs about what three core-seconds of fillers earn, so that this pays within some seconds."""
 
-LEAST_RELIEF = 0.02
-"""For each moved task an exchange lessens by at least this what images on one runner take from each
-other: shares of the expected fillers, summed over pairs of tasks; below it nothing is learnt of
-the pairs yet, or their images bear the same fillers."""
+MOST_TASKS = 8
+"""Larger groups of one image on a runner stay where they are."""
 
-STAY_S = 6.0
-"""A task that came to its runner later than that is not moved again, s: each move costs about one
-second of its work."""
-
-MOST_EXCHANGES = 12
-"""Exchanges in one plan; the rest follows in the next, with newer weights."""
+MOST_CHANGES = 6
+"""Changes in one plan; the rest follows in the next, with newer weights."""
 
 MOST_RUNNERS = 32
 """Runners weighed in one plan; the next plan takes the ones after them. More would cost
-processor time on large fleets: the exchanges grow with the square."""
-
-StepKey = tuple[str, int, int]
-"""Job, round and step."""
-
-
-class Move(NamedTuple):
-    """One task to move, and where to."""
-
-    task: TaskKey
-    source: RunnerId
-    destination: RunnerId
+processor time on large fleets: the swaps grow with the square."""
 
 
-class _Task(NamedTuple):
-    """One serving task that may move."""
-
-    key: TaskKey
-    run: Run
-
-
-@dataclass(eq=False)
-class _Place:
-    """A runner in the grouping that is being planned.
-
-    Attributes:
-        runner: as it is.
-        free: room that is neither taken nor promised.
-        idle: what serving and short tasks leave to fillers, cores.
-        images: serving tasks by image, those that may not move included.
-        tasks: those that may move, by image.
-        steps: tasks of each step held.
-        pressed: by image, what one more task there and those present take from each other.
-    """
+class _Group(NamedTuple):
+    """All tasks of one image on a runner, if every one of them may move."""
 
     runner: RunnerState
-    free: Demand
-    idle: float
-    images: Counter[str]
-    tasks: dict[str, list[_Task]] = field(default_factory=dict)
-    steps: Counter[StepKey] = field(default_factory=Counter)
-    pressed: dict[str, float] = field(default_factory=dict)
-
-    @property
-    def service(self) -> ServiceName:
-        """Return the service of the runner."""
-        return self.runner.entry.service
+    image: str
+    tasks: list[tuple[TaskKey, Run]]
+    demand: Demand
 
 
-class _Exchange(NamedTuple):
-    """A task that goes from one place to another, and the one that comes back, if any.
-
-    `relief` is how much less the images of both places press each other, for each moved task.
-    """
+class _Change(NamedTuple):
+    """Moves that belong together, the runners they touch, and what they open per task, cores."""
 
-    relief: float
-    one: _Place
-    other: _Place
-    going: str
-    coming: str
+    gain: float
+    moves: list[Move]
+    runners: frozenset[RunnerId]
 
 
 class Regrouping:
@@ -117,14 +65,16 @@
 
     def moves(self, state: Scheduler, now: float) -> list[Move]:
         """Return the moves to make now; most times none."""
-        if now - self._planned_at < REGROUP_S:
+        if now - self._planned_at < REGROUP_S or not fillers_held_back(state):
             return []
         self._planned_at = now
-        pressed = pressure(state)
-        if pressed <= 0.0:
-            return []
         self._busy = {runner: until for runner, until in self._busy.items() if until > now}
-        moves = _Plan(state, self._candidates(state, now), pressed, now).moves()
+        moves: list[Move] = []
+        runners = self._candidates(state, now)
+        for change in _best_apart(state, runners, now):
+            moves += change.moves
+        if not moves:
+            moves = exchange_tasks(state, runners, now)
         for move in moves:
             self._busy[move.source] = self._busy[move.destination] = now + BUSY_S
         return moves
@@ -140,243 +90,202 @@
         return (usable[first:] + usable[:first])[:MOST_RUNNERS]
 
 
-def pressure(state: Scheduler) -> float:
-    """Return how much of opened room would be used at once, 0 to 1.
-
-    Where less waits than works it finds a place within about the time of one task, so that moving
-    tasks that serve for it gains little.
-    """
-    at_work = waiting = 0.0
+def fillers_held_back(state: Scheduler) -> bool:
+    """Tell whether fillers wait for a place or work below their full speed."""
     for runner in state.runners.values():
-        for run in runner.runs.values():
-            if run.fills:
-                at_work += run.paced_millicores
-                waiting += run.wanted_millicores - run.paced_millicores
-    for job in state.waiting_jobs():
-        for held in job.rounds.values():
-            for _, step in held.ready():
-                if step.spec.fills:
-                    waiting += len(step.waiting) * step.spec.millicores
-    return min(1.0, waiting / max(1.0, at_work))
-
-
-class _Plan:
-    """One search for a better grouping, on a copy of the present one."""
-
-    def __init__(
-        self, state: Scheduler, runners: list[RunnerState], pressed: float, now: float
-    ) -> None:
-        self._state = state
-        self._contention = state.contention
-        self._pressure = pressed
-        self._away: dict[StepKey, int] = {}
-        self._places = [self._place(runner, now) for runner in runners]
-        images = sorted({image for place in self._places for image in place.images})
-        self._conflicts = {
-            one: {other: self._conflict(one, other) for other in images} for one in images
-        }
-        for place in self._places:
-            self._press(place)
-        self._origins: dict[TaskKey, _Place] = {}
-        self._now_at: dict[TaskKey, _Place] = {}
-        self._found = list(self._exchanges(self._places))
-
-    def moves(self) -> list[Move]:
-        """Return the moves of the first exchanges that together open the most."""
-        before = self._worth()
-        best, best_net = [], 0.0
-        for _ in range(MOST_EXCHANGES):
-            if not self._improve():
-                break
-            moves = self._made()
-            net = (self._worth() - before) * self._pressure - LEAST_GAIN * len(moves)
-            if net > best_net:
-                best, best_net = moves, net
-        return best
-
-    def _place(self, runner: RunnerState, now: float) -> _Place:
-        used = Demand(runner.used_millicores, runner.used_memory_mb, runner.used_accelerators)
-        free = _plus(runner.entry.room, used, -1)
-        for promise in runner.promised.values():
-            free = _plus(free, promise.demand, -1)
-        place = _Place(runner, free, open_cores(runner), Counter(runner.serving))
-        for key, run in runner.runs.items():
-            if not run.serves:
-                continue
-            place.steps[_step_of(key)] += 1
-            if now - run.since >= STAY_S and self._may_move(key):
-                place.tasks.setdefault(run.image, []).append(_Task(key, run))
-        return place
-
-    def _may_move(self, key: TaskKey) -> bool:
-        """Tell whether a task is at work and may be away; a stated bound wants all others there."""
-        job = self._state.jobs.get(key.job)
-        if job is None or job.phase in FINAL or not _at_work(self._state, key):
+        if any(run.fills and run.pace < 100 for run in runner.runs.values()):
+            return True
+    return any(
+        step.spec.fills
+        for job in state.waiting_jobs()
+        for held in job.rounds.values()
+        for _, step in held.ready()
+    )
+
+
+def _best_apart(state: Scheduler, runners: list[RunnerState], now: float) -> list[_Change]:
+    """Return the best changes that touch no runner twice."""
+    groups = [
+        group
+        for runner in runners
+        for image in runner.serving
+        if (group := _group(state, runner, image, now)) is not None
+    ]
+    changes = [*_relocations(state, groups, runners), *_swaps(state, groups)]
+    changes.sort(key=lambda one: -one.gain)
+    chosen: list[_Change] = []
+    touched: set[RunnerId] = set()
+    for change in changes:
+        if len(chosen) < MOST_CHANGES and touched.isdisjoint(change.runners):
+            chosen.append(change)
+            touched |= change.runners
+    return chosen
+
+
+def _group(state: Scheduler, runner: RunnerState, image: str, now: float) -> _Group | None:
+    if runner.serving[image] > MOST_TASKS:
+        return None
+    tasks = [(key, run) for key, run in runner.runs.items() if run.image == image and run.serves]
+    if any(now - run.since < STAY_S for _, run in tasks):
+        return None
+    if not _may_move(state, [key for key, _ in tasks]):
+        return None
+    demands = [run.demand for _, run in tasks]
+    return _Group(runner, image, tasks, _sum(demands))
+
+
+def _sum(demands: Iterable[Demand]) -> Demand:
+    held = list(demands)
+    return Demand(
+        sum(one.millicores for one in held),
+        sum(one.memory_mb for one in held),
+        sum(one.accelerators for one in held),
+    )
+
+
+def _may_move(state: Scheduler, keys: list[TaskKey]) -> bool:
+    """Tell whether tasks are at work and may be away at once.
+
+    A stated bound wants all others of their steps at work; without one a task that finds no place
+    keeps none of its step from moving.
+    """
+    for key in keys:
+        job = state.jobs.get(key.job)
+        if job is None or job.phase in FINAL:
             return False
         step = job.rounds[key.round].steps[key.step]
-        if step.spec.may_be_away < 0:
-            return True
-        held = _step_of(key)
-        if held not in self._away:
-            numbers = range(len(step.tasks))
-            complete = all(_at_work(self._state, key._replace(number=one)) for one in numbers)
-            self._away[held] = 0 if complete else step.spec.may_be_away
-        return self._away[held] < step.spec.may_be_away
-
-    # What a grouping is worth
-
-    def _worth(self) -> float:
-        return sum(
-            max(0.0, place.idle) * self._contention.borne(frozenset(place.images))
-            for place in self._places
-        )
-
-    def _conflict(self, one: str, other: str) -> float:
-        """Return the share of fillers that two images on one runner take from each other."""
-        if one == other:
-            return 0.0
-        borne = self._contention.borne
-        both = borne(frozenset((one, other)))
-        return borne(frozenset((one,))) + borne(frozenset((other,))) - 2.0 * both
-
-    def _press(self, place: _Place) -> None:
-        """Work out what one more task of each image would take and lose there."""
-        place.pressed = {
-            image: sum(count * row[other] for other, count in place.images.items())
-            for image, row in self._conflicts.items()
-        }
-
-    # Exchanges
-
-    def _improve(self) -> bool:
-        """Carry out the exchange that relieves most on the copy; False if there is none."""
-        self._found.sort(key=lambda one: one.relief, reverse=True)
-        for exchange in self._found:
-            pair = self._fitting(exchange)
-            if pair is not None:
-                self._carry_out(exchange, *pair)
-                return True
-        return False
-
-    def _exchanges(self, changed: list[_Place]) -> Iterator[_Exchange]:
-        """Yield the exchanges that any of some places takes part in."""
-        for number, one in enumerate(changed):
-            for other in self._places:
-                # Of two changed places the pair is weighed once.
-                if other in changed[: number + 1] or other.service != one.service:
-                    continue
-                yield from self._between(one, other)
-
-    def _between(self, one: _Place, other: _Place) -> Iterator[_Exchange]:
-        """Yield the exchanges of one task for one of another image, or for none, that relieve."""
-        for going in one.tasks:
-            left = one.pressed[going] - other.pressed[going]
-            if left >= LEAST_RELIEF:
-                yield _Exchange(left, one, other, going, "")
-            row = self._conflicts[going]
-            for coming in other.tasks:
-                came = other.pressed[coming] - one.pressed[coming]
-                # Each was pressed by the other where it comes from, and is not where it goes.
-                relief = (left + came + 2.0 * row[coming]) / 2.0
-                if relief >= LEAST_RELIEF and coming != going:
-                    yield _Exchange(relief, one, other, going, coming)
-        for coming in other.tasks:
-            left = other.pressed[coming] - one.pressed[coming]
-            if left >= LEAST_RELIEF:
-                yield _Exchange(left, other, one, coming, "")
-
-    def _fitting(self, exchange: _Exchange) -> tuple[_Task, _Task | None] | None:
-        """Return the tasks of an exchange that fit best, or None."""
-        one, other = exchange.one, exchange.other
-        best: tuple[_Task, _Task | None] | None = None
-        least = 0
-        back: list[_Task | None] = [None]
-        if exchange.coming:
-            back = list(other.tasks[exchange.coming])
-        for going in one.tasks[exchange.going]:
-            if not self._allowed(going, other):
-                continue
-            for coming in back:
-                if coming is not None and not self._allowed(coming, one):
-                    continue
-                if not _fits_swapped(one, other, going, coming):
-                    continue
-                uneven = going.run.demand.millicores
-                if coming is not None:
-                    uneven = abs(uneven - coming.run.demand.millicores)
-                if best is None or uneven < least:
-                    best, least = (going, coming), uneven
-        return best
-
-    def _allowed(self, task: _Task, place: _Place) -> bool:
-        held = self._state.jobs[task.key.job].rounds[task.key.round].steps[task.key.step]
-        step: Step = held.spec
-        if step.label and step.label not in place.runner.entry.labels:
+        away = sum(1 for one in keys if one[:3] == key[:3])
+        if 0 <= step.spec.may_be_away < away:
             return False
-        bound = step.max_per_instance
-        if bound and place.steps[_step_of(task.key)] >= bound:
+        bound = step.spec.may_be_away >= 0
+        others = range(len(step.tasks)) if bound else [key.number]
+        if not all(at_work(state, key._replace(number=one)) for one in others):
             return False
-        origin = self._origins.get(task.key)
-        # Who moves for the first time in this plan has to be free to be away.
-        return origin is not None or self._may_move(task.key)
-
-    def _carry_out(self, exchange: _Exchange, going: _Task, coming: _Task | None) -> None:
-        self._shift(going, exchange.one, exchange.other)
-        if coming is not None:
-            self._shift(coming, exchange.other, exchange.one)
-        changed = [exchange.one, exchange.other]
-        for place in changed:
-            self._press(place)
-        kept = [held for held in self._found if held.one not in changed]
-        self._found = [held for held in kept if held.other not in changed]
-        self._found += self._exchanges(changed)
-
-    def _shift(self, task: _Task, source: _Place, place: _Place) -> None:
-        step = _step_of(task.key)
-        if task.key not in self._origins:
-            self._origins[task.key] = source
-            if step in self._away:
-                self._away[step] += 1
-        self._now_at[task.key] = place
-        image, demand = task.run.image, task.run.demand
-        for held, sign in ((source, -1), (place, 1)):
-            held.free = _plus(held.free, demand, -sign)
-            held.idle -= sign * demand.millicores * SERVING_USE / 1000.0
-            held.steps[step] += sign
-            held.images[image] += sign
-        source.tasks[image].remove(task)
-        place.tasks.setdefault(image, []).append(task)
-        if not source.tasks[image]:
-            del source.tasks[image]
-        if not source.images[image]:
-            del source.images[image]
-
-    def _made(self) -> list[Move]:
-        """Return the moves from where tasks are to where the copy has them."""
-        return [
-            Move(key, origin.runner.id, self._now_at[key].runner.id)
-            for key, origin in self._origins.items()
-            if self._now_at[key] is not origin
-        ]
+    return bool(keys)
 
 
-def _step_of(key: TaskKey) -> StepKey:
-    return (key.job, key.round, key.step)
+def _worth(contention: Contention, idle: float, images: Iterable[str]) -> float:
+    return max(0.0, idle) * contention.borne(frozenset(images))
 
 
-def _plus(one: Demand, other: Demand, sign: int) -> Demand:
-    return Demand(*(have + sign * more for have, more in zip(one, other, strict=True)))
+def _taken(millicores: int) -> float:
+    """Return what serving tasks of a size likely use, cores."""
+    return millicores * SERVING_USE / 1000.0
 
 
-def _fits_swapped(one: _Place, other: _Place, going: _Task, coming: _Task | None) -> bool:
-    back = coming.run.demand if coming is not None else Demand()
-    there = _plus(_plus(other.free, back, 1), going.run.demand, -1)
-    here = _plus(_plus(one.free, going.run.demand, 1), back, -1)
-    return min(there) >= 0 and min(here) >= 0
+def _relocations(
+    state: Scheduler, groups: list[_Group], runners: list[RunnerState]
+) -> Iterator[_Change]:
+    contention = state.contention
+    for group in groups:
+        source = group.runner
+        idle = open_cores(source)
+        rest = [image for image in source.serving if image != group.image]
+        opened = _worth(contention, idle + _taken(group.demand.millicores), rest) - _worth(
+            contention, idle, source.serving
+        )
+        if opened / len(group.tasks) < LEAST_GAIN:
+            continue
+        change = _relocation(state, group, runners, opened)
+        if change is not None:
+            yield change
+
+
+def _relocation(
+    state: Scheduler, group: _Group, runners: list[RunnerState], opened: float
+) -> _Change | None:
+    moves: list[Move] = []
+    added: dict[RunnerId, list[tuple[TaskKey, Run]]] = {}
+    for task in group.tasks:
+        best: RunnerState | None = None
+        least = 0.0
+        for place in runners:
+            if place is group.runner or place.entry.service != group.runner.entry.service:
+                continue
+            more = [*added.get(place.id, []), task]
+            if not _takes(state, place, more, Demand()):
+                continue
+            closed = _closed(state.contention, place, group.image, task[1], len(more) - 1)
+            if best is None or closed < least:
+                best, least = place, closed
+        if best is None:
+            return None
+        opened -= least
+        added.setdefault(best.id, []).append(task)
+        moves.append(Move(task[0], group.runner.id, best.id))
+    gain = opened / len(moves)
+    if gain < LEAST_GAIN:
+        return None
+    return _Change(gain, moves, frozenset((group.runner.id, *added)))
+
+
+def _closed(contention: Contention, place: RunnerState, image: str, run: Run, before: int) -> float:
+    """Return what one more task closes to fillers, where `before` of its group go there too."""
+    taken = _taken(run.demand.millicores)
+    idle = open_cores(place) - before * taken
+    held = (*place.serving, image) if before else place.serving
+    return _worth(contention, idle, held) - _worth(
+        contention, idle - taken, (*place.serving, image)
+    )
+
+
+def _swaps(state: Scheduler, groups: list[_Group]) -> Iterator[_Change]:
+    for number, one in enumerate(groups):
+        for other in groups[number + 1 :]:
+            if one.runner is other.runner or one.image == other.image:
+                continue
+            if one.runner.entry.service != other.runner.entry.service:
+                continue
+            count = len(one.tasks) + len(other.tasks)
+            gain = _swap_gain(state.contention, one, other) / count
+            if gain >= LEAST_GAIN and _fit_swapped(state, one, other):
+                yield _Change(
+                    gain,
+                    [*_moves_to(one, other.runner.id), *_moves_to(other, one.runner.id)],
+                    frozenset((one.runner.id, other.runner.id)),
+                )
+
+
+def _swap_gain(contention: Contention, one: _Group, other: _Group) -> float:
+    gain = 0.0
+    for leaving, coming in ((one, other), (other, one)):
+        runner = leaving.runner
+        idle = open_cores(runner)
+        images = [image for image in runner.serving if image != leaving.image]
+        change = _taken(leaving.demand.millicores - coming.demand.millicores)
+        gain += _worth(contention, idle + change, (*images, coming.image))
+        gain -= _worth(contention, idle, runner.serving)
+    return gain
+
+
+def _moves_to(group: _Group, destination: RunnerId) -> list[Move]:
+    return [Move(key, group.runner.id, destination) for key, _ in group.tasks]
+
+
+def _fit_swapped(state: Scheduler, one: _Group, other: _Group) -> bool:
+    return _takes(state, one.runner, other.tasks, one.demand) and _takes(
+        state, other.runner, one.tasks, other.demand
+    )
+
+
+def _takes(
+    state: Scheduler, place: RunnerState, tasks: list[tuple[TaskKey, Run]], leaving: Demand
+) -> bool:
+    """Tell whether a runner can hold tasks once others have left it."""
+    coming = _sum(run.demand for _, run in tasks)
+    net = Demand(*(more - less for more, less in zip(coming, leaving, strict=True)))
+    if not place.fits(net):
+        return False
+    return all(_allowed(state, place, key, tasks) for key, _ in tasks)
 
 
-def _at_work(state: Scheduler, key: TaskKey) -> bool:
-    task = state.jobs[key.job].task(key)
-    runner = state.runners.get(task.runner)
-    run = runner.runs.get(key) if task.phase is Phase.BOUND and runner is not None else None
-    return run is not None and run.stage is RunStage.RUNNING and run.percent == 100
+def _allowed(
+    state: Scheduler, place: RunnerState, key: TaskKey, tasks: list[tuple[TaskKey, Run]]
+) -> bool:
+    held = state.jobs[key.job].rounds[key.round].steps[key.step]
+    step: Step = held.spec
+    if step.label and step.label not in place.entry.labels:
+        return False
+    coming = sum(1 for other, _ in tasks if other[:3] == key[:3])
+    bound = step.max_per_instance
+    return not bound or held.per_runner().get(place.id, 0) + coming <= bound
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,218 @@
+"""Start, harm and end the processes of a small fleet, each instance behind its own proxy."""
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from bench.proxy import Proxy, Rule
+
+ROOT = Path(__file__).parent.parent.parent
+HOST = "soak.test"
+PREFIX = "/jobs/"
+ZONES = ("a", "b", "c")
+READY_S = 20.0
+GRACE_S = 6
+MILLICORES = 6000
+
+
+def free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+class Program:
+    """One process, and when it was killed."""
+
+    def __init__(self, args: list[str], out: Path, env: dict[str, str] | None = None) -> None:
+        self.out = out
+        self.frozen = False
+        with out.open("ab") as stream:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *args],
+                cwd=ROOT,
+                stdout=stream,
+                stderr=stream,
+                env={**os.environ, **(env or {})},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def end(self) -> None:
+        """Kill it, frozen or not."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait(10)
+
+    def listen(self) -> str:
+        """Return the address on its first line."""
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            lines = self.out.read_text().splitlines()
+            if lines and lines[0].startswith("{"):
+                return str(json.loads(lines[0])["listen"])
+            time.sleep(0.02)
+        raise TimeoutError(f"{self.out.name} did not start")
+
+
+class Instance:
+    """A daemon with its settings; a restart keeps its addresses."""
+
+    def __init__(self, fleet: "Fleet", name: str, zone: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.front = f"127.0.0.1:{free_port()}"
+        ready = f"127.0.0.1:{free_port()}"
+        store = fleet.proxy.via(name, "store", fleet.store_address)
+        self.metrics_port = free_port()
+        self.settings = fleet.folder / f"{name}.json"
+        listen = {"front": self.front, "ready": ready}
+        text = {
+            "node": name,
+            "ip": "127.0.0.1",
+            "zone": zone,
+            "listen": listen,
+            "platform": {"address": store},
+            "bounds": {"graceS": GRACE_S, "holdMaxMs": 10_000},
+        }
+        self.settings.write_text(json.dumps(text))
+        self.program = self._start()
+        self._down = False
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.program.end()
+        self._down = True
+
+    def stop(self) -> None:
+        """Tell the process to stop."""
+        self.program.signal(signal.SIGTERM)
+        self._down = True
+
+    def _start(self) -> Program:
+        args = ["spoolcrank", "serve", "--metrics-port", str(self.metrics_port)]
+        env = {"SPOOLCRANK_NODE_FILE": str(self.settings)}
+        return Program(args, self.fleet.folder / f"{self.name}.log", env)
+
+    def restart(self) -> None:
+        """Start it again once the last process is gone, if it was told to go."""
+        if not self._down:
+            return
+        self._down = False
+        try:
+            self.program.popen.wait(GRACE_S + 1)
+        except subprocess.TimeoutExpired:
+            # The platform kills what has not ended within the grace.
+            if not self.program.frozen:
+                self.fleet.overran.append(f"{self.name} did not end within its grace")
+            self.program.end()
+        self.program = self._start()
+
+
+class Life:
+    """One life of a runner."""
+
+    def __init__(self, fleet: "Fleet", place: str, number: int) -> None:
+        self.id = f"i-{place}-{number}"
+        self.place = place
+        self.journal = fleet.folder / f"{self.id}.journal"
+        self.journal.touch()
+        args = ["tests.soak.runner", self.id, str(self.journal), str(MILLICORES), "0.8"]
+        self.program = Program(args, fleet.folder / f"{self.id}.log")
+        self.killed_at: float | None = None
+        self.address = fleet.proxy.via("any", place, self.program.listen())
+
+
+class Fleet:
+    """A store, runners and instances, all as processes, with a proxy on every link to them."""
+
+    def __init__(self, folder: Path, instances: int = 3, runners: int = 5) -> None:
+        self.folder = folder
+        self.proxy = Proxy()
+        self.store = Program(["tests.soak.store"], folder / "store.log")
+        self.store_address = self.store.listen()
+        self.lives: list[Life] = []
+        self.overran: list[str] = []
+        self._numbers = 0
+        self.configure(1)
+        for number in range(runners):
+            self.add_runner(f"runner-{number}")
+        zones = [ZONES[number % len(ZONES)] for number in range(instances)]
+        self.instances = [Instance(self, f"entry-{n}", zone) for n, zone in enumerate(zones)]
+
+    def configure(self, version: int) -> None:
+        """Publish a configuration with the one queue."""
+        route = {
+            "name": "q",
+            "host": HOST,
+            "pathPrefix": PREFIX,
+            "service": "work",
+            "sloMs": 250,
+            "maxAttempts": 20,
+            "stretch": 1.5,
+        }
+        self.put(
+            "op", "config", {"version": version, "routes": [route], "services": [{"name": "work"}]}
+        )
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Append one record to the store, whatever its faults; None drops the key."""
+        raw = b"" if value is None else json.dumps(value).encode()
+        frame = bytes([len(key)]) + key.encode() + raw
+        body = struct.pack(">I", len(frame)) + frame
+        self._post(f"/api/log-append?topic=keyed.{topic}&part=0&mine=1", body)
+
+    def faults(self, **faults: Any) -> None:
+        """Set the faults of the store itself."""
+        self._post("/faults", json.dumps(faults).encode())
+
+    def _post(self, path: str, body: bytes) -> None:
+        req = urllib.request.Request(f"http://{self.store_address}{path}", data=body, method="POST")
+        urllib.request.urlopen(req, timeout=30).read()
+
+    def add_runner(self, place: str) -> Life:
+        """Start a new life of a runner and list it."""
+        self._numbers += 1
+        life = Life(self, place, self._numbers)
+        self.lives.append(life)
+        self._list(life, "ready")
+        return life
+
+    def _list(self, life: Life, state: str) -> None:
+        entry = {
+            "service": "work",
+            "address": life.address,
+            "zone": ZONES[len(self.lives) % len(ZONES)],
+            "state": state,
+            "capacity": {"cpu": MILLICORES, "memMb": 64_000},
+        }
+        self.put("servers", life.id, entry)
+
+    def alive(self) -> list[Life]:
+        """Return the lives that were not killed."""
+        return [one for one in self.lives if one.killed_at is None]
+
+    def crash(self, life: Life) -> None:
+        """Kill a runner; its entry goes, as the platform's would after three heartbeats."""
+        life.program.end()
+        life.killed_at = time.monotonic()
+        self.put("servers", life.id, None)
+
+    def harm(self, source: str, target: str, rule: Rule) -> None:
+        """Set a fault of one link."""
+        self.proxy.set(source, target, rule)
+
+    def close(self) -> None:
+        """End every process."""
+        programs = [one.program for one in self.instances] + [one.program for one in self.lives]
+        for program in [*programs, self.store]:
+            program.end()
