--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -99,7 +99,7 @@
         self._down = True
 
     def _start(self) -> Program:
-        args = ["spoolcrank", "serve", "--metrics-port", str(self.metrics_port)]
+        args = [*self.fleet.daemon, "--metrics-port", str(self.metrics_port)]
         env = {"SPOOLCRANK_NODE_FILE": str(self.settings)}
         return Program(args, self.fleet.folder / f"{self.name}.log", env)
 
@@ -135,8 +135,11 @@
 class Fleet:
     """A store, runners and instances, all as processes, with a proxy on every link to them."""
 
-    def __init__(self, folder: Path, instances: int = 3, runners: int = 5) -> None:
+    def __init__(
+        self, folder: Path, instances: int = 3, runners: int = 5, mutation: str = ""
+    ) -> None:
         self.folder = folder
+        self.daemon = ["tests.soak.mutant", mutation] if mutation else ["spoolcrank", "serve"]
         self.proxy = Proxy()
         self.store = Program(["tests.soak.store"], folder / "store.log")
         self.store_address = self.store.listen()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,7 @@
 """Play one seed: traffic all the while, faults in series and overlapping, then what was promised.
 
 `python -m tests.soak.run FIRST LAST [--seconds S] [--instances N] [--runners N]` plays seeds by
-hand and prints a line for each.
+hand and prints a line for each; `--mutation NAME` takes a mechanism out, which has to be found.
 """
 
 import argparse
@@ -18,6 +18,7 @@
 from tests.soak import checks, faults
 from tests.soak.callers import Callers, Connection
 from tests.soak.fleet import HOST, PREFIX, Fleet
+from tests.soak.mutant import MUTATIONS
 
 SECONDS = 25.0
 SETTLE_S = 45.0
@@ -37,10 +38,16 @@
     broken: list[str]
 
 
-def play(seed: int, seconds: float = SECONDS, instances: int = 3, runners: int = 5) -> Played:
+def play(
+    seed: int,
+    seconds: float = SECONDS,
+    instances: int = 3,
+    runners: int = 5,
+    mutation: str = "",
+) -> Played:
     """Play one seed and check it; every process is ended whatever happens."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(Path(folder), instances, runners)
+        fleet = Fleet(Path(folder), instances, runners, mutation)
         try:
             return _play(fleet, seed, seconds)
         finally:
@@ -158,9 +165,10 @@
     parser.add_argument("--seconds", type=float, default=SECONDS)
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--runners", type=int, default=5)
+    parser.add_argument("--mutation", default="", choices=["", *sorted(MUTATIONS)])
     args = parser.parse_args()
     for seed in range(args.first, args.last + 1):
-        got = play(seed, args.seconds, args.instances, args.runners)
+        got = play(seed, args.seconds, args.instances, args.runners, args.mutation)
         verdict = "held" if not got.broken else f"BROKEN {got.broken}"
         sys.stdout.write(f"{seed}: {got.jobs} jobs, {got.runs} runs, {got.faults}: {verdict}\n")
         sys.stdout.flush()
