--- a/spoolcrank/exchanges.py
+++ b/spoolcrank/exchanges.py
@@ -4,7 +4,7 @@
 take from each other's fillers, are tried one after the other on a copy of the grouping; as many
 are carried out as open the most for the tasks that they move. Where most fillers slow the image
 that nearly half of the serving tasks ran, 188 of 199 changes of whole groups did not fit; with
-exchanges fillers worked at 1.35 times the processors there (one deployment, its worst seed).
+exchanges fillers worked at 1.35 times the processors there (one deployment, its worst days).
 """
 
 from collections import Counter
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,7 +1,7 @@
 """One life of a runner as a process; every start and end goes to a journal that outlives it.
 
 `python -m tests.soak.runner ID JOURNAL MILLICORES WORK_S` prints its address. A line of the journal
-is `[time, kind, task, run, what]` with the machine's monotonic clock, which all processes share.
+is `[time, kind, task, run, what]` with the host's monotonic clock, which all processes share.
 """
 
 import json
