--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -125,6 +125,16 @@
     return _link("*", _runner(fleet, chance).place, fleet, rule)
 
 
+def orders_come_after_a_takeover(fleet: Fleet, chance: random.Random) -> Undo:
+    """Hold orders up on their way, and kill whoever sent them."""
+    held_up = _link("any", "*", fleet, Rule(delay_s=chance.uniform(2.5, 6.0)))
+    time.sleep(0.6)
+    restart = kill_all_instances(fleet, chance)
+    held_up()
+    restart()
+    return lambda: None
+
+
 def configuration_changes(fleet: Fleet, chance: random.Random) -> Undo:
     fleet.configure(int(time.monotonic() * 1000))
     return lambda: None
@@ -148,5 +158,6 @@
     runner_cut,
     runner_falls_silent,
     runner_answers_late,
+    orders_come_after_a_takeover,
     configuration_changes,
 )
