--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """Pass over the tests that KNOWN-RED.txt lists, and print them: real faults that are not mended.
 
 Each line gives a test's id, the cause and the issue, by tabs. A listed test that passes fails the
-run, so that it comes off the list with its mend.
+run, so that it comes off the list with its mend. A fault that only a longer play shows stands there
+with its command in place of a test, and is printed.
 """
 
 from pathlib import Path
