--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -30,7 +30,7 @@
 """After a death: the silence that counts, the jitter, a few tries."""
 
 SLOW_LIMIT_S = 4.0
-"""After a planned stop with answers of 0.1 s: every step of it takes an answer, most of them two."""
+"""After a planned stop with answers of 0.1 s: each step of it takes an answer, most take two."""
 
 
 def _busy_world(seed: int, jobs_per_s: float = JOBS_PER_S) -> World:
