Split ledger, ladder and published configuration into modules of their own

Change: moves only: how records apply, how batch work gives way, and the configuration in force; imports.

--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -3,7 +3,7 @@
 import json
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from circuits import BaseComponent, handler
 
@@ -12,13 +12,14 @@
 from spoolcrank._timers import Timers
 from spoolcrank._wire import Answer, Frame, HandoverNote, Query
 from spoolcrank.fleet import Instance, Role
-from spoolcrank.ids import CommandId, ConfigVersion, InstanceId
+from spoolcrank.ids import InstanceId
 from spoolcrank.interference import Lesson, Told, ToldUse
 from spoolcrank.log_link import ConfigEntry, LogLink, Snapshot, dump_snapshot, parse_snapshot
 from spoolcrank.logs import log
 from spoolcrank.membership import Heartbeat
 from spoolcrank.metrics import Metrics
 from spoolcrank.peer_link import PeerLink
+from spoolcrank.published_config import PublishedConfig
 from spoolcrank.records import Entry
 from spoolcrank.servers import Append, Send
 from spoolcrank.state import Core, CoreAction, Handover, Note
@@ -42,55 +43,6 @@
 FreeSlots = Callable[[InstanceId], int]
 
 
-class Change(NamedTuple):
-    """One attempt to change the configuration and what came of it."""
-
-    version: int
-    command: CommandId
-    by: str
-    accepted: bool
-    detail: str
-
-
-class PublishedConfig:
-    """The configuration in force and those before it."""
-
-    def __init__(self) -> None:
-        self.version = ConfigVersion(0)
-        self.toml = ""
-        self.history: list[Change] = []
-
-    def offer(self, entry: ConfigEntry) -> bool:
-        """Take a record of the config stream; False when it lost or is not newer."""
-        if entry.version <= self.version:
-            return False
-        record = entry.record
-        stale = record.if_version is not None and record.if_version != self.version
-        valid = not stale and policy.is_valid(record.toml)
-        detail = "in force"
-        if stale:
-            beaten_by = self.history[-1].command if self.history else "an earlier change"
-            detail = f"made from version {record.if_version}, beaten by {beaten_by}"
-            detail += f", version {self.version}"
-        elif not valid:
-            detail = "does not pass the check"
-        self.history.append(
-            Change(entry.version, record.command, record.by or "operator", valid, detail)
-        )
-        if valid:
-            self.version = ConfigVersion(entry.version)
-            self.toml = record.toml
-        return valid
-
-    def adopt(self, version: int, toml: str) -> bool:
-        """Take a configuration that a peer or a snapshot holds, if it is newer."""
-        if version <= self.version:
-            return False
-        self.version = ConfigVersion(version)
-        self.toml = toml
-        return True
-
-
 class Controller(BaseComponent):
     """Own the core and everything that it acts through."""
 
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -4,11 +4,12 @@
 returns actions. The same code runs in the daemon, in replay and in the state machines.
 """
 
-from spoolcrank import assignment, interference, membership, ownership, servers, tenure
+from spoolcrank import assignment, interference, ladder, membership, ownership, servers, tenure
 from spoolcrank.ids import (
     InstanceId,
 )
-from spoolcrank.ledger import Ledger, apply
+from spoolcrank.ledger import Ledger
+from spoolcrank.ledger_records import apply
 from spoolcrank.membership import Heartbeat
 from spoolcrank.policy import Policy
 from spoolcrank.records import Claimed, Ended, Entry, Placed
@@ -168,7 +169,7 @@
     if instance is None or owned.report is None or owned.waiting or not instance.service:
         return []
     actions: list[CoreAction] = []
-    steps = interference.step(
+    steps = ladder.step(
         core.learnt,
         owned.server,
         instance.service,
--- /dev/null
+++ b/spoolcrank/ledger_records.py
@@ -0,0 +1,322 @@
+"""Apply the log's records to the ledger, in their order, the same on every instance.
+
+Nothing in here reads a clock: where age matters, the writers' times in the records decide.
+"""
+
+from spoolcrank.epochs import claim_of
+from spoolcrank.errors import Outcome
+from spoolcrank.ids import (
+    NO_EPOCH,
+    task_id,
+)
+from spoolcrank.jobs import ENDED, JobClass, JobSpec, TaskState
+from spoolcrank.ledger import Claim, Drain, Job, Key, Ledger, Task, Verdict, Writer
+from spoolcrank.records import (
+    Claimed,
+    DeclaredLost,
+    Drained,
+    Ended,
+    Envelope,
+    JobAccepted,
+    JobRefused,
+    JobsCancelled,
+    KeyDone,
+    KeyTaken,
+    Placed,
+)
+
+MAX_FAILURES = 4
+KEEP_ENDED_S = 3600.0
+KEEP_KEYS_S = 900.0
+KEEP_WRITERS_S = 7200.0
+RESTART_BACKOFF_S = (0.0, 0.5, 2.0, 5.0, 10.0, 30.0)
+_PRUNE_EVERY = 512
+
+
+def apply(ledger: Ledger, offset: int, env: Envelope) -> bool:
+    """Apply one record and tell whether it took effect.
+
+    Args:
+        ledger: changed in place.
+        offset: the record's offset; one already applied is passed over.
+        env: the record with its writer.
+
+    Returns:
+        False for a repeated append and for a record that the log's order makes void.
+    """
+    if offset < ledger.offset:
+        return False
+    ledger.offset = offset + 1
+    ledger.latest = max(ledger.latest, env.at)
+    writer = ledger.writers.get(env.writer)
+    if writer is not None and env.seq <= writer.seq:
+        return False
+    ledger.writers[env.writer] = Writer(seq=env.seq, at=env.at)
+    took_effect = _apply_record(ledger, env)
+    if not took_effect:
+        ledger.void += 1
+    if offset % _PRUNE_EVERY == 0:
+        prune(ledger)
+    return took_effect
+
+
+def _apply_record(ledger: Ledger, env: Envelope) -> bool:
+    match env.record:
+        case JobAccepted() as rec:
+            return _accept(ledger, rec, env.at)
+        case Placed() as rec:
+            return _place(ledger, rec, env.at)
+        case Ended() as rec:
+            return _end(ledger, rec, env.at)
+        case Claimed() as rec:
+            return _claim(ledger, rec, env.at)
+        case JobsCancelled() as rec:
+            return _cancel(ledger, rec, env.at)
+        case JobRefused() as rec:
+            return _refuse(ledger, rec, env.at)
+        case KeyTaken() as rec:
+            return _take_key(ledger, rec, env.at)
+        case KeyDone() as rec:
+            return _finish_key(ledger, rec)
+        case Drained() as rec:
+            return _drain(ledger, rec, env.at)
+        case DeclaredLost() as rec:
+            return _declare_lost(ledger, rec, env.at)
+
+
+def _accept(ledger: Ledger, rec: JobAccepted, at: float) -> bool:
+    if rec.job in ledger.jobs:
+        return False
+    ids = [task_id(rec.job, index) for index in range(rec.spec.tasks)]
+    ledger.jobs[rec.job] = Job(id=rec.job, spec=rec.spec, at=at, tasks=ids, open=len(ids))
+    for task in ids:
+        entry = Task(id=task, job=rec.job, size=rec.spec.size, since=at, reason="waits for a place")
+        ledger.tasks[task] = entry
+        ledger.pending[task] = None
+    return True
+
+
+def _place(ledger: Ledger, rec: Placed, at: float) -> bool:
+    task = ledger.tasks.get(rec.task)
+    if task is None or task.state is not TaskState.PENDING:
+        return False
+    if rec.attempt != task.attempt + 1:
+        return False
+    if claim_of(rec.epoch) != ledger.epoch(rec.server) or rec.epoch == NO_EPOCH:
+        return False
+    ledger._leave(task)
+    task.state = TaskState.RUNNING
+    task.attempt = rec.attempt
+    task.server = rec.server
+    task.server_incarnation = rec.server_incarnation
+    task.epoch = rec.epoch
+    task.size = rec.size
+    task.since = at
+    task.reason = ""
+    ledger._enter(task)
+    return True
+
+
+def _end(ledger: Ledger, rec: Ended, at: float) -> bool:
+    task = ledger.tasks.get(rec.task)
+    if task is None or task.state is not TaskState.RUNNING:
+        return False
+    if task.attempt != rec.attempt or task.server != rec.server:
+        return False
+    if claim_of(rec.epoch) < ledger.epoch(rec.server):
+        return False
+    _settle(ledger, task, rec, at)
+    return True
+
+
+def _settle(ledger: Ledger, task: Task, rec: Ended, at: float) -> None:
+    job = ledger.jobs[task.job]
+    spec = job.spec
+    ledger._leave(task)
+    if rec.checkpoint is not None:
+        task.checkpoint = rec.checkpoint
+    task.server = None
+    task.since = at
+    task.not_before = 0.0
+    task.state, task.reason = _next_state(task, rec, spec, job.cancelled_by is not None)
+    if rec.how == "failed":
+        task.failures += 1
+        if rec.server not in task.failed_on:
+            task.failed_on.append(rec.server)
+    if rec.how == "evicted":
+        task.evictions += 1
+    if task.state is TaskState.PENDING and rec.how in ("failed", "refused", "finished"):
+        steps = min(task.failures + (rec.how == "refused"), len(RESTART_BACKOFF_S) - 1)
+        task.not_before = at + RESTART_BACKOFF_S[steps]
+    _close_if_ended(job, task)
+    ledger._enter(task)
+
+
+def _next_state(task: Task, rec: Ended, spec: JobSpec, cancelled: bool) -> tuple[TaskState, str]:
+    watcher = spec.job_class is JobClass.WATCHER
+    why = rec.reason or rec.how
+    if rec.how == "finished" and not watcher:
+        return TaskState.FINISHED, ""
+    if cancelled:
+        if rec.how == "lost" and not spec.repeatable:
+            return TaskState.UNKNOWN, "cancelled, but its server was lost while it ran"
+        return TaskState.CANCELLED, why
+    if rec.how == "refused":
+        return TaskState.PENDING, f"refused by {rec.server}: {why}"
+    if not spec.repeatable:
+        return _next_once_only(rec, why)
+    if rec.how == "failed" and not watcher and task.failures + 1 >= MAX_FAILURES:
+        return TaskState.FAILED, f"failed {MAX_FAILURES} times, last on {rec.server}: {why}"
+    return TaskState.PENDING, f"attempt {rec.attempt} on {rec.server} {rec.how}"
+
+
+def _next_once_only(rec: Ended, why: str) -> tuple[TaskState, str]:
+    if rec.how == "lost":
+        return TaskState.UNKNOWN, f"started on {rec.server}, which was lost; may not be repeated"
+    if rec.how in ("evicted", "lapsed", "stopped") and rec.checkpoint is not None:
+        return TaskState.PENDING, f"{rec.how} on {rec.server} with its state kept; resumes"
+    if rec.how in ("failed", "finished"):
+        return TaskState.FAILED, f"ended as {rec.how} on {rec.server}: {why}; may not be repeated"
+    return TaskState.UNKNOWN, f"{rec.how} on {rec.server} with no state kept; may not be repeated"
+
+
+def _close_if_ended(job: Job, task: Task) -> None:
+    if task.state in ENDED:
+        job.open -= 1
+
+
+def _claim(ledger: Ledger, rec: Claimed, at: float) -> bool:
+    if rec.epoch <= ledger.epoch(rec.server) or claim_of(rec.epoch) != rec.epoch:
+        return False
+    ledger.claims[rec.server] = Claim(
+        owner=rec.owner, incarnation=rec.incarnation, epoch=rec.epoch, at=at
+    )
+    return True
+
+
+def _cancel(ledger: Ledger, rec: JobsCancelled, at: float) -> bool:
+    if rec.command in ledger.verdicts:
+        return False
+    lost: list[str] = []
+    done = 0
+    for job_id in rec.jobs:
+        job = ledger.jobs.get(job_id)
+        if job is None:
+            lost.append(f"{job_id} is not known")
+        elif job.cancelled_by is not None:
+            lost.append(f"{job_id} was cancelled before by {job.cancelled_by}")
+        elif job.open == 0:
+            lost.append(f"{job_id} had ended before")
+        else:
+            _cancel_job(ledger, job, rec, at)
+            done += 1
+    detail = "; ".join([f"cancelled {done}", *lost])
+    ledger.verdicts[rec.command] = Verdict(ok=done > 0 or not rec.jobs, detail=detail, at=at)
+    return done > 0
+
+
+def _cancel_job(ledger: Ledger, job: Job, rec: JobsCancelled, at: float) -> None:
+    job.cancelled_by = rec.command
+    job.reason = f"cancelled by {rec.by or rec.command}"
+    for task_key in job.tasks:
+        task = ledger.tasks[task_key]
+        if task.state is TaskState.PENDING:
+            ledger._leave(task)
+            task.state = TaskState.CANCELLED
+            task.reason = job.reason
+            task.since = at
+            job.open -= 1
+
+
+def _refuse(ledger: Ledger, rec: JobRefused, at: float) -> bool:
+    job = ledger.jobs.get(rec.job)
+    if job is None or job.open == 0:
+        return False
+    refused = [ledger.tasks[key] for key in job.tasks]
+    refused = [task for task in refused if task.state is TaskState.PENDING]
+    for task in refused:
+        ledger._leave(task)
+        task.state = TaskState.REFUSED
+        task.reason = rec.reason
+        task.since = at
+        job.open -= 1
+    job.reason = rec.reason
+    return bool(refused)
+
+
+def _take_key(ledger: Ledger, rec: KeyTaken, at: float) -> bool:
+    key = ledger.keys.get(rec.key)
+    if key is not None and not (key.done and key.done.outcome is Outcome.NOT_RUN):
+        return False
+    ledger.keys[rec.key] = Key(
+        request=rec.request, holder=rec.holder, incarnation=rec.incarnation, at=at
+    )
+    return True
+
+
+def _finish_key(ledger: Ledger, rec: KeyDone) -> bool:
+    key = ledger.keys.get(rec.key)
+    if key is None or key.request != rec.request or key.done is not None:
+        return False
+    key.done = rec
+    return True
+
+
+def _drain(ledger: Ledger, rec: Drained, at: float) -> bool:
+    if rec.command in ledger.verdicts:
+        return False
+    before = ledger.drains.get(rec.target)
+    if rec.on and before is not None:
+        detail = f"{rec.target} was drained before by {before.by or before.command}"
+    elif not rec.on and before is None:
+        detail = f"{rec.target} is not drained"
+    elif rec.on:
+        ledger.drains[rec.target] = Drain(command=rec.command, by=rec.by, at=at)
+        detail = f"{rec.target} drained"
+    else:
+        del ledger.drains[rec.target]
+        detail = f"{rec.target} back in use"
+    changed = rec.on != (before is not None)
+    ledger.verdicts[rec.command] = Verdict(ok=changed, detail=detail, at=at)
+    return changed
+
+
+def _declare_lost(ledger: Ledger, rec: DeclaredLost, at: float) -> bool:
+    if rec.command in ledger.verdicts:
+        return False
+    tasks = ledger.placed_at(rec.server)
+    for task in tasks:
+        gone = Ended(
+            task=task.id,
+            attempt=task.attempt,
+            server=rec.server,
+            epoch=task.epoch,
+            how="lost",
+            reason=f"{rec.server} declared lost by {rec.by or rec.command}",
+        )
+        _settle(ledger, task, gone, at)
+    detail = f"{rec.server} declared lost, {len(tasks)} tasks taken off it"
+    ledger.verdicts[rec.command] = Verdict(ok=True, detail=detail, at=at)
+    return True
+
+
+def prune(ledger: Ledger) -> None:
+    """Drop what ended long before the latest record."""
+    old = ledger.latest - KEEP_ENDED_S
+    for job in [job for job in ledger.jobs.values() if job.open == 0]:
+        if all(ledger.tasks[task].since < old for task in job.tasks):
+            for task in job.tasks:
+                ledger.tasks.pop(task)
+            del ledger.jobs[job.id]
+    _prune_keys(ledger)
+    for command in [key for key, verdict in ledger.verdicts.items() if verdict.at < old]:
+        del ledger.verdicts[command]
+    silent = ledger.latest - KEEP_WRITERS_S
+    for writer in [key for key, seen in ledger.writers.items() if seen.at < silent]:
+        del ledger.writers[writer]
+
+
+def _prune_keys(ledger: Ledger) -> None:
+    old = ledger.latest - KEEP_KEYS_S
+    for name in [name for name, key in ledger.keys.items() if key.at < old]:
+        del ledger.keys[name]
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -1,6 +1,6 @@
 """The ladder: persistent harm steps down, calm grows back, budgets hold."""
 
-from spoolcrank import interference
+from spoolcrank import interference, ladder
 from spoolcrank.ids import Epoch, Incarnation, InstanceId, ServiceName, TaskClass, TaskId
 from spoolcrank.interference import EvictTask, Learnt, Level, ThrottleTask
 from spoolcrank.jobs import JobClass, Size
@@ -36,7 +36,7 @@
     for tenth in range(round(seconds * 10)):
         now = begin + tenth / 10
         learnt.on_latency(SERVER, latency_s, now)
-        steps += interference.step(learnt, SERVER, SERVICE, "new", told, RATE, policy, now)
+        steps += ladder.step(learnt, SERVER, SERVICE, "new", told, RATE, policy, now)
     return steps
 
 
