--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -59,6 +59,7 @@
 HOLD_MAX_S = 10.0
 STOP_S = 0.3
 CLOCK_RATE = 0.985
+AWAKE_S = 0.002
 
 
 class World:
@@ -545,7 +546,9 @@
             if not self.alive:
                 return
             if self.world.now < self.frozen_until:
-                self.world.at(self.frozen_until - self.world.now, act)
+                # What came meanwhile, over many connections, is found in any order.
+                late_s = self.world.random.uniform(0.0, AWAKE_S)
+                self.world.at(self.frozen_until - self.world.now + late_s, act)
                 return
             action()
 
