Count an instance's own writes among those of earlier leaders

Cause: from when on leases of an earlier leader may count was taken from the newest record read of another one. An instance that gave the lead up and leads again had read none since its own start, so 9.5 s after that every inherited lease counted as passed at once.

Change: the newest confirmed write of its own counts too; a leader extends leases from such writes only, so the bound holds by construction.

Conclusion: the way that the test shows is closed.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -227,7 +227,7 @@
         )
         self._regrouping = Regrouping()
         self._heir = NO_HEIR
-        scheduler = Scheduler(term, now, self.leadership.leader_wrote_at, self._lease_ms)
+        scheduler = Scheduler(term, now, self.leadership.predecessor_wrote_at, self._lease_ms)
         scheduler.routes = dict(self._routes)
         scheduler.without = self._without
         self.scheduler = scheduler
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -178,6 +178,15 @@
         """Tell whether this leader may still extend leases of runners."""
         return self.leads and now <= self.extends_until
 
+    @property
+    def predecessor_wrote_at(self) -> float:
+        """Return from when on leases that an earlier leader extended may count, monotonic seconds.
+
+        That leader may have been this very process: an instance that gives the lead up and leads
+        again has read nothing of anyone else since, and its own runs are at work all the same.
+        """
+        return max(self.leader_wrote_at, self.confirmed_at)
+
     @property
     def extends_until(self) -> float:
         """Return until when this leader may extend leases, by its newest confirmed write."""
--- a/tests/test_lead_again.py
+++ b/tests/test_lead_again.py
@@ -1,7 +1,8 @@
 """An instance that gives the lead up and leads again while runs of its earlier term are at work."""
 
-from spoolcrank.ids import JobId
+from spoolcrank.ids import Incarnation, InstanceId, JobId
 from spoolcrank.keyed_log import progress_key
+from spoolcrank.leadership import SELF_FENCE_S, Claim, Leadership
 from spoolcrank.workflow import Step
 from tests.fleet_world import Instance, World, small
 
@@ -55,3 +56,12 @@
         gave_up += [name for name, _ in leader.logged.lines].count("stepped-down")
         assert world.broken == [], f"seed {seed}"
     assert gave_up > 0
+
+
+def test_an_instance_counts_its_own_writes_among_those_of_earlier_leaders() -> None:
+    leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), 100.0)
+    leadership.read_claim(Claim(1, leadership.instance, leadership.incarnation), 101.0)
+    leadership.confirmed(130.0)
+    leadership.give_up(1)
+    assert leadership.extends_until == 130.0 + SELF_FENCE_S
+    assert leadership.predecessor_wrote_at >= 130.0
