Let a write that was answered late speak again before it counts

Cause: an append that is sent again until it is answered confirmed the lead from its last sending. Others read its record when it was taken, and count the leases from then.

Change: after an answer to a repeat the leader writes its claim first, and extends leases and goes on with what waited only once a write was answered at its first sending. A sending that was surely refused leaves no doubt and does not count as one.

Conclusion: no instance extends a lease on account of a write that others heard earlier.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -7,6 +7,7 @@
 import time
 import traceback
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from spoolcrank._timers import Timers
 from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
@@ -24,7 +25,7 @@
     kind_of,
     progress_key,
 )
-from spoolcrank.leader_writer import FIRST_SEQUENCE, LeaderWriter, Writing
+from spoolcrank.leader_writer import FIRST_SEQUENCE, Kept, LeaderWriter, Writing
 from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
 from spoolcrank.learnt import decode_learnt
 from spoolcrank.log_follower import LogFollower
@@ -368,37 +369,48 @@
                 batch_kept(scheduler, batch, now)
                 return
             append = Append(batch.records)
-            writer.write(Writing(append, lambda sent_at: self._on_kept(batch, sent_at)))
+            then = partial(self._go_on, scheduler, batch)
+            writer.write(Writing(append, lambda kept: self._on_kept(kept, then)))
         elif self.leadership.duty(now).heartbeat:
             self.leadership.wrote_at = now
             self._write_claim(writer, resigned=False)
 
-    def _write_claim(self, writer: LeaderWriter, resigned: bool) -> None:
+    def _write_claim(
+        self, writer: LeaderWriter, resigned: bool, then: Callable[[], None] | None = None
+    ) -> None:
         claim = self.leadership.own_claim(resigned, self._heir)
 
-        def kept(sent_at: float) -> None:
-            if self.scheduler is not None:
-                self._confirmed(self.scheduler, sent_at)
+        def on_kept(kept: Kept) -> None:
             if resigned:
                 self._step_down("handed over")
+            else:
+                self._on_kept(kept, then)
 
-        writer.write(Writing(Append([KeyedRecord(LEADER_KEY, encode(claim))]), kept))
+        writer.write(Writing(Append([KeyedRecord(LEADER_KEY, encode(claim))]), on_kept))
 
     def _confirmed(self, scheduler: Scheduler, sent_at: float) -> None:
         """Take note of a write that was kept: leases may be extended for a while from then."""
         self.leadership.confirmed(sent_at)
         scheduler.extends_until = self.leadership.extends_until
 
-    def _on_kept(self, batch: Batch, sent_at: float) -> None:
-        scheduler = self.scheduler
-        if scheduler is None:
+    def _on_kept(self, kept: Kept, then: Callable[[], None] | None) -> None:
+        """Go on with what waited for a write, once one was answered at its first sending."""
+        scheduler, writer = self.scheduler, self._writer
+        if scheduler is None or writer is None:
             return
-        now = self._clock()
-        self._confirmed(scheduler, sent_at)
-        if now - sent_at > SELF_FENCE_S / 2:
+        if then is not None and self._clock() - kept.sent_at > SELF_FENCE_S / 2:
             self._step_down("a write was confirmed too late")
-            return
-        batch_kept(scheduler, batch, now)
+        elif kept.repeated:
+            # Others may have read the record at its first sending, and count our leases from
+            # then. A new one tells them that this instance still leads before any goes on.
+            self._write_claim(writer, resigned=False, then=then)
+        else:
+            self._confirmed(scheduler, kept.sent_at)
+            if then is not None:
+                then()
+
+    def _go_on(self, scheduler: Scheduler, batch: Batch) -> None:
+        batch_kept(scheduler, batch, self._clock())
         self._work()
 
     # Orders
--- /dev/null
+++ b/tests/test_leader_writer.py
@@ -0,0 +1,51 @@
+"""What the leader knows of when a write of its own was taken."""
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+import pytest
+
+from spoolcrank.leader_writer import Kept, LeaderWriter, Writing
+from spoolcrank.store_port import Append, Appended, AppendOutcome
+
+
+class _Store:
+    """Answers each append with the next outcome."""
+
+    def __init__(self, *outcomes: AppendOutcome) -> None:
+        self._outcomes = list(outcomes)
+
+    def append(self, append: Append, done: Callable[[Appended], None]) -> None:
+        done(Appended(self._outcomes.pop(0)))
+
+
+class _Timers:
+    """Runs at once what is due later."""
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        action()
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "repeated"),
+    [
+        ([], False),
+        ([AppendOutcome.UNKNOWN], True),
+        ([AppendOutcome.NOT_KEPT], False),
+        ([AppendOutcome.NOT_KEPT, AppendOutcome.UNKNOWN], True),
+        ([AppendOutcome.UNKNOWN, AppendOutcome.NOT_KEPT], True),
+    ],
+)
+def test_a_write_counts_as_repeated_only_after_a_sending_that_may_have_been_taken(
+    outcomes: list[AppendOutcome], repeated: bool
+) -> None:
+    """Real clocks move between any two lines: a first sending must not look like a later one."""
+    ticks = count(100)
+    store: Any = _Store(*outcomes, AppendOutcome.KEPT)
+    timers: Any = _Timers()
+    told: list[Kept] = []
+    writer = LeaderWriter(store, timers, lambda: float(next(ticks)), 1, lambda why: None)
+    writer.write(Writing(Append([]), told.append))
+    assert [kept.repeated for kept in told] == [repeated]
+    assert told[0].first_at <= told[0].sent_at
