Let the state machine hold a leader up as its write is taken

Cause: the machine froze leaders only at times when no write of theirs was on its way, and so never made one give the lead up and lead again with runs still at work.

Change: a rule that does it, beside a cut of one runner, and a mutation that takes the bound of an own earlier term out again. Handing a job in is a function of its own for that; what the rule `submit` does is unchanged.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -12,6 +12,8 @@
 from spoolcrank.batching import KEEP_ENDED_S
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
+from spoolcrank.keyed_log import progress_key
+from spoolcrank.leadership import Leadership
 from spoolcrank.orders import Answered, OrderResult
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
@@ -46,14 +48,18 @@
         names = sorted(self.world.instances)
         return self.world.instances[names[pick % len(names)]] if names else None
 
-    @rule(pick=st.integers(0, 5))
-    def submit(self, pick: int) -> None:
+    def hand_in(self, pick: int) -> str:
         instance = self.instance(pick)
+        job = f"{len(self.told):04x}"
         if instance is not None:
-            job = f"{len(self.told):04x}"
             self.told[job] = instance.submit(job, *STEPS)
             self.first_at[job] = self.world.now
             self.tries[job] += 1
+        return job
+
+    @rule(pick=st.integers(0, 5))
+    def submit(self, pick: int) -> None:
+        self.hand_in(pick)
         self.world.run(0.05)
 
     @rule(pick=st.integers(0, 5), which=st.integers(0, 50))
@@ -135,6 +141,26 @@
         self.world.late_orders = 0.0
         self.world.run(6.0)
 
+    @rule(seconds=st.floats(0.9, 1.2))
+    def leader_is_held_up_as_its_write_is_taken(self, seconds: float) -> None:
+        leader = self.world.leader()
+        if leader is None:
+            return
+        self.submit(0)
+        self.world.run(0.2)
+        runner = next(one for one in self.world.runners.values() if one.alive)
+        link = (leader.name, runner.name)
+        self.world.unreachable.add(link)
+        written = progress_key(JobId(self.hand_in(0)))
+        for _ in range(200):
+            if any(one.key == written for one in self.world.store.jobs.records[-20:]):
+                break
+            self.world.run(0.0005)
+        leader.freeze(seconds)
+        self.world.run(seconds + 1.0)
+        self.world.unreachable.discard(link)
+        self.world.run(1.0)
+
     @rule(seconds=st.floats(1.2, 1.6))
     def leader_dies_without_the_store_as_tasks_end(self, seconds: float) -> None:
         self.submit(0)
@@ -273,6 +299,11 @@
     "ends are forgotten before they are kept": (run_control, "_take_end", _seen_first),
     "an unknown append counts as refused": (job_intake, "IntakeOutcome", None),
     "leases count as over too early": (run_control, "INHERITED_S", 0.5),
+    "an own earlier term is forgotten": (
+        Leadership,
+        "predecessor_wrote_at",
+        property(lambda self: self.leader_wrote_at),
+    ),
     "leases of silent runners count as over at once": (
         RunnerState,
         "surely_ended",
