--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -77,6 +77,9 @@
         self.on: dict[TaskKey, set[str]] = defaultdict(set)
         self.unreachable: set[tuple[str, str]] = set()
         self.late_orders = 0.0
+        self.lost_answers = 0.0
+        self.slow_way_s = 0.0
+        self.ends_at_once = 500
         self.lasting_jobs: set[str] = set()
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
@@ -387,7 +390,8 @@
             RunningRow(key, task.run, "", int(100 * task.worked_s / task.work_s), 900.0)
             for key, task in self.tasks.items()
         )
-        return Polled(OrderResult.DONE, Report(self.clock_ms, running, tuple(self.ended)))
+        ended = tuple(self.ended[: self.world.ends_at_once])
+        return Polled(OrderResult.DONE, Report(self.clock_ms, running, ended))
 
     def _note_done(self, row: EndedRow) -> None:
         """An end counts as noted unless the lease has lapsed since."""
@@ -446,6 +450,10 @@
             world.at(world.random.uniform(2, 12), lambda: runner.alive and act(runner))
             instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
             return
+        if world.random.random() < world.lost_answers:
+            world.at(0.001, lambda: runner.alive and act(runner))
+            instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
+            return
         self._answer(runner, act, done, world.now + wait_s)
 
     def _answer(
@@ -461,9 +469,14 @@
                 world.at(0.01, arrive)
             else:
                 got = act(runner)
-                instance.later(0.001, lambda: done(got))
+                instance.later(0.001 + self._way_s(), lambda: done(got))
+
+        world.at(0.001 + self._way_s(), arrive)
 
-        world.at(0.001, arrive)
+    def _way_s(self) -> float:
+        """Each call and answer goes its own way: they may overtake one another."""
+        world = self._instance.world
+        return world.random.uniform(0.0, world.slow_way_s) if world.slow_way_s else 0.0
 
 
 class Timers:
