Conclude nothing of a run from a part of its runner's ends, or from a start refused as old

Change: a report says whether it holds every end; from one that does not, no run counts as gone, and a runner is taken over only with one that does. A start refused as old is stopped and waits for the list of ends like one that was sent twice.

Conclusion: a run that is in neither list of a whole report, asked for after its order was answered, is surely not there; nothing less releases it while its runner answers.

--- a/spoolcrank/orders.py
+++ b/spoolcrank/orders.py
@@ -123,8 +123,16 @@
 
 
 class Report(NamedTuple):
-    """What a runner answered to a poll."""
+    """What a runner answered to a poll.
+
+    Attributes:
+        clock_ms: its clock then.
+        running: what runs there.
+        ended: what has ended there and may not be forgotten yet, by rising numbers.
+        whole: every such end is among `ended`; others follow once these may be forgotten.
+    """
 
     clock_ms: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    whole: bool = True
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -31,6 +31,9 @@
 again over a new one, s: the runner is not taken as silent for one connection's sake, and its
 lease goes on."""
 
+ENDS_AT_ONCE = 500
+"""A runner lists so many ends at once; stated by the platform."""
+
 _REFUSALS = {
     "fence": OrderResult.OUTRANKED,
     # The run, or a later one of the task, was stopped or has ended there.
@@ -188,4 +191,5 @@
         EndedRow(number, _task_key(task), run, EndKind(how), saved)
         for number, task, run, how, saved in answer.ended
     )
-    return Polled(result, Report(answer.clock, running, ended))
+    whole = len(ended) < ENDS_AT_ONCE
+    return Polled(result, Report(answer.clock, running, ended, whole))
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -132,9 +132,11 @@
     present = {(row.task, row.run) for row in report.running}
     for row in report.running:
         _take_running(state, runner, row, now)
-    if not runner.adopted:
-        _adopt(state, runner, present, now)
-    _check_absent(state, runner, present, asked_at, now)
+    if report.whole:
+        # What is in neither list may else be among the ends that are still to come.
+        if not runner.adopted:
+            _adopt(state, runner, present, now)
+        _check_absent(state, runner, present, asked_at, now)
     learn(state, runner, used, now)
     set_paces(state, runner, now)
 
@@ -276,7 +278,8 @@
         run.stage = RunStage.UNSURE
         run.since = now
         runner.missed(now)
-    elif run.tries > 1:
+    elif run.tries > 1 or result is OrderResult.SUPERSEDED:
+        # It, or a later one, may have ended there: only the runner's list of ends can say how.
         state.stop_run(start.task, runner.id, now)
     else:
         _never_started(state, start, runner, result, now)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -391,7 +391,8 @@
             for key, task in self.tasks.items()
         )
         ended = tuple(self.ended[: self.world.ends_at_once])
-        return Polled(OrderResult.DONE, Report(self.clock_ms, running, ended))
+        whole = len(ended) < self.world.ends_at_once
+        return Polled(OrderResult.DONE, Report(self.clock_ms, running, ended, whole))
 
     def _note_done(self, row: EndedRow) -> None:
         """An end counts as noted unless the lease has lapsed since."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -172,6 +172,16 @@
     assert report.ended[0].how is EndKind.DONE
 
 
+@pytest.mark.parametrize(("count", "whole"), [(0, True), (499, True), (500, False)])
+def test_a_full_list_of_ends_may_not_be_all_of_them(count: int, whole: bool) -> None:
+    ended = [[number + 1, f"ab.0.1.{number}", 1, "done", ""] for number in range(count)]
+    told: list[Any] = []
+    http = Http(answer(200, {"clockMs": 5, "running": [], "ended": ended}))
+    poll = Poll(Target(RunnerId("i-1"), Address("10.0.0.1:80"), 4), 0, None, 0)
+    PlatformRunners(http).poll(poll, told.append)
+    assert told[0].report.whole is whole
+
+
 def test_a_job_is_decoded_once_into_telling_fields() -> None:
     body = {
         "spec": "text",
