Read a runner's report whole first, and by rows only where one cannot be read

Change: the whole is decoded first; numbers beyond 2^52 are unreadable, as they could not be sent back.

--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -34,8 +34,9 @@
 again over a new one, s: the runner is not taken as silent for one connection's sake, and its
 lease goes on."""
 
-LATEST_CLOCK_MS = 1 << 52
-"""Above any runner's clock, ms; up to here a float holds each whole number."""
+LARGEST = 1 << 52
+"""Above any runner's clock, in ms, and any number of a run or end; up to here a float holds each
+whole number."""
 
 _REFUSALS = {
     "fence": OrderResult.OUTRANKED,
@@ -47,6 +48,10 @@
 }
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=LARGEST)]
+_Clock = Annotated[float, msgspec.Meta(ge=0, le=LARGEST)]
+
+
 class _OrderAnswer(msgspec.Struct):
     reason: str = ""
     clock: float | None = msgspec.field(name="clockMs", default=None)
@@ -54,32 +59,39 @@
 
 class _Running(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: _Number
     saved: str
     percent: float
     figure: float | None = None
 
 
 class _Ended(msgspec.Struct, array_like=True):
-    number: int
+    number: _Number
     task: str
-    run: int
+    run: _Number
     how: EndKind
     saved: str
 
 
 class _NumberOnly(msgspec.Struct, array_like=True):
-    number: int
+    number: _Number
 
 
 class _HoldAnswer(msgspec.Struct):
-    clock: Annotated[float, msgspec.Meta(ge=0, le=LATEST_CLOCK_MS)] = msgspec.field(name="clockMs")
+    clock: _Clock = msgspec.field(name="clockMs")
+    running: list[_Running] = []
+    ended: list[_Ended] = []
+
+
+class _HoldRows(msgspec.Struct):
+    clock: _Clock = msgspec.field(name="clockMs")
     running: list[msgspec.Raw] = []
     ended: list[msgspec.Raw] = []
 
 
 _decode_order = reader(msgspec.json.Decoder(_OrderAnswer).decode)
-_decode_hold = reader(msgspec.json.Decoder(_HoldAnswer).decode)
+_decode_hold = msgspec.json.Decoder(_HoldAnswer).decode
+_decode_hold_rows = reader(msgspec.json.Decoder(_HoldRows).decode)
 _decode_running = msgspec.json.Decoder(_Running).decode
 _decode_ended = msgspec.json.Decoder(_Ended).decode
 _decode_number = reader(msgspec.json.Decoder(_NumberOnly).decode)
@@ -215,14 +227,31 @@
     if result is not OrderResult.DONE:
         return Polled(result)
     try:
-        answer = _decode_hold(got.body)
+        return Polled(result, _report(got.body))
+    except Unreadable:
+        pass
+    try:
+        return Polled(result, _report_by_rows(got.body))
     except Unreadable:
         # Nothing is known of its runs: as good as no answer.
         return Polled(OrderResult.UNKNOWN)
-    running, no_runs = _rows(_running, answer.running)
-    ended, no_ends = _rows(_ended, answer.ended)
+
+
+@reader
+def _report(body: bytes) -> Report:
+    answer = _decode_hold(body)
+    return Report(
+        answer.clock, tuple(map(_running, answer.running)), tuple(map(_ended, answer.ended))
+    )
+
+
+def _report_by_rows(body: bytes) -> Report:
+    """Read a report of which some row cannot be read: it is left out, the others hold."""
+    answer = _decode_hold_rows(body)
+    running, no_runs = _rows(_running_of, answer.running)
+    ended, no_ends = _rows(_ended_of, answer.ended)
     unread = len(no_runs) + len(no_ends)
-    return Polled(result, Report(answer.clock, running, ended, unread, _numbers(no_ends)))
+    return Report(answer.clock, running, ended, unread, _numbers(no_ends))
 
 
 def _rows(
@@ -239,18 +268,18 @@
     return tuple(rows), unread
 
 
-@reader
-def _running(raw: bytes) -> RunningRow:
-    row = _decode_running(raw)
+def _running(row: _Running) -> RunningRow:
     return RunningRow(_task_key(row.task), row.run, row.saved, int(row.percent), row.figure or 0.0)
 
 
-@reader
-def _ended(raw: bytes) -> EndedRow:
-    row = _decode_ended(raw)
+def _ended(row: _Ended) -> EndedRow:
     return EndedRow(row.number, _task_key(row.task), row.run, row.how, row.saved)
 
 
+_running_of = reader(lambda raw: _running(_decode_running(raw)))
+_ended_of = reader(lambda raw: _ended(_decode_ended(raw)))
+
+
 def _numbers(raws: list[bytes]) -> tuple[int, ...]:
     rows, _ = _rows(_decode_number, raws)
     return tuple(row.number for row in rows)
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -522,6 +522,7 @@
         [59, "ab.0.1.9", None, "done", ""],
         [59],
         ["x", "ab.0.1.9", 1, "done", ""],
+        [10**30, "ab.0.1.9", 1, "done", ""],
         None,
     ],
 )
