--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,8 +38,7 @@
 
 
 def kill_all_instances(fleet: Fleet, chance: random.Random) -> Undo:
-    for one in fleet.instances:
-        one.kill()
+    fleet.lose_power()
 
     def undo() -> None:
         for one in fleet.instances:
@@ -135,6 +134,31 @@
     return lambda: None
 
 
+def entries_of_another_writer(fleet: Fleet, chance: random.Random) -> Undo:
+    """Write what names no runner, and an entry at a live runner's address whose own may lapse."""
+    life = _runner(fleet, chance)
+    unreadable = [b"\xff\xfe", b"{", b"[]", b"[" * 5_000]
+    strange = [{"address": ""}, {"address": "10.0.0.1:x"}, {"state": "?"}, {"service": "unheard"}]
+    values = [*unreadable, *(fleet.entry(life.address, **one) for one in strange)]
+    keys = [f"i-other-{chance.getrandbits(32):08x}" for _ in range(3)]
+    fleet.put("servers", keys[0], chance.choice(values))
+    fleet.put("servers", keys[1], chance.choice(values))
+    fleet.put("servers", keys[2], fleet.entry(life.address))
+    fleet.put("op", "config", chance.choice(unreadable))
+    time.sleep(chance.uniform(0.0, 0.3))
+    if chance.random() < 0.5:
+        fleet.put("servers", life.id, chance.choice([b"", b"{"]))
+
+    def undo() -> None:
+        for key in keys:
+            fleet.put("servers", key, b"")
+        if life.killed_at is None:
+            fleet.list_runner(life)
+        fleet.configure(int(time.monotonic() * 1000))
+
+    return undo
+
+
 def configuration_changes(fleet: Fleet, chance: random.Random) -> Undo:
     fleet.configure(int(time.monotonic() * 1000))
     return lambda: None
@@ -160,4 +184,5 @@
     runner_answers_late,
     orders_come_after_a_takeover,
     configuration_changes,
+    entries_of_another_writer,
 )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -175,8 +175,8 @@
         )
 
     def put(self, topic: str, key: str, value: Any) -> None:
-        """Append one record to the store, whatever its faults; None drops the key."""
-        raw = b"" if value is None else json.dumps(value).encode()
+        """Append one record to the store, whatever its faults; no bytes drop the key."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         frame = bytes([len(key)]) + key.encode() + raw
         body = struct.pack(">I", len(frame)) + frame
         self._post(f"/api/log-append?topic=keyed.{topic}&part=0&mine=1", body)
@@ -194,18 +194,30 @@
         self._numbers += 1
         life = Life(self, place, self._numbers)
         self.lives.append(life)
-        self._list(life, "ready")
+        self.list_runner(life)
         return life
 
-    def _list(self, life: Life, state: str) -> None:
-        entry = {
+    def list_runner(self, life: Life) -> None:
+        """Write the entry of a runner."""
+        self.put("servers", life.id, self.entry(life.address))
+
+    def entry(self, address: str, **changes: Any) -> dict[str, Any]:
+        """Return an entry as a runner at an address writes it, with changes."""
+        return {
             "service": "work",
-            "address": life.address,
+            "address": address,
             "zone": ZONES[len(self.lives) % len(ZONES)],
-            "state": state,
+            "state": "ready",
             "capacity": {"cpu": MILLICORES, "memMb": 64_000},
+            **changes,
         }
-        self.put("servers", life.id, entry)
+
+    def lose_power(self) -> None:
+        """Kill all instances at once."""
+        for one in self.instances:
+            one.program.signal(signal.SIGKILL)
+        for one in self.instances:
+            one.kill()
 
     def alive(self) -> list[Life]:
         """Return the lives that were not killed."""
@@ -215,7 +227,7 @@
         """Kill a runner; its entry goes, as the platform's would after three heartbeats."""
         life.program.end()
         life.killed_at = time.monotonic()
-        self.put("servers", life.id, None)
+        self.put("servers", life.id, b"")
 
     def harm(self, source: str, target: str, rule: Rule) -> None:
         """Set a fault of one link."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -83,6 +83,7 @@
     for _, undo in held:
         undo()
     fleet.proxy.heal()
+    inflicted.append(_lose_power(fleet, chance))
     callers.stop()
     broken = fleet.overran + _settle(fleet, callers)
     until = time.monotonic()
@@ -94,6 +95,17 @@
     return Played(seed, inflicted, len(callers.jobs), runs, broken)
 
 
+def _lose_power(fleet: Fleet, chance: random.Random) -> str:
+    """Kill all instances at once beside traffic, and start them again; returns what was done."""
+    time.sleep(chance.uniform(0.0, 1.0))
+    fleet.lose_power()
+    away_s = chance.uniform(0.5, 5.0)
+    time.sleep(away_s)
+    for one in fleet.instances:
+        one.restart()
+    return f"all away for {away_s:.1f} s"
+
+
 def _cuts(callers: Callers, planned: list[tuple[float, float]]) -> list[str]:
     """Return requests that were cut while nothing but a planned stop was under way."""
     cuts = [cut for conn in callers.connections for cut in conn.cuts]
