--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -12,10 +12,12 @@
 from spoolcrank.leader_writer import FIRST_SEQUENCE
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
-from spoolcrank.store_port import Append, Appended, LogPort, WriterFence
+from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort, WriterFence
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.workflow import encode
 
+_TERM_SEEN = (AppendOutcome.FENCED, AppendOutcome.OUT_OF_ORDER, AppendOutcome.KEPT)
+
 
 class Claiming:
     """The claim of one instance that is on its way, and the offers that it makes."""
@@ -70,6 +72,8 @@
 
     def _on_claimed(self, got: Appended) -> None:
         self._telemetry.log("claim-answered", grave=True, outcome=got.outcome.value)
+        if got.outcome in _TERM_SEEN:
+            self.leadership.claim_ignored()
         # Kept, it is read back in a moment; else somebody claimed, or the store is away.
         self.leadership.put_off(self._clock())
         self._end()
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from spoolcrank.ids import Incarnation, InstanceId
+from spoolcrank.reading import reader
 
 HEARTBEAT_S = 0.4
 """A leader with nothing to write says so often that it lives, s; a third of SILENT_S."""
@@ -53,6 +54,10 @@
 a leader while jobs kept coming, and one of a third of a core starts nothing over 350 runners."""
 
 
+MOST_REFUSALS = 20
+"""Claims of which none was read count up to here; each doubles the step to the next term, which so
+passes a million within some seconds."""
+
 NO_HEIR = Incarnation("")
 
 
@@ -64,7 +69,7 @@
     processors: float
 
 
-decode_offer = msgspec.json.Decoder(Offer).decode
+decode_offer = reader(msgspec.json.Decoder(Offer).decode)
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
@@ -87,7 +92,7 @@
     heir: Incarnation = NO_HEIR
 
 
-decode_claim = msgspec.json.Decoder(Claim).decode
+decode_claim = reader(msgspec.json.Decoder(Claim).decode)
 
 
 class Duty(NamedTuple):
@@ -125,6 +130,7 @@
         self._given_up = 0
         self._claims_term = 0
         self.claimed_at = -1.0
+        self._refusals = 0
 
     @property
     def leads(self) -> bool:
@@ -135,6 +141,7 @@
         """Take a claim read from the log; returns whether who leads has changed."""
         if claim.term < self.claim.term:
             return False
+        self._refusals = 0
         if claim.term == self._given_up and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
         changed = claim != self.claim
@@ -167,6 +174,10 @@
         """Wait again before the next claim."""
         self.heard_at = now
 
+    def claim_ignored(self) -> None:
+        """Take note that the store has seen this term; void once any claim is read."""
+        self._refusals = min(self._refusals + 1, MOST_REFUSALS)
+
     def lost_contact(self) -> None:
         """Take note that the log did not answer: silence of the leader means nothing."""
         self._lost_contact = True
@@ -249,9 +260,9 @@
 
     def next_claim(self, now: float) -> Claim:
         """Return the claim that this instance writes now; the first of a term is the one kept."""
-        if self._claims_term != self.claim.term + 1:
-            self._claims_term = self.claim.term + 1
+        # Where the newest claim cannot be read, the term that the store has seen is tried for.
+        term = self.claim.term + 2**self._refusals
+        if self._claims_term != term:
+            self._claims_term = term
             self.claimed_at = now
-        return Claim(
-            self.claim.term + 1, self.instance, self.incarnation, processors=self.processors
-        )
+        return Claim(term, self.instance, self.incarnation, processors=self.processors)
--- a/spoolcrank/notes.py
+++ b/spoolcrank/notes.py
@@ -18,6 +18,7 @@
         "places-nothing",
         "places-again",
         "runners-taken-over",
+        "rows-unreadable",
     }
 )
 """Notes that are left out last."""
--- a/spoolcrank/orders.py
+++ b/spoolcrank/orders.py
@@ -130,9 +130,13 @@
         running: what runs there.
         ended: what has ended there and may not be forgotten yet, by rising numbers.
         whole: every such end is among `ended`; others follow once these may be forgotten.
+        unread: rows of both lists that could not be read and are left out.
+        unread_ends: numbers of those of them that are ends.
     """
 
     clock_ms: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     whole: bool = True
+    unread: int = 0
+    unread_ends: tuple[int, ...] = ()
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -1,7 +1,7 @@
 """Give the platform's runners their orders over HTTP."""
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -20,9 +20,12 @@
     Stop,
     Target,
 )
+from spoolcrank.reading import Unreadable, reader
 from spoolcrank.runner_port import Polled
 from spoolcrank.workflow import TaskKey
 
+Row = TypeVar("Row")
+
 ORDER_S = 0.6
 """An order without an answer counts as unanswered after so long, s; many usual answers."""
 
@@ -34,6 +37,10 @@
 ENDS_AT_ONCE = 500
 """A runner lists so many ends at once; stated by the platform."""
 
+LARGEST = 1 << 52
+"""Above any runner's clock, in ms, and any number of a run or end; up to here a float holds each
+whole number."""
+
 _REFUSALS = {
     "fence": OrderResult.OUTRANKED,
     # The run, or a later one of the task, was stopped or has ended there.
@@ -44,19 +51,53 @@
 }
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=LARGEST)]
+_Clock = Annotated[float, msgspec.Meta(ge=0, le=LARGEST)]
+
+
 class _OrderAnswer(msgspec.Struct):
     reason: str = ""
     clock: float | None = msgspec.field(name="clockMs", default=None)
 
 
+class _Running(msgspec.Struct, array_like=True):
+    task: str
+    run: _Number
+    saved: str
+    percent: float
+    figure: float | None = None
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    number: _Number
+    task: str
+    run: _Number
+    how: EndKind
+    saved: str
+
+
+class _NumberOnly(msgspec.Struct, array_like=True):
+    number: _Number
+
+
 class _HoldAnswer(msgspec.Struct):
-    clock: float = msgspec.field(name="clockMs")
-    running: list[list[Any]] = []
-    ended: list[tuple[int, str, int, str, str]] = []
+    clock: _Clock = msgspec.field(name="clockMs")
+    running: list[_Running] = []
+    ended: list[_Ended] = []
+
+
+class _HoldRows(msgspec.Struct):
+    clock: _Clock = msgspec.field(name="clockMs")
+    running: list[msgspec.Raw] = []
+    ended: list[msgspec.Raw] = []
 
 
-_decode_order = msgspec.json.Decoder(_OrderAnswer).decode
+_decode_order = reader(msgspec.json.Decoder(_OrderAnswer).decode)
 _decode_hold = msgspec.json.Decoder(_HoldAnswer).decode
+_decode_hold_rows = reader(msgspec.json.Decoder(_HoldRows).decode)
+_decode_running = msgspec.json.Decoder(_Running).decode
+_decode_ended = msgspec.json.Decoder(_Ended).decode
+_decode_number = reader(msgspec.json.Decoder(_NumberOnly).decode)
 _encode = msgspec.json.Encoder().encode
 
 
@@ -165,14 +206,22 @@
     if got.status in (429, 503):
         return OrderResult.UNHEALTHY
     if got.status == 409:
-        return _REFUSALS.get(_decode_order(got.body).reason, OrderResult.REJECTED)
+        return _REFUSALS.get(_order_answer(got).reason, OrderResult.REJECTED)
     return OrderResult.REJECTED
 
 
+def _order_answer(got: HttpResult) -> _OrderAnswer:
+    """Read an answer's body; one that cannot be read says no more than its status."""
+    try:
+        return _decode_order(got.body)
+    except Unreadable:
+        return _OrderAnswer()
+
+
 def _answered(got: HttpResult) -> Answered:
     result = _result_of(got)
     if result is OrderResult.DONE and got.body:
-        return Answered(result, _decode_order(got.body).clock)
+        return Answered(result, _order_answer(got).clock)
     return Answered(result)
 
 
@@ -180,16 +229,61 @@
     result = _result_of(got)
     if result is not OrderResult.DONE:
         return Polled(result)
-    answer = _decode_hold(got.body)
-    running = tuple(
-        RunningRow(
-            _task_key(row[0]), row[1], row[2], row[3], float(row[4] or 0) if len(row) > 4 else 0.0
-        )
-        for row in answer.running
-    )
-    ended = tuple(
-        EndedRow(number, _task_key(task), run, EndKind(how), saved)
-        for number, task, run, how, saved in answer.ended
-    )
-    whole = len(ended) < ENDS_AT_ONCE
-    return Polled(result, Report(answer.clock, running, ended, whole))
+    try:
+        return Polled(result, _report(got.body))
+    except Unreadable:
+        pass
+    try:
+        return Polled(result, _report_by_rows(got.body))
+    except Unreadable:
+        # Nothing is known of its runs: as good as no answer.
+        return Polled(OrderResult.UNKNOWN)
+
+
+@reader
+def _report(body: bytes) -> Report:
+    answer = _decode_hold(body)
+    running = tuple(map(_running, answer.running))
+    ended = tuple(map(_ended, answer.ended))
+    return Report(answer.clock, running, ended, len(ended) < ENDS_AT_ONCE)
+
+
+def _report_by_rows(body: bytes) -> Report:
+    """Read a report of which some row cannot be read: it is left out, the others hold."""
+    answer = _decode_hold_rows(body)
+    running, no_runs = _rows(_running_of, answer.running)
+    ended, no_ends = _rows(_ended_of, answer.ended)
+    unread = len(no_runs) + len(no_ends)
+    whole = len(answer.ended) < ENDS_AT_ONCE
+    return Report(answer.clock, running, ended, whole, unread, _numbers(no_ends))
+
+
+def _rows(
+    read: Callable[[bytes], Row], raws: Iterable[msgspec.Raw | bytes]
+) -> tuple[tuple[Row, ...], list[bytes]]:
+    """Read each row by itself; returns those that can be read, and the others as they came."""
+    rows: list[Row] = []
+    unread: list[bytes] = []
+    for raw in map(bytes, raws):
+        try:
+            rows.append(read(raw))
+        except Unreadable:
+            unread.append(raw)
+    return tuple(rows), unread
+
+
+def _running(row: _Running) -> RunningRow:
+    return RunningRow(_task_key(row.task), row.run, row.saved, int(row.percent), row.figure or 0.0)
+
+
+def _ended(row: _Ended) -> EndedRow:
+    return EndedRow(row.number, _task_key(row.task), row.run, row.how, row.saved)
+
+
+_running_of = reader(lambda raw: _running(_decode_running(raw)))
+_ended_of = reader(lambda raw: _ended(_decode_ended(raw)))
+
+
+def _numbers(raws: list[bytes]) -> tuple[int, ...]:
+    rows, _ = _rows(_decode_number, raws)
+    return tuple(row.number for row in rows)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,8 +38,7 @@
 
 
 def kill_all_instances(fleet: Fleet, chance: random.Random) -> Undo:
-    for one in fleet.instances:
-        one.kill()
+    fleet.lose_power()
 
     def undo() -> None:
         for one in fleet.instances:
@@ -135,6 +134,30 @@
     return lambda: None
 
 
+UNREADABLE = (b"\xff\xfe", b"{", b"[]", b"[" * 5_000)
+
+
+def entries_of_another_writer(fleet: Fleet, chance: random.Random) -> Undo:
+    """Write what names no runner, for good, and a configuration that cannot be read."""
+    whole = fleet.entry(_runner(fleet, chance).address)
+    strange = [{"address": ""}, {"address": "10.0.0.1:x"}, {"state": "?"}, {"service": "unheard"}]
+    values = [*UNREADABLE, *({**whole, **one} for one in strange)]
+    for _ in range(3):
+        fleet.put("servers", f"i-other-{chance.getrandbits(32):08x}", chance.choice(values))
+    fleet.put("op", "config", chance.choice(UNREADABLE))
+    return lambda: fleet.configure(int(time.monotonic() * 1000))
+
+
+def another_entry_at_a_runners_address(fleet: Fleet, chance: random.Random) -> Undo:
+    """Write it, for good, and let the runner's own entry lapse or be written over."""
+    life = _runner(fleet, chance)
+    other = f"i-other-{chance.getrandbits(32):08x}"
+    fleet.put("servers", other, fleet.entry(life.address))
+    time.sleep(chance.uniform(0.0, 0.3))
+    fleet.put("servers", life.id, chance.choice([b"", b"{"]))
+    return lambda: fleet.list_runner(life) if life.killed_at is None else None
+
+
 def configuration_changes(fleet: Fleet, chance: random.Random) -> Undo:
     fleet.configure(int(time.monotonic() * 1000))
     return lambda: None
@@ -160,4 +183,6 @@
     runner_answers_late,
     orders_come_after_a_takeover,
     configuration_changes,
+    entries_of_another_writer,
+    another_entry_at_a_runners_address,
 )
