--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -15,14 +15,13 @@
 from spoolcrank.claiming import Claiming
 from spoolcrank.keyed_log import (
     LEADER_KEY,
-    LEARNT_KEY,
     KeyedLog,
     KeyedRecord,
     RecordKind,
     job_of_key,
     kind_of,
 )
-from spoolcrank.lead_watch import Blocked, LeadWatch, watch_placing, watch_runners
+from spoolcrank.lead_watch import Blocked, LeadWatch, watch_placing, watch_runners, why_blocked
 from spoolcrank.leader_writer import Kept, LeaderWriter, Writing
 from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
 from spoolcrank.log_follower import LogFollower
@@ -41,7 +40,7 @@
 from spoolcrank.runner_state import LEASE_MS, RunnerEntry
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, LogPort
-from spoolcrank.takeover import restore_learnt, take_job, tell_job
+from spoolcrank.takeover import read_job, take_records, tell_unreadable
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.unkept import Batch
 from spoolcrank.workflow import RouteName, encode
@@ -52,10 +51,6 @@
 GATHER_S = 0.004
 """What happens within so long is decided and written together, s; one answer of the store."""
 
-STALE_LIST_S = 1.2
-"""Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
-below the 2 s after which a leaving runner must get no start."""
-
 
 class Dispatcher:
     """Reads, writes and orders for the scheduler of one instance."""
@@ -133,7 +128,7 @@
             try:
                 self._on_record(record, now)
             except Unreadable as exc:
-                self._on_unreadable(record, str(exc))
+                tell_unreadable(self._telemetry, record, str(exc))
 
     def _on_record(self, record: KeyedRecord, now: float) -> None:
         kind = kind_of(record.key)
@@ -148,18 +143,13 @@
             scheduler = self.scheduler
             self._guard(scheduler, lambda: self._on_wish(scheduler, record, kind, now))
 
-    def _on_unreadable(self, record: KeyedRecord, why: str) -> None:
-        """Say that a record of our log is left out: what it is about stays as it is."""
-        self._telemetry.log(
-            "record-unreadable", grave=True, key=record.key, offset=record.offset, why=why
-        )
-
     def _on_wish(
         self, scheduler: Scheduler, record: KeyedRecord, kind: RecordKind | None, now: float
     ) -> None:
         job = job_of_key(record.key)
         if kind is RecordKind.JOB:
-            self._take_job(scheduler, record, now)
+            copy, time_of_day_ms = self._follower.copy, self._time_of_day() * 1000.0
+            read_job(scheduler, copy, record, self._telemetry, now, time_of_day_ms)
             if job in scheduler.jobs and not scheduler.routed(scheduler.jobs[job].record.service):
                 self._relist()
         elif kind is RecordKind.CANCEL:
@@ -167,20 +157,6 @@
             scheduler.cancel(job, now)
         self._wake()
 
-    def _take_job(
-        self, scheduler: Scheduler, record: KeyedRecord, now: float, taking_over: bool = False
-    ) -> None:
-        """Add a job of which a record was read; a takeover tells only of those that are new."""
-        time_of_day_ms = self._time_of_day() * 1000.0
-        try:
-            resumed = take_job(scheduler, self._follower.copy, record, now, time_of_day_ms)
-        except Unreadable as exc:
-            self._on_unreadable(record, str(exc))
-            return
-        if not (resumed and taking_over):
-            job = scheduler.jobs[job_of_key(record.key)]
-            tell_job(self._telemetry, job, record.offset, resumed)
-
     # Leadership
 
     def _on_claim(self, record: KeyedRecord, now: float) -> None:
@@ -231,21 +207,11 @@
         # instance may read it back much later.
         self._confirmed(scheduler, self.leadership.claimed_at)
         self._runner_follower.begin()
-        self._guard(scheduler, lambda: self._take_records(scheduler, now))
+        copy, time_of_day_ms = self._follower.copy, self._time_of_day() * 1000.0
+        take = partial(take_records, scheduler, copy, self._telemetry, now, time_of_day_ms)
+        self._guard(scheduler, take)
         self._wake()
 
-    def _take_records(self, scheduler: Scheduler, now: float) -> None:
-        """Build a new leader's state from the records."""
-        copy = self._follower.copy
-        try:
-            restore_learnt(scheduler, copy)
-        except Unreadable as exc:
-            self._on_unreadable(copy.newest[LEARNT_KEY], str(exc))
-        for key, record in list(copy.newest.items()):
-            if record.value and kind_of(key) is RecordKind.JOB:
-                self._take_job(scheduler, record, now, taking_over=True)
-        self._telemetry.log("took-over", grave=True, term=scheduler.term, jobs=len(scheduler.jobs))
-
     def _on_writer_lost(self, why: str) -> None:
         self._step_down(f"the store refused a write: {why}")
 
@@ -318,7 +284,7 @@
         late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
         if may_place and late:
             self._preassignments.start(scheduler, now)
-        blocked = self._blocked(now - listed_at)
+        blocked = why_blocked(self._leaving, self._runner_follower.copy.loaded, now - listed_at)
         watch_placing(self._watch, scheduler, blocked, now - listed_at, now)
         watch_runners(self._watch, scheduler, now)
         if blocked is Blocked.NOT and not place(scheduler, now, self._time_of_day() * 1000.0):
@@ -326,14 +292,6 @@
         self._write(scheduler, now)
         self._order(scheduler, now)
 
-    def _blocked(self, list_age_s: float) -> Blocked:
-        """Return why nothing may be placed now."""
-        if self._leaving:
-            return Blocked.LEAVING
-        if not self._runner_follower.copy.loaded:
-            return Blocked.NO_LIST
-        return Blocked.OLD_LIST if list_age_s > STALE_LIST_S else Blocked.NOT
-
     def _write(self, scheduler: Scheduler, now: float) -> None:
         writer = self._writer
         if writer is None or writer.busy or writer.closed:
--- a/spoolcrank/lead_watch.py
+++ b/spoolcrank/lead_watch.py
@@ -8,6 +8,10 @@
 BLOCKED_S = 0.5
 """A leader that places nothing for so long says why, s; a list of runners is read within it."""
 
+STALE_LIST_S = 1.2
+"""Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
+below the 2 s after which a leaving runner must get no start."""
+
 
 class Blocked(Enum):
     """Why a leader places nothing."""
@@ -37,6 +41,15 @@
     told: bool = False
 
 
+def why_blocked(leaving: bool, loaded: bool, list_age_s: float) -> Blocked:
+    """Return why nothing may be placed now."""
+    if leaving:
+        return Blocked.LEAVING
+    if not loaded:
+        return Blocked.NO_LIST
+    return Blocked.OLD_LIST if list_age_s > STALE_LIST_S else Blocked.NOT
+
+
 def watch_placing(
     watch: LeadWatch, state: Scheduler, blocked: Blocked, list_age_s: float, now: float
 ) -> None:
--- a/spoolcrank/takeover.py
+++ b/spoolcrank/takeover.py
@@ -5,16 +5,56 @@
     LEARNT_KEY,
     KeyedLog,
     KeyedRecord,
+    RecordKind,
     cancel_key,
     job_of_key,
+    kind_of,
     progress_key,
 )
 from spoolcrank.learnt import decode_learnt
+from spoolcrank.reading import Unreadable
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.workflow import decode_job, decode_progress
 
 
+def take_records(
+    scheduler: Scheduler,
+    copy: KeyedLog,
+    telemetry: Telemetry,
+    now: float,
+    time_of_day_ms: float,
+) -> None:
+    """Build a new leader's state from the records; tells of those jobs that are new."""
+    try:
+        restore_learnt(scheduler, copy)
+    except Unreadable as exc:
+        tell_unreadable(telemetry, copy.newest[LEARNT_KEY], str(exc))
+    for key, record in list(copy.newest.items()):
+        if record.value and kind_of(key) is RecordKind.JOB:
+            read_job(scheduler, copy, record, telemetry, now, time_of_day_ms, taking_over=True)
+    telemetry.log("took-over", grave=True, term=scheduler.term, jobs=len(scheduler.jobs))
+
+
+def read_job(
+    scheduler: Scheduler,
+    copy: KeyedLog,
+    record: KeyedRecord,
+    telemetry: Telemetry,
+    now: float,
+    time_of_day_ms: float,
+    taking_over: bool = False,
+) -> None:
+    """Add a job of which a record was read; a takeover tells only of those that are new."""
+    try:
+        resumed = take_job(scheduler, copy, record, now, time_of_day_ms)
+    except Unreadable as exc:
+        tell_unreadable(telemetry, record, str(exc))
+        return
+    if not (resumed and taking_over):
+        tell_job(telemetry, scheduler.jobs[job_of_key(record.key)], record.offset, resumed)
+
+
 def take_job(
     scheduler: Scheduler, copy: KeyedLog, record: KeyedRecord, now: float, time_of_day_ms: float
 ) -> bool:
@@ -63,3 +103,8 @@
         millicores=[step.millicores for step in steps],
         estimate_ms=[step.estimate_ms for step in steps],
     )
+
+
+def tell_unreadable(telemetry: Telemetry, record: KeyedRecord, why: str) -> None:
+    """Say that a record of our log is left out: what it is about stays as it is."""
+    telemetry.log("record-unreadable", grave=True, key=record.key, offset=record.offset, why=why)
