--- /dev/null
+++ b/tests/test_succession_faults.py
@@ -0,0 +1,184 @@
+"""Faults of the succession and of a pass in parts that were found by reading, each proved here."""
+
+from collections.abc import Callable
+from typing import Any
+
+from spoolcrank.ids import JobId, ServiceName
+from spoolcrank.orders import EndKind
+from spoolcrank.placing import place
+from spoolcrank.runner_state import RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.store_port import Append, Appended, AppendOutcome
+from spoolcrank.workflow import JobRecord, Phase, RouteName, Step, Workflow
+from tests.fleet_world import CALL_S, Instance, StorePort, small
+from tests.test_placing_pass import NOW, SERVICE, _add, _bound, _state
+
+PART_S = 0.124
+"""What one part takes on a whole core, with the pause after it, s."""
+
+BESIDE_ROOM_S = 1.0
+"""A lasting task or an urgent job beside room is placed within so long, s."""
+
+SILENT_LIMIT_S = 2.6
+"""After a death: the silence that counts, the jitter, a few tries."""
+
+Way = Callable[[StorePort, Append, Callable[[Appended], None]], None]
+
+
+def _divert(instance: Instance, wanted: Callable[[Append], bool], way: Way, times: int = 1) -> None:
+    """Let the next appends of one kind of one instance go another way."""
+    dispatcher: Any = instance.dispatcher
+    port = dispatcher._log
+    straight = port.append
+    left = times
+
+    def append(one: Append, done: Callable[[Appended], None]) -> None:
+        nonlocal left
+        if left > 0 and wanted(one):
+            left -= 1
+            way(port, one, done)
+        else:
+            straight(one, done)
+
+    port.append = append
+
+
+def _is_claim(append: Append) -> bool:
+    return append.fence is not None and append.fence.sequence == 1
+
+
+def _is_progress(append: Append) -> bool:
+    return any(one.key.startswith("p/") for one in append.records)
+
+
+def test_a_leader_that_leads_again_counts_the_leases_of_its_own_last_term() -> None:
+    """A write confirmed late ends the term; its leases count from that term, not from before it."""
+    world = small(instances=3)
+    world.run(20.0)
+    world.lasting_jobs.add("ab")
+    leader = world.leader()
+    assert leader is not None
+    leader.submit("ab", Step(count=8, millicores=500, memory_mb=1, lasting=True))
+    world.run(3.0)
+
+    def late(port: StorePort, append: Append, done: Callable[[Appended], None]) -> None:
+        world.at(0.002, lambda: port.topic.append(append))
+        instance.later(0.95, lambda: done(Appended(AppendOutcome.KEPT)))
+
+    instance = leader
+    _divert(leader, _is_progress, late)
+    cut = next(iter(world.runners.values()))
+    world.unreachable |= {(name, cut.name) for name in world.instances}
+    leader.submit("cd", Step(count=1, millicores=100, memory_mb=1))
+    world.run(6.0)
+    assert world.broken == []
+
+
+def test_a_claim_that_the_store_turned_away_is_made_again_soon() -> None:
+    world = small(instances=8)
+    world.run(1.0)
+    leader = world.leader()
+    assert leader is not None
+
+    def refuse(port: StorePort, append: Append, done: Callable[[Appended], None]) -> None:
+        port.instance.later(0.004, lambda: done(Appended(AppendOutcome.NOT_KEPT)))
+
+    for instance in world.instances.values():
+        _divert(instance, _is_claim, refuse, times=2)
+    leader.kill()
+    assert world.run_until(lambda: world.leader() is not None) < SILENT_LIMIT_S
+
+
+def test_a_claim_done_late_leaves_a_leader_alone_that_is_back() -> None:
+    world = small(instances=4)
+    leader = world.leader()
+    assert leader is not None
+    world.run(3.0)
+    sent: list[Instance] = []
+
+    def late(port: StorePort, append: Append, done: Callable[[Appended], None]) -> None:
+        world.at(3.0, lambda: port.topic.append(append))
+        port.instance.later(CALL_S, lambda: done(Appended(AppendOutcome.UNKNOWN)))
+        sent.append(port.instance)
+
+    for instance in world.instances.values():
+        if instance is not leader:
+            _divert(instance, _is_claim, late)
+    leader.freeze(1.9)
+    world.run_until(lambda: bool(sent))
+    for instance in sent:
+        instance.kill()
+    world.run(2.2)
+    assert leader.dispatcher.scheduler is not None
+    world.run(2.0)
+    assert leader.dispatcher.scheduler is not None
+
+
+def test_a_claim_read_back_while_the_log_is_loaded_anew_is_taken_up() -> None:
+    world = small(instances=1)
+    leader = world.leader()
+    assert leader is not None
+    for number in range(30):
+        leader.submit(f"{number:x}", Step(count=1, millicores=1000, memory_mb=1))
+    world.run(2.0)
+
+    def kept(port: StorePort, append: Append, done: Callable[[Appended], None]) -> None:
+        port.topic.append(append)
+        port.instance.later(0.004, lambda: done(Appended(AppendOutcome.KEPT)))
+        instance.follower.begin()
+
+    instance = leader
+    _divert(leader, _is_claim, kept)
+    leader.dispatcher._step_down("trial")
+    world.run(10.0)
+    assert leader.dispatcher.scheduler is not None
+
+
+def _parts_until(state: Scheduler, done: Callable[[], bool]) -> float:
+    """Return for how long parts go on until something holds, s; 60 at most."""
+    now = NOW
+    while not done() and now < NOW + 60.0:
+        for runner in state.runners.values():
+            runner.answered_at = now
+        place(state, now, 0.0)
+        now += PART_S
+    return now - NOW
+
+
+def test_a_gang_of_more_pairs_than_a_part_keeps_nothing_behind_it_from_its_turn() -> None:
+    state = _state(350)
+    _add(state, 1, Step(count=60, millicores=40_000, memory_mb=10, gang=True))
+    _add(state, 2, Step(count=3, millicores=1000, memory_mb=10))
+    assert _parts_until(state, lambda: _bound(state) == 3) < BESIDE_ROOM_S
+
+
+def test_a_lasting_task_that_fails_in_a_long_pass_runs_again_at_once() -> None:
+    """Its pause after a failure is no lack of room, and its step is not over for the pass."""
+    state = _state(200)
+    _add(state, 0, Step(count=1, millicores=1000, memory_mb=10, lasting=True))
+    place(state, NOW, 0.0)
+    job = state.jobs[JobId("0")]
+    key, task = next(iter(job.bound()))
+    runner = state.runners[task.runner]
+    runner.runs[key].stage = RunStage.RUNNING
+    for number in range(1, 401):
+        _add(state, number, Step(count=10, millicores=10, memory_mb=1))
+    state.end_run(key, runner, EndKind.FAILED, "", NOW)
+    assert _parts_until(state, lambda: task.phase is Phase.BOUND) < BESIDE_ROOM_S
+
+
+def test_an_urgent_job_that_comes_in_a_long_pass_is_not_held_back_by_misses_before_it() -> None:
+    state = _state(200)
+    for number in range(3):
+        _add(state, number, Step(count=1, millicores=40_000, memory_mb=10, image="x"))
+    for number in range(10, 410):
+        _add(state, number, Step(count=10, millicores=10, memory_mb=1, image="y"))
+    place(state, NOW, 0.0)
+    step = Step(count=1, millicores=100, memory_mb=1, image="x")
+    record = JobRecord(
+        RouteName("now"), ServiceName(SERVICE), -1, 3, 250, 1.5, Workflow("", (step,))
+    )
+    state.add_job(JobId("ffff"), record, 5000, None, False, NOW, 0.0)
+    job = state.jobs[JobId("ffff")]
+    waited = _parts_until(state, lambda: next(iter(job.bound()), None) is not None)
+    assert waited < BESIDE_ROOM_S
