--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -30,6 +30,7 @@
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
 from spoolcrank.placing import forecast, place
+from spoolcrank.placing_pass import PlacingPass
 from spoolcrank.preassignment import RECORDS_LATE_S, Preassignments
 from spoolcrank.reading import Unreadable
 from spoolcrank.regrouping import Regrouping
@@ -109,10 +110,10 @@
         self._leaving = True
         self._claiming.allowed = False
         self._on_left = done
-        if self.scheduler is None:
-            self._left()
-        else:
+        if self.scheduler is not None:
             self._wake()
+        elif not self._claiming.busy:
+            self._left()
 
     def _left(self) -> None:
         done, self._on_left = self._on_left, None
@@ -236,7 +237,7 @@
         else:
             self.leadership.lost_contact()
         if self.scheduler is None:
-            self._claiming.work(now)
+            self._tick_follower(now)
             return
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
@@ -253,6 +254,16 @@
                     self.scheduler.move(task, source, destination, now)
         self._work()
 
+    def _tick_follower(self, now: float) -> None:
+        """Claim or offer; lead, where a claim was read back while the copy was not whole yet."""
+        if self._leaving:
+            if not self._claiming.busy:
+                self._left()
+        elif self.leadership.leads and self._follower.copy.loaded:
+            self._take_over(self.leadership.claim.term, now)
+        else:
+            self._claiming.work(now)
+
     def _wake(self) -> None:
         if not self._woken:
             self._woken = True
@@ -287,7 +298,9 @@
         blocked = why_blocked(self._leaving, self._runner_follower.copy.loaded, now - listed_at)
         watch_placing(self._watch, scheduler, blocked, now - listed_at, now)
         watch_runners(self._watch, scheduler, now)
-        if blocked is Blocked.NOT and not place(scheduler, now, self._time_of_day() * 1000.0):
+        if blocked is not Blocked.NOT:
+            scheduler.placing = PlacingPass()
+        elif not place(scheduler, now, self._time_of_day() * 1000.0):
             self._wake()
         self._write(scheduler, now)
         self._order(scheduler, now)
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -9,7 +9,7 @@
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.objective import Prospect, work_order
 from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, worst_effect
-from spoolcrank.placing_pass import MOST_WEIGHED, Kind, PlacingPass
+from spoolcrank.placing_pass import Kind, Placed, PlacingPass
 from spoolcrank.runner_state import RunnerState, RunStage
 from spoolcrank.scheduler import NoPlace, Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
@@ -104,7 +104,7 @@
         _open_due(state, state.jobs[job_id], time_of_day_ms)
     pools = state.pools(now)
     current = state.placing
-    current.left = MOST_WEIGHED
+    current.begin_part()
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
     ready.sort(key=lambda one: one[0])
     for rank, job in ready:
@@ -142,7 +142,8 @@
             tried = (job.id, held.number, number)
             # Lasting tasks are few, and none may wait while there is room for it.
             missed = current.misses.get(kind, 0) >= MISSES and not step.spec.lasting
-            if missed or tried in current.tried:
+            back = step.spec.lasting and job.begun
+            if missed or current.was_tried(tried, back, now):
                 still_waits = True
                 continue
             if step.spec.fills and _was_refused(state, kind, step, now):
@@ -153,13 +154,16 @@
             if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
-            if _place_step(state, job, held.number, number, step, runners, current, now):
+            placed = _place_step(state, job, held.number, number, step, runners, current, now)
+            if placed is Placed.ALL:
                 continue
             still_waits = True
-            if current.spent:
-                # What was not weighed found no place only for now.
+            if placed is Placed.PART_SPENT:
                 return
-            current.tried.add(tried)
+            if placed is Placed.HELD_BACK:
+                # Its pause says nothing of room: it is neither tried nor missed.
+                continue
+            current.tried[tried] = now
             current.misses[kind] = current.misses.get(kind, 0) + 1
             if step.spec.fills:
                 _claim(state, current.claimed, kind, prospect)
@@ -190,10 +194,11 @@
     runners: list[RunnerState],
     current: PlacingPass,
     now: float,
-) -> bool:
+) -> Placed:
     if step.spec.gang:
         current.left -= len(runners) * len(step.tasks)
-        return _place_gang(state, job, round_number, number, step, runners, now)
+        found = _place_gang(state, job, round_number, number, step, runners, now)
+        return Placed.ALL if found else Placed.NO_PLACE
     held = step.per_runner() if step.spec.max_per_instance else {}
     held_back = False
     # Tasks that ran before come first: the reserve binds the others only.
@@ -204,7 +209,7 @@
             held_back = True
             continue
         if current.spent:
-            return False
+            return Placed.PART_SPENT
         current.left -= len(runners)
         request = PlacementRequest(
             step.spec,
@@ -219,12 +224,12 @@
             if task.wanted != NO_RUNNER:
                 held_back = True
                 continue
-            return False
+            return Placed.NO_PLACE
         held[runner.id] = held.get(runner.id, 0) + 1
         state.bind(job, key, task.run + 1, runner, now)
         if step.spec.target_ms and state.uses(Mechanism.MAKING_WAY):
             make_way(state, runner, step.spec.image, now)
-    return not held_back
+    return Placed.HELD_BACK if held_back else Placed.ALL
 
 
 def _wanted(
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -1,6 +1,7 @@
 """Bound one pass over waiting work, and remember what it tried until it has seen everything."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.objective import Prospect
@@ -18,22 +19,47 @@
 or read; others claim the lead after 1.3 s."""
 
 
+TRIED_S = 0.5
+"""A lasting task that ran before is tried again so long after it found no place, s, also within a
+pass: room that came free meanwhile is for it first."""
+
+
+class Placed(Enum):
+    """What became of the waiting tasks of one step."""
+
+    ALL = "all"
+    HELD_BACK = "held-back"
+    NO_PLACE = "no-place"
+    PART_SPENT = "part-spent"
+
+
 @dataclass
 class PlacingPass:
     """One pass over all waiting work, in parts.
 
     Attributes:
         left: pairs of task and runner that the present part may still weigh.
-        misses: by kind, how many steps found no place.
+        misses: by kind, how many steps found no place in this part. Those of an earlier part say
+            nothing of a job that came since.
         claimed: by kind, the prospect of the first job that found none.
-        tried: steps that found no place; no part tries them again, so that each part comes
-            further than the last one.
+        tried: when steps found no place, monotonic seconds; no later part tries them again, so
+            that each part comes further than the last one.
     """
 
     left: int = MOST_WEIGHED
     misses: dict[Kind, int] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
-    tried: set[StepKey] = field(default_factory=set)
+    tried: dict[StepKey, float] = field(default_factory=dict)
+
+    def begin_part(self) -> None:
+        """Begin the next part."""
+        self.left = MOST_WEIGHED
+        self.misses.clear()
+
+    def was_tried(self, step: StepKey, again: bool, now: float) -> bool:
+        """Tell whether a step found no place in this pass; one to be tried again, a moment ago."""
+        tried_at = self.tried.get(step)
+        return tried_at is not None and not (again and now - tried_at >= TRIED_S)
 
     @property
     def spent(self) -> bool:
