First sight of a planned stop: name the requests that it gives up

Cause: a stop that reached its forced end did not say how many requests it left unanswered, nor which. Change: each request without an answer is kept with what it waits for; line `stop` has their number, and up to 20 lines `given-up` name method, path, age, when after the signal it was read, and what it waits for.

--- /dev/null
+++ b/spoolcrank/open_requests.py
@@ -0,0 +1,78 @@
+"""Keep what is known of each request that has no answer yet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from spoolcrank._web import HttpRequest, Reply
+
+GIVEN_UP_LINES = 20
+"""Of one stop, lines that name a request without an answer; beyond it they are only counted. The
+stops that were seen to give requests up had 8 of them at most."""
+
+
+class Waits(Enum):
+    """What a request without an answer waits for."""
+
+    NOTHING = "nothing"
+    APPEND = "append"
+    READ = "read"
+    READ_THEN_APPEND = "read-then-append"
+
+
+@dataclass(eq=False)
+class Asked:
+    """One request that was read whole and has no answer yet.
+
+    Attributes:
+        request: as it came.
+        reply: the way to answer it.
+        came_at: when it was read whole, s of the monotonic clock.
+        waits: for what.
+    """
+
+    request: HttpRequest
+    reply: Reply
+    came_at: float
+    waits: Waits = Waits.NOTHING
+
+
+class OpenRequests:
+    """The requests of one address that have no answer yet, oldest first."""
+
+    def __init__(self) -> None:
+        self._asked: dict[Asked, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._asked)
+
+    def begin(self, asked: Asked) -> None:
+        """Take a request that was read whole."""
+        self._asked[asked] = None
+
+    def end(self, asked: Asked) -> bool:
+        """Take note that a request gets its answer; returns False if it had one."""
+        if asked not in self._asked:
+            return False
+        del self._asked[asked]
+        return True
+
+    def oldest_first(self) -> list[Asked]:
+        """Return the requests without an answer."""
+        return list(self._asked)
+
+
+def tell_given_up(
+    asked: list[Asked], stopped_at: float, now: float, log: Callable[..., None]
+) -> None:
+    """Write one line for each request that a stop gives up."""
+    for one in asked[:GIVEN_UP_LINES]:
+        fields: dict[str, Any] = {
+            "method": one.request.method,
+            "path": one.request.path,
+            "age_s": round(now - one.came_at, 3),
+            "read_after_signal_s": round(one.came_at - stopped_at, 3),
+            "waits": one.waits.value,
+        }
+        log("given-up", grave=True, **fields)
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -10,6 +10,7 @@
 from spoolcrank.ids import JobId
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import IntakeOutcome, JobIntake
+from spoolcrank.open_requests import Asked, OpenRequests, Waits
 from spoolcrank.platform.documents import workflow_of
 from spoolcrank.routes import Route, RouteTable
 from spoolcrank.telemetry import Telemetry
@@ -38,49 +39,60 @@
         self._index = index
         self._routes = routes
         self._telemetry = telemetry
+        self.open = OpenRequests()
 
     def answer(self, req: HttpRequest, reply: Reply) -> None:
         """Answer one request."""
-        came_at = time.monotonic()
-
-        def timed(answer: HttpReply) -> None:
-            self._figures.time(f"{req.method} {answer.status}", time.monotonic() - came_at)
-            reply(answer)
-
-        self._dispatch(req, timed)
+        asked = Asked(req, reply, time.monotonic())
+        self.open.begin(asked)
+        try:
+            self._dispatch(asked)
+        except Exception:
+            # The server answers it with an error of ours.
+            self.open.end(asked)
+            raise
+
+    def _reply(self, asked: Asked, answer: HttpReply) -> None:
+        if not self.open.end(asked):
+            return
+        took_s = time.monotonic() - asked.came_at
+        self._figures.time(f"{asked.request.method} {answer.status}", took_s)
+        asked.reply(answer)
 
-    def _dispatch(self, req: HttpRequest, reply: Reply) -> None:
+    def _dispatch(self, asked: Asked) -> None:
+        req = asked.request
         table = self._routes()
         if table is None:
-            self._refuse(req, reply, ErrorKind.NOT_READY, "no configuration was read yet")
+            self._refuse(asked, ErrorKind.NOT_READY, "no configuration was read yet")
             return
         route = table.match(req.headers.get("host", ""), req.path)
         if route is None:
-            self._refuse(req, reply, ErrorKind.NO_SUCH_PATH, f"no queue in version {table.version}")
+            self._refuse(asked, ErrorKind.NO_SUCH_PATH, f"no queue in version {table.version}")
             return
         name = req.path[len(route.prefix) :]
         if not name and req.method == "GET":
-            reply(json_reply(200, {"waiting": self._index.waiting(route.name)}))
+            self._reply(asked, json_reply(200, {"waiting": self._index.waiting(route.name)}))
         elif not name or not _HEX.issuperset(name):
-            self._refuse(req, reply, ErrorKind.BAD_REQUEST, "the id must be hex digits")
+            self._refuse(asked, ErrorKind.BAD_REQUEST, "the id must be hex digits")
         else:
-            self._on_job(req, reply, route, JobId(name))
-
-    def _on_job(self, req: HttpRequest, reply: Reply, route: Route, job: JobId) -> None:
-        if req.method == "POST":
-            self._submit(req, reply, route, job)
-        elif req.method == "GET":
-            self._state(req, reply, job)
-        elif req.method == "DELETE":
-            self._cancel(req, reply, job)
+            self._on_job(asked, route, JobId(name))
+
+    def _on_job(self, asked: Asked, route: Route, job: JobId) -> None:
+        method = asked.request.method
+        if method == "POST":
+            self._submit(asked, route, job)
+        elif method == "GET":
+            self._state(asked, job)
+        elif method == "DELETE":
+            self._cancel(asked, job)
         else:
-            self._refuse(req, reply, ErrorKind.METHOD_NOT_ALLOWED, req.method)
+            self._refuse(asked, ErrorKind.METHOD_NOT_ALLOWED, method)
 
-    def _submit(self, req: HttpRequest, reply: Reply, route: Route, job: JobId) -> None:
+    def _submit(self, asked: Asked, route: Route, job: JobId) -> None:
         try:
-            workflow = workflow_of(req.body)
+            workflow = workflow_of(asked.request.body)
         except SpoolcrankError as exc:
-            self._refuse(req, reply, exc.refusal.kind, exc.refusal.detail)
+            self._refuse(asked, exc.refusal.kind, exc.refusal.detail)
             return
         record = JobRecord(
             route.name,
@@ -96,52 +108,57 @@
         def kept(outcome: IntakeOutcome) -> None:
             if outcome is IntakeOutcome.KEPT:
                 self._telemetry.log("job-accepted", job=job, route=route.name)
-                reply(json_reply(200, {}))
+                self._reply(asked, json_reply(200, {}))
             else:
-                self._not_kept(req, reply, outcome)
+                self._not_kept(asked, outcome)
 
+        asked.waits = Waits.APPEND
         self._intake.submit(job, record, kept)
 
-    def _not_kept(self, req: HttpRequest, reply: Reply, outcome: IntakeOutcome) -> None:
+    def _not_kept(self, asked: Asked, outcome: IntakeOutcome) -> None:
         if outcome is IntakeOutcome.NOT_KEPT:
-            self._refuse(req, reply, ErrorKind.LOG_UNAVAILABLE, "the store took no record")
+            self._refuse(asked, ErrorKind.LOG_UNAVAILABLE, "the store took no record")
         else:
-            self._refuse(req, reply, ErrorKind.LOG_ANSWER_UNKNOWN, "the store may have it")
+            self._refuse(asked, ErrorKind.LOG_ANSWER_UNKNOWN, "the store may have it")
 
-    def _state(self, req: HttpRequest, reply: Reply, job: JobId) -> None:
+    def _state(self, asked: Asked, job: JobId) -> None:
         def told(phase: JobPhase | ErrorKind) -> None:
             if isinstance(phase, JobPhase):
-                reply(json_reply(200, {"state": phase.value}))
+                self._reply(asked, json_reply(200, {"state": phase.value}))
             else:
-                self._no_phase(req, reply, phase)
+                self._no_phase(asked, phase)
 
+        asked.waits = Waits.READ
         self._intake.state(job, told)
 
-    def _no_phase(self, req: HttpRequest, reply: Reply, kind: ErrorKind) -> None:
+    def _no_phase(self, asked: Asked, kind: ErrorKind) -> None:
         if kind is ErrorKind.NO_SUCH_JOB:
+            req = asked.request
             self._telemetry.log("job-unknown", grave=True, method=req.method, path=req.path)
-            reply(_GONE)
+            self._reply(asked, _GONE)
         else:
-            self._refuse(req, reply, kind, "the store does not answer")
+            self._refuse(asked, kind, "the store does not answer")
 
-    def _cancel(self, req: HttpRequest, reply: Reply, job: JobId) -> None:
+    def _cancel(self, asked: Asked, job: JobId) -> None:
         def told(outcome: IntakeOutcome | ErrorKind) -> None:
             if outcome is IntakeOutcome.KEPT:
                 self._telemetry.log("cancel-accepted", job=job)
-                reply(json_reply(200, {}))
+                self._reply(asked, json_reply(200, {}))
             elif isinstance(outcome, IntakeOutcome):
-                self._not_kept(req, reply, outcome)
+                self._not_kept(asked, outcome)
             else:
-                self._no_phase(req, reply, outcome)
+                self._no_phase(asked, outcome)
 
+        asked.waits = Waits.READ_THEN_APPEND
         self._intake.cancel(job, told)
 
-    def _refuse(self, req: HttpRequest, reply: Reply, kind: ErrorKind, detail: str) -> None:
+    def _refuse(self, asked: Asked, kind: ErrorKind, detail: str) -> None:
+        req = asked.request
         self._telemetry.log(
             "refused", grave=True, kind=kind.value, detail=detail, method=req.method, path=req.path
         )
         again_s = COME_BACK_S if kind in _AGAIN else 0.0
-        reply(refusal_reply(Refusal(kind, detail, retry_after_s=again_s)))
+        self._reply(asked, refusal_reply(Refusal(kind, detail, retry_after_s=again_s)))
 
 
 _AGAIN = frozenset({ErrorKind.NOT_READY, ErrorKind.LOG_UNAVAILABLE})
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -18,6 +18,7 @@
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.mechanisms import Mechanism, switched_off
+from spoolcrank.open_requests import tell_given_up
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import configuration_of, runner_of
 from spoolcrank.platform.runners import PlatformRunners
@@ -92,8 +93,10 @@
             lease_ms=min(LEASE_MS, cfg.longest_lease_ms),
             without=without,
         )
-        api = ClientApi(self.intake, self.index, lambda: self._routes, self.telemetry, self.figures)
-        self._clients = runtime.serve(cfg.clients, api.answer, "clients")
+        self._api = ClientApi(
+            self.intake, self.index, lambda: self._routes, self.telemetry, self.figures
+        )
+        self._clients = runtime.serve(cfg.clients, self._api.answer, "clients")
         self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
         runtime.serve(address_on(cfg.ip, metrics_port), self._answer_metrics, "metrics")
         runtime.on_stop(self._stop)
@@ -190,8 +193,7 @@
             since = time.monotonic() - begun_at
             quiet = left[0] and self._clients.unanswered == 0 and since >= LINGER_S
             if quiet or since >= self._cfg.grace_s - STOP_SPARE_S:
-                self.telemetry.log("stop", grave=True, after_s=round(since, 2))
-                self.telemetry.flush()
+                self._tell_stop(begun_at, begun_at + since)
                 finish()
                 return
             self._runtime.timers.after(STOP_CHECK_S, check)
@@ -199,6 +201,13 @@
         self.dispatcher.leave(on_left)
         check()
 
+    def _tell_stop(self, begun_at: float, now: float) -> None:
+        asked = self._api.open.oldest_first()
+        tell_given_up(asked, begun_at, now, self.telemetry.log)
+        after_s = round(now - begun_at, 2)
+        self.telemetry.log("stop", grave=True, after_s=after_s, unanswered=self._clients.unanswered)
+        self.telemetry.flush()
+
     def reload(self) -> None:
         """Read the settings file again; what cannot change while running is only logged."""
         try:
