--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,7 +1,8 @@
 """The platform's store as a process: keyed logs over HTTP, with faults that a test sets.
 
 `python -m tests.soak.store` prints its address. POST /faults takes `busy` (503 to all), `slow_s`,
-`lose` (share of appends that are done and not answered) and `forget` (drop the history once).
+`lose` (share of appends that are done and not answered), `hold_s` (done at once, answered so much
+later) and `forget` (drop the history once).
 """
 
 import base64
@@ -118,6 +119,8 @@
         time.sleep(self.faults.get("slow_s", 0.0))
         if url.path == "/api/log-append":
             got = self.append(query, body)
+            if "mine" not in query:
+                time.sleep(self.faults.get("hold_s", 0.0))
             lost = self.chance.random() < self.faults.get("lose", 0.0)
             return NO_ANSWER if lost and "mine" not in query else got
         if url.path == "/api/log-read":
