A planned stop answers every request that it read: intake ends before the process does

Cause: the listener and open connections of a stopping instance were read until the process ended. At grace - 1 s whatever waited was cut; a quiet end looked at a count that left out answers not yet handed to the kernel and requests still in the loop's queue, and threw away what came in its last 20 ms. Change: a stop is a sequence of states, each with an end: serving until 2.5 s, refusing (listener closed after what waited was accepted, new requests answered 503 leaving, idle connections closed), sending from 4.7 s, end at 5 s at the latest, earlier once no connection stands and the leadership is given up. A wish has its answer within 1.8 s (two calls; it was 2.6, as a third began), a question too (it had no bound); the end of intake is derived from these, and a test fails if a bound grows. The own interface closes idle connections the same way.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -4,7 +4,6 @@
 any later time. Bounds on sizes and on half-sent requests are kept here.
 """
 
-import contextlib
 import json
 import socket
 import time
@@ -14,12 +13,12 @@
 
 from circuits import BaseComponent, Event, handler
 from circuits.net.events import close, write
-from circuits.net.sockets import TCPServer
 from circuits.web.events import response
 from circuits.web.http import HTTP
 from circuits.web.wrappers import Request, Response
 
 from spoolcrank._timers import Timers
+from spoolcrank._web_sockets import Accepted, WebSockets
 from spoolcrank.errors import ANSWERS, ErrorKind, Refusal
 
 MAX_BODY = 1 << 20
@@ -60,6 +59,19 @@
     body: bytes
 
 
+class Unsent(NamedTuple):
+    """One answer that the kernel did not take whole yet.
+
+    Attributes:
+        method, path: of the request.
+        read_at: when its first bytes were read, s of the monotonic clock.
+    """
+
+    method: str
+    path: str
+    read_at: float
+
+
 Reply = Callable[[HttpReply], None]
 Answerer = Callable[[HttpRequest, Reply], None]
 
@@ -119,9 +131,9 @@
         self._answer = answer
         self._timers = timers
         self._incoming: dict[socket.socket, _Incoming] = {}
-        self.unanswered = 0
+        self._sending: dict[socket.socket, Unsent] = {}
         self._closes = False
-        self.server = TCPServer(bind, channel=self.channel).register(self)
+        self.server: WebSockets = WebSockets(bind, self.channel).register(self)
         self.http = HTTP(self, channel=self.channel).register(self)
         timers.every(_SWEEP_S, self._sweep)
 
@@ -135,24 +147,63 @@
         """Return the bound port."""
         return int(self.server.port or 0)
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many requests read whole have answers not yet given to the kernel."""
+        return sum(1 for seen in self._incoming.values() if seen.busy) + len(self._sending)
+
+    @property
+    def unsent(self) -> list[Unsent]:
+        """Return the answers that the kernel did not take whole yet."""
+        return list(self._sending.values())
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections stand."""
+        return len(self.server.connections)
+
+    @property
+    def half_sent(self) -> int:
+        """Return on how many connections a part of a request has come."""
+        return sum(1 for seen in self._incoming.values() if seen.size and not seen.busy)
+
     def close_after_answers(self) -> None:
         """Close each connection with its next answer, so that callers go elsewhere."""
         self._closes = True
 
-    def stop_listening(self) -> None:
-        """Take no new connection; those that stand, or wait to be accepted, are served on.
+    def stop_listening(self) -> Accepted:
+        """Take no new connection; those that stand, or wait to be accepted, are served on."""
+        return self.server.stop_listening()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request, nor a part of one, was read."""
+        for sock in self.server.connections:
+            seen = self._incoming.get(sock)
+            if not self._has_work(sock) and (seen is None or not seen.size):
+                self.server.close_unless_bytes_wait(sock)
+
+    def stop_reading(self) -> None:
+        """Read nothing more; what was read whole is answered."""
+        self.server.stop_reading()
 
-        Closing the listener resets whatever still waits, so that is accepted first.
+    def close_unanswerable(self) -> None:
+        """After the end of reading, close the connections whose request can't come whole any more.
+
+        A closed one would be reset at the end of the process too; its client knows that nothing of
+        the request was taken, as it was not sent whole or not read.
         """
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                waiting, _ = self.server._sock.accept()
-                self.server._on_accept_done(waiting)
-        self.server._poller.discard(self.server._sock)
-        self.server._sock.close()
+        for sock in self.server.connections:
+            if not self._has_work(sock):
+                self.server.close(sock)
+
+    def _has_work(self, sock: socket.socket) -> bool:
+        seen = self._incoming.get(sock)
+        busy = seen is not None and seen.busy
+        return busy or sock in self._sending or sock in self.server.unhandled
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
+        self.server.handled(sock)
         seen = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
         if seen.busy:
             event.stop()
@@ -185,6 +236,7 @@
         head += [f"{name}: {value}" for name, value in reply.headers.items()]
         head.append(f"Content-Length: {len(reply.body)}")
         self._incoming[sock].size = 0
+        self._sending[sock] = Unsent("", "", self._incoming[sock].since)
         self.fire(write(sock, "\r\n".join(head).encode() + b"\r\n\r\n" + reply.body))
         self.fire(close(sock))
 
@@ -194,7 +246,6 @@
         sock = req.sock
         seen = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
         seen.busy = True
-        self.unanswered += 1
         answered = False
 
         def reply(answer: HttpReply) -> None:
@@ -202,7 +253,6 @@
             if answered:
                 return
             answered = True
-            self.unanswered -= 1
             self._send(sock, res, answer)
 
         plain = HttpRequest(
@@ -222,17 +272,20 @@
         if seen is None:
             return
         res.status = answer.status
-        if self._closes:
+        # What came behind this request was read too: it is answered before the close.
+        if self._closes and not seen.held:
             res.close = True
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
+        self._sending[sock] = Unsent(res.request.method, res.request.path, seen.since)
         self.fire(response(res))
         seen.busy = False
         seen.size = 0
         seen.head = b""
         held, seen.held = seen.held, []
         if held:
+            self.server.unhandled[sock] += 1
             self.fire(Event.create("read", sock, b"".join(held)))
 
     @handler("httperror", priority=1)
@@ -244,8 +297,9 @@
         answer = refusal_reply(refusal)
         event.stop()
         seen = self._incoming.get(req.sock)
-        if seen is not None and seen.busy:
-            self.unanswered -= 1
+        if seen is not None:
+            seen.busy = False
+            self._sending[req.sock] = Unsent(req.method or "", req.path or "", seen.since)
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.status = answer.status
@@ -253,8 +307,19 @@
         res.body = answer.body
         self.fire(response(res))
 
+    @handler("_write")
+    def _on_written(self, sock: socket.socket) -> None:
+        """Take note of an answer whose last bytes the kernel took; the server has just sent some.
+
+        The events that fill a connection's buffer are all handled before the first of these.
+        """
+        if not self.server.holds_unsent(sock):
+            self._sending.pop(sock, None)
+
     @handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
+        self._sending.pop(sock, None)
+        self.server.unhandled.pop(sock, None)
         self._incoming.pop(sock, None)
         self.http._buffers.pop(sock, None)
         self.http._clients.pop(sock, None)
--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -112,7 +112,9 @@
         began = time.monotonic()
 
         def check() -> None:
-            busy = self.callers.under_way or self.log_link.unsent or self.web.unanswered
+            # A request that came on an idle connection after the last look would be thrown away.
+            self.web.close_idle()
+            busy = self.callers.under_way or self.log_link.unsent or self.web.connections
             if busy and time.monotonic() - began < _LONGEST_STOP_S:
                 self._runtime.timers.after(_DRAIN_CHECK_S, check)
                 return
--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -14,7 +14,7 @@
 from spoolcrank.job_index import JobIndex
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key
 from spoolcrank.log_follower import LogFollower
-from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort
+from spoolcrank.store_port import CALL_S, Append, Appended, AppendOutcome, LogPort
 from spoolcrank.workflow import FINAL, JobPhase, JobRecord, encode
 
 GATHER_S = 0.002
@@ -31,8 +31,21 @@
 """While an append has no answer for so long, s, new jobs are refused unsent: they would only
 wait behind it; a slow store answers in 0.4 s."""
 
-UNSURE_S = 1.7
-"""A record that may be on the log is given up as unknown after so long, s; two calls."""
+UNSURE_S = 1.8
+"""A record that may be on the log is given up as unknown within so long, s: two calls, the pause
+between them and 0.1 s for a loop that is late."""
+
+LAST_SEND_S = UNSURE_S - CALL_S
+"""A record is not sent later than so long after it came, s: its answer could come after
+`UNSURE_S`."""
+
+READ_S = 1.8
+"""A question that needs the store is given up after so long, s: the call under way when it came,
+its own, and 0.2 s for the parts of a long answer."""
+
+LONGEST_ANSWER_S = max(UNSURE_S, READ_S)
+"""Whatever was passed to the store has its answer after so long, s; a planned stop counts on it.
+A wish to cancel a job that had to be read first is not sent any more once intake has ended."""
 
 FRESH_S = 0.05
 """A copy read so recently answers without another read, s."""
@@ -47,6 +60,7 @@
     KEPT = "kept"
     NOT_KEPT = "not-kept"
     UNKNOWN = "unknown"
+    LEAVING = "leaving"
 
 
 @dataclass
@@ -77,17 +91,20 @@
         self._flying = False
         self._flying_since = 0.0
         self._gathering = False
+        self._ended = False
 
-    @property
-    def busy(self) -> int:
-        """Return how many wishes have no answer yet."""
-        return len(self._pending) + (1 if self._flying else 0)
+    def end(self) -> None:
+        """Pass nothing more to the store but what was passed on; answer what is known here."""
+        self._ended = True
 
     def submit(self, job: JobId, record: JobRecord, done: Callable[[IntakeOutcome], None]) -> None:
         """Keep a job; the same id again is the same job."""
         if self._index.phase(job) is not None:
             done(IntakeOutcome.KEPT)
             return
+        if self._ended:
+            done(IntakeOutcome.LEAVING)
+            return
         if not self._follower.contact or self._stuck():
             done(IntakeOutcome.NOT_KEPT)
             return
@@ -101,6 +118,8 @@
                 done(phase)
             elif phase in FINAL:
                 done(IntakeOutcome.KEPT)
+            elif self._ended:
+                done(IntakeOutcome.LEAVING)
             else:
                 self._keep(KeyedRecord(cancel_key(job), b"1"), done)
 
@@ -116,14 +135,26 @@
         if phase is not None and (fresh or phase in FINAL):
             done(phase)
             return
+        if self._ended:
+            done(ErrorKind.LEAVING)
+            return
+        told = False
+
+        def tell(answer: JobPhase | ErrorKind) -> None:
+            nonlocal told
+            if not told:
+                told = True
+                done(answer)
 
         def refreshed(ok: bool) -> None:
             newer = self._index.phase(job)
             if newer is not None:
-                done(newer)
+                tell(newer)
             else:
-                done(ErrorKind.NO_SUCH_JOB if ok else ErrorKind.LOG_UNAVAILABLE)
+                tell(ErrorKind.NO_SUCH_JOB if ok else ErrorKind.LOG_UNAVAILABLE)
 
+        # A refresh reads on while records come, so it has no end of its own.
+        self._timers.after(READ_S, lambda: tell(ErrorKind.LOG_UNAVAILABLE))
         self._follower.refresh(refreshed)
 
     def _stuck(self) -> bool:
@@ -139,7 +170,10 @@
 
     def _send(self) -> None:
         self._gathering = False
-        if self._flying or not self._pending:
+        if self._flying:
+            return
+        self._give_up_late(self._clock())
+        if not self._pending:
             return
         batch: list[_Pending] = []
         size = 0
@@ -171,9 +205,21 @@
         left = []
         for one in batch:
             one.unsure = one.unsure or got.outcome is AppendOutcome.UNKNOWN
-            limit_s = UNSURE_S if one.unsure else KEEP_TRYING_S
-            if now - one.since < limit_s:
+            # Two calls without an answer took 1.68 s; a third would have ended after 2.56 s.
+            may_send = now + RETRY_S - one.since <= LAST_SEND_S
+            if may_send if one.unsure else now - one.since < KEEP_TRYING_S:
                 left.append(one)
             else:
-                one.done(IntakeOutcome.UNKNOWN if one.unsure else IntakeOutcome.NOT_KEPT)
+                _give_up(one)
         self._pending = left + self._pending
+
+    def _give_up_late(self, now: float) -> None:
+        """Answer what waited for earlier appends until its own could not end in time."""
+        late = [one for one in self._pending if now - one.since > LAST_SEND_S]
+        self._pending = [one for one in self._pending if now - one.since <= LAST_SEND_S]
+        for one in late:
+            _give_up(one)
+
+
+def _give_up(one: _Pending) -> None:
+    one.done(IntakeOutcome.UNKNOWN if one.unsure else IntakeOutcome.NOT_KEPT)
--- a/spoolcrank/open_requests.py
+++ b/spoolcrank/open_requests.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import NamedTuple
 
-from spoolcrank._web import HttpRequest, Reply
+from spoolcrank._web import HttpRequest, Reply, Unsent
 
 GIVEN_UP_LINES = 20
 """Of one stop, lines that name a request without an answer; beyond it they are only counted. The
@@ -13,12 +13,13 @@
 
 
 class Waits(Enum):
-    """What a request without an answer waits for."""
+    """What a request without an answer waits for; CLIENT: that it reads what was answered."""
 
     NOTHING = "nothing"
     APPEND = "append"
     READ = "read"
     READ_THEN_APPEND = "read-then-append"
+    CLIENT = "client"
 
 
 @dataclass(eq=False)
@@ -63,16 +64,41 @@
         return list(self._asked)
 
 
+class GivenUp(NamedTuple):
+    """One request whose answer a stop did not give, or not whole.
+
+    Attributes:
+        method, path: of the request.
+        read_at: when it was read, s of the monotonic clock.
+        waits: for what.
+    """
+
+    method: str
+    path: str
+    read_at: float
+    waits: Waits
+
+
+def given_up(asked: OpenRequests, unsent: list[Unsent]) -> list[GivenUp]:
+    """Return what a stop gives up: requests without an answer, and answers not handed on whole."""
+    waiting = [
+        GivenUp(one.request.method, one.request.path, one.came_at, one.waits)
+        for one in asked.oldest_first()
+    ]
+    return waiting + [GivenUp(*one, Waits.CLIENT) for one in unsent]
+
+
 def tell_given_up(
-    asked: list[Asked], stopped_at: float, now: float, log: Callable[..., None]
+    requests: list[GivenUp], stopped_at: float, now: float, log: Callable[..., None]
 ) -> None:
     """Write one line for each request that a stop gives up."""
-    for one in asked[:GIVEN_UP_LINES]:
-        fields: dict[str, Any] = {
-            "method": one.request.method,
-            "path": one.request.path,
-            "age_s": round(now - one.came_at, 3),
-            "read_after_signal_s": round(one.came_at - stopped_at, 3),
-            "waits": one.waits.value,
-        }
-        log("given-up", grave=True, **fields)
+    for one in requests[:GIVEN_UP_LINES]:
+        log(
+            "given-up",
+            grave=True,
+            method=one.method,
+            path=one.path,
+            age_s=round(now - one.read_at, 3),
+            read_after_signal_s=round(one.read_at - stopped_at, 3),
+            waits=one.waits.value,
+        )
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -21,6 +21,7 @@
 
 _HEX = frozenset(string.hexdigits)
 _GONE = HttpReply(410, {}, b"")
+_LEAVING = "this instance leaves; the store was not asked"
 
 
 class ClientApi:
@@ -118,6 +119,8 @@
     def _not_kept(self, asked: Asked, outcome: IntakeOutcome) -> None:
         if outcome is IntakeOutcome.NOT_KEPT:
             self._refuse(asked, ErrorKind.LOG_UNAVAILABLE, "the store took no record")
+        elif outcome is IntakeOutcome.LEAVING:
+            self._refuse(asked, ErrorKind.LEAVING, _LEAVING)
         else:
             self._refuse(asked, ErrorKind.LOG_ANSWER_UNKNOWN, "the store may have it")
 
@@ -136,6 +139,8 @@
             req = asked.request
             self._telemetry.log("job-unknown", grave=True, method=req.method, path=req.path)
             self._reply(asked, _GONE)
+        elif kind is ErrorKind.LEAVING:
+            self._refuse(asked, kind, _LEAVING)
         else:
             self._refuse(asked, kind, "the store does not answer")
 
@@ -152,6 +157,16 @@
         asked.waits = Waits.READ_THEN_APPEND
         self._intake.cancel(job, told)
 
+    def give_up(self) -> int:
+        """Answer what still waits for the store; returns how many requests that were."""
+        waiting = self.open.oldest_first()
+        for asked in waiting:
+            if asked.waits is Waits.READ:
+                self._refuse(asked, ErrorKind.LOG_UNAVAILABLE, "the store does not answer")
+            else:
+                self._refuse(asked, ErrorKind.LOG_ANSWER_UNKNOWN, "the store may have it")
+        return len(waiting)
+
     def _refuse(self, asked: Asked, kind: ErrorKind, detail: str) -> None:
         req = asked.request
         self._telemetry.log(
@@ -161,4 +176,4 @@
         self._reply(asked, refusal_reply(Refusal(kind, detail, retry_after_s=again_s)))
 
 
-_AGAIN = frozenset({ErrorKind.NOT_READY, ErrorKind.LOG_UNAVAILABLE})
+_AGAIN = frozenset({ErrorKind.NOT_READY, ErrorKind.LOG_UNAVAILABLE, ErrorKind.LEAVING})
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -12,13 +12,14 @@
 from spoolcrank.errors import SettingsError
 from spoolcrank.figures import TEXT_TYPE, Figures
 from spoolcrank.ids import Address, Incarnation, unique
+from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import JobIntake
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.mechanisms import Mechanism, switched_off
-from spoolcrank.open_requests import tell_given_up
+from spoolcrank.planned_stop import stop_times
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import configuration_of, runner_of
 from spoolcrank.platform.runners import PlatformRunners
@@ -42,14 +43,6 @@
 OUT_OF_TOUCH_S = 1.5
 """An instance that the store has not answered for so long calls itself not ready, s."""
 
-LINGER_S = 2.5
-"""After the signal to stop, new connections are taken for so long, s: the balancer asks each
-second and goes by two answers."""
-
-STOP_CHECK_S = 0.05
-STOP_SPARE_S = 1.0
-"""Left of the grace when the process ends whatever is unanswered, s."""
-
 
 class PlatformDaemon:
     """One instance: takes jobs in, and schedules when it leads."""
@@ -180,33 +173,21 @@
         return loaded and in_touch and not self._stopping
 
     def _stop(self, finish: Callable[[], None]) -> None:
-        begun_at = time.monotonic()
         self._stopping = True
-        self._clients.close_after_answers()
-        self.telemetry.log("stopping", grave=True, unanswered=self._clients.unanswered)
-        left = [False]
-
-        def on_left() -> None:
-            left[0] = True
-
-        def check() -> None:
-            since = time.monotonic() - begun_at
-            quiet = left[0] and self._clients.unanswered == 0 and since >= LINGER_S
-            if quiet or since >= self._cfg.grace_s - STOP_SPARE_S:
-                self._tell_stop(begun_at, begun_at + since)
-                finish()
-                return
-            self._runtime.timers.after(STOP_CHECK_S, check)
-
-        self.dispatcher.leave(on_left)
-        check()
-
-    def _tell_stop(self, begun_at: float, now: float) -> None:
-        asked = self._api.open.oldest_first()
-        tell_given_up(asked, begun_at, now, self.telemetry.log)
-        after_s = round(now - begun_at, 2)
-        self.telemetry.log("stop", grave=True, after_s=after_s, unanswered=self._clients.unanswered)
-        self.telemetry.flush()
+        InstanceStop(
+            stop_times(self._cfg.grace_s),
+            self._clients,
+            self.intake,
+            self._api.open,
+            self._api.give_up,
+            # A claim that was on its way at the signal may be kept after it.
+            lambda: self.dispatcher.scheduler is not None,
+            finish,
+            self._runtime.timers,
+            self.telemetry,
+            time.monotonic,
+        ).begin()
+        self.dispatcher.leave(lambda: None)
 
     def reload(self) -> None:
         """Read the settings file again; what cannot change while running is only logged."""
--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -10,6 +10,7 @@
 from spoolcrank.ids import Address
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.store_port import (
+    CALL_S,
     Append,
     Appended,
     AppendOutcome,
@@ -21,10 +22,6 @@
 KEYED = "keyed."
 """Topics whose names begin so keep the newest record of each key for good."""
 
-CALL_S = 0.8
-"""A call of the store whose answer does not begin, or pauses, for so long is given up, s; 200
-usual answers."""
-
 AGAIN_S = 0.3
 """A read, or an append of the leader, without any answer over a kept connection for so long is
 sent again over a new one, s. Nothing is done twice by it: the store gives a repeated sequence its
--- a/spoolcrank/store_port.py
+++ b/spoolcrank/store_port.py
@@ -10,6 +10,10 @@
 
 from spoolcrank.keyed_log import KeyedRecord
 
+CALL_S = 0.8
+"""A call of the store whose answer does not begin, or pauses, for so long is given up, s; 200
+usual answers. An append has ended by then, as its answer is small."""
+
 
 class AppendOutcome(Enum):
     """What became of an append.
--- /dev/null
+++ b/tests/test_stop_times.py
@@ -0,0 +1,256 @@
+"""The times of a planned stop: each state ends by itself, and every answer fits in before."""
+
+import heapq
+import itertools
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from spoolcrank._web import HttpReply, HttpRequest
+from spoolcrank.errors import ErrorKind
+from spoolcrank.figures import Figures
+from spoolcrank.ids import JobId, ServiceName
+from spoolcrank.job_index import JobIndex
+from spoolcrank.job_intake import LONGEST_ANSWER_S, READ_S, UNSURE_S, IntakeOutcome, JobIntake
+from spoolcrank.log_follower import LogFollower
+from spoolcrank.planned_stop import (
+    INTAKE_END_S,
+    LAG_S,
+    LAST_BYTES_S,
+    Standing,
+    StopState,
+    next_state,
+    stop_times,
+)
+from spoolcrank.platform.clients import ClientApi
+from spoolcrank.platform.documents import configuration_of
+from spoolcrank.platform.store import CALL_S
+from spoolcrank.store_port import Append, Appended, AppendOutcome, NewestPage, Records
+from spoolcrank.workflow import JobPhase, JobRecord, RouteName, Step, Workflow
+
+USUAL_GRACE_S = 6.0
+LATE_S = 0.03
+"""How late each timer of the simulated loop is."""
+
+
+def test_whatever_is_read_can_be_answered_before_the_end() -> None:
+    """Fails if a bound of the store's calls grows over what the grace leaves for it."""
+    times = stop_times(USUAL_GRACE_S)
+    assert times.intake_end_s == INTAKE_END_S
+    assert times.intake_end_s + LONGEST_ANSWER_S + LAG_S <= times.answers_end_s
+    assert times.answers_end_s + LAST_BYTES_S <= times.end_s < USUAL_GRACE_S
+
+
+@pytest.mark.parametrize("grace_s", [0.0, 0.5, 2.0, 4.0, 5.0, 30.0])
+def test_a_shorter_grace_shortens_serving_first(grace_s: float) -> None:
+    times = stop_times(grace_s)
+    assert list(times) == sorted(times)
+    assert 0.0 <= times.end_s <= grace_s
+    assert times.intake_end_s <= INTAKE_END_S
+    if times.intake_end_s > 0.0:
+        assert times.intake_end_s + LONGEST_ANSWER_S + LAG_S <= times.answers_end_s + 1e-9
+
+
+def states(standing: Standing, every_s: float, until_s: float) -> list[tuple[StopState, float]]:
+    """Return the states of a usual stop with the times when each was entered."""
+    times = stop_times(USUAL_GRACE_S)
+    state, entered, since_s = StopState.SERVING, [], 0.0
+    while state is not StopState.ENDED and since_s < until_s:
+        since_s += every_s
+        after = next_state(state, times, since_s, standing)
+        if after is not state:
+            entered.append((after, since_s))
+        state = after
+    return entered
+
+
+def test_with_nothing_left_the_stop_ends_soon_after_intake() -> None:
+    entered = states(Standing(0, False), 0.05, 10.0)
+    assert [state for state, _ in entered] == [StopState.REFUSING, StopState.ENDED]
+    assert entered[-1][1] <= INTAKE_END_S + 0.2
+
+
+@pytest.mark.parametrize("standing", [Standing(1, False), Standing(0, True), Standing(9, True)])
+def test_clients_and_the_leadership_are_each_waited_for_until_the_end(standing: Standing) -> None:
+    entered = states(standing, 0.05, 10.0)
+    assert [state for state, _ in entered] == [
+        StopState.REFUSING,
+        StopState.SENDING,
+        StopState.ENDED,
+    ]
+    assert entered[-1][1] <= stop_times(USUAL_GRACE_S).end_s + 0.1
+
+
+def test_a_loop_held_up_for_seconds_passes_over_no_state() -> None:
+    entered = states(Standing(1, True), 4.0, 40.0)
+    assert [state for state, _ in entered] == [
+        StopState.REFUSING,
+        StopState.SENDING,
+        StopState.ENDED,
+    ]
+
+
+class Loop:
+    """A loop in simulated time whose timers are all a little late."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now + delay_s + LATE_S, next(self._numbers), action))
+
+    def run(self, until: float) -> None:
+        while self._due and self._due[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._due)
+            action()
+        self.now = until
+
+
+class Store:
+    """Appends get their outcome after a time, and reads after another; None for never."""
+
+    def __init__(
+        self, loop: Loop, outcome: AppendOutcome, append_s: float, read_s: float | None
+    ) -> None:
+        self._loop = loop
+        self._outcome = outcome
+        self._append_s = append_s
+        self._read_s = read_s
+        self.appended = 0
+
+    def append(self, append: Append, done: Callable[[Appended], None]) -> None:
+        self.appended += len(append.records)
+        self._loop.after(self._append_s, lambda: done(Appended(self._outcome, 0)))
+
+    def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
+        if self._read_s is not None and wait_ms == 0:
+            raise AssertionError("not played here")
+
+    def newest(self, after_key: str, done: Callable[[NewestPage], None]) -> None:
+        done(NewestPage(True, (), False, 0))
+
+
+class Instance:
+    """The intake of one instance and its clients' address, in simulated time."""
+
+    def __init__(self, outcome: AppendOutcome, append_s: float) -> None:
+        self.loop = loop = Loop()
+        self.store = Store(loop, outcome, append_s, None)
+        timers: Any = loop
+
+        def clock() -> float:
+            return loop.now
+
+        self.follower = LogFollower(self.store, timers, clock, lambda *_: None, lambda *_: None)
+        self.follower.begin()
+        self.index = JobIndex()
+        self.intake = JobIntake(self.store, self.follower, self.index, timers, clock)
+
+
+def note_age(loop: Loop, ages: list[float]) -> Callable[[IntakeOutcome], None]:
+    came_at = loop.now
+    return lambda outcome: ages.append(loop.now - came_at)
+
+
+def job() -> JobRecord:
+    return JobRecord(RouteName("q"), ServiceName("work"), 0, 3, 250, 1.5, Workflow("x", (Step(1),)))
+
+
+@pytest.mark.parametrize("outcome", [AppendOutcome.UNKNOWN, AppendOutcome.NOT_KEPT])
+@pytest.mark.parametrize("append_s", [0.0, 0.4, 0.6, CALL_S])
+def test_a_wish_that_was_passed_on_is_answered_within_its_bound(
+    outcome: AppendOutcome, append_s: float
+) -> None:
+    """Steady arrivals at a store that keeps nothing: each waits for its own calls only."""
+    one = Instance(outcome, append_s)
+    ages: list[float] = []
+    asked = 400
+    for number in range(asked):
+        one.loop.run(100.0 + number * 0.01)
+        one.intake.submit(JobId(f"{number:x}"), job(), note_age(one.loop, ages))
+    one.loop.run(120.0)
+    assert len(ages) == asked
+    assert max(ages) <= UNSURE_S + LATE_S
+
+
+def test_a_question_that_the_store_does_not_answer_is_given_up() -> None:
+    one = Instance(AppendOutcome.KEPT, 0.0)
+    told: list[Any] = []
+    one.intake.state(JobId("a"), lambda phase: told.append((phase, one.loop.now)))
+    one.loop.run(110.0)
+    assert [phase for phase, _ in told] == [ErrorKind.LOG_UNAVAILABLE]
+    assert told[0][1] <= 100.0 + READ_S + LATE_S
+
+
+def test_after_the_end_of_intake_nothing_new_is_passed_to_the_store() -> None:
+    one = Instance(AppendOutcome.KEPT, 0.4)
+    told: list[Any] = []
+    one.intake.submit(JobId("a"), job(), told.append)
+    one.loop.run(100.1)
+    one.intake.end()
+    one.intake.submit(JobId("b"), job(), told.append)
+    one.intake.state(JobId("b"), told.append)
+    one.intake.cancel(JobId("b"), told.append)
+    assert told == [IntakeOutcome.LEAVING, ErrorKind.LEAVING, ErrorKind.LEAVING]
+    one.loop.run(102.0)
+    assert told[3:] == [IntakeOutcome.KEPT]
+    one.intake.submit(JobId("a"), job(), told.append)
+    one.intake.state(JobId("a"), told.append)
+    assert told[4:] == [IntakeOutcome.KEPT, ErrorKind.LEAVING]
+    assert one.store.appended == 1
+
+
+def test_a_state_that_is_known_here_is_told_after_the_end_of_intake() -> None:
+    one = Instance(AppendOutcome.KEPT, 0.0)
+    told: list[Any] = []
+    one.intake.submit(JobId("a"), job(), told.append)
+    one.loop.run(101.0)
+    one.intake.end()
+    one.follower.copy.read_at = one.loop.now
+    one.intake.state(JobId("a"), told.append)
+    assert told == [IntakeOutcome.KEPT, JobPhase.PENDING]
+
+
+class Log:
+    def log(self, name: str, grave: bool = False, **fields: Any) -> None:
+        """Nothing is kept."""
+
+
+def test_what_still_waits_at_the_end_is_answered_for_what_is_known_of_it() -> None:
+    """A record that may be on the log is never called refused; a question may be asked again."""
+    route = {
+        "name": "q",
+        "host": "a",
+        "pathPrefix": "/q/",
+        "service": "s",
+        "maxAttempts": 4,
+        "sloMs": 250,
+    }
+    table = configuration_of(json.dumps({"version": 1, "routes": [route]}).encode())
+    one = Instance(AppendOutcome.UNKNOWN, 50.0)
+    log: Any = Log()
+    api = ClientApi(one.intake, one.index, lambda: table, log, Figures())
+    got: list[tuple[str, HttpReply]] = []
+    body = json.dumps({"spec": "x", "steps": [{"count": 1}]}).encode()
+
+    def ask(method: str) -> None:
+        req = HttpRequest(method, "/q/ab", {}, {"host": "a"}, body, "")
+        api.answer(req, lambda answer: got.append((method, answer)))
+
+    for method in ("POST", "GET", "DELETE"):
+        ask(method)
+    one.loop.run(100.5)
+    assert got == []
+    assert api.give_up() == 3
+    assert {method: answer.status for method, answer in got} == {
+        "POST": 504,
+        "GET": 503,
+        "DELETE": 504,
+    }
+    one.loop.run(200.0)
+    assert len(got) == 3
+    assert len(api.open) == 0
