Test: a claim on its way when the stop begins is given up before intake ends

Cause: a stop that finds no leadership counted it as given up, though a claim may be kept after the signal.

--- a/tests/test_stop_times.py
+++ b/tests/test_stop_times.py
@@ -14,6 +14,8 @@
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import LONGEST_ANSWER_S, READ_S, UNSURE_S, IntakeOutcome, JobIntake
+from spoolcrank.keyed_log import LEADER_KEY
+from spoolcrank.leadership import decode_claim
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.planned_stop import (
     INTAKE_END_S,
@@ -29,6 +31,7 @@
 from spoolcrank.platform.store import CALL_S
 from spoolcrank.store_port import Append, Appended, AppendOutcome, NewestPage, Records
 from spoolcrank.workflow import JobPhase, JobRecord, RouteName, Step, Workflow
+from tests.fleet_world import World
 
 USUAL_GRACE_S = 6.0
 LATE_S = 0.03
@@ -254,3 +257,27 @@
     one.loop.run(200.0)
     assert len(got) == 3
     assert len(api.open) == 0
+
+
+def test_a_claim_on_its_way_when_the_stop_begins_is_given_up_before_intake_ends() -> None:
+    """The process would else leave as the leader: its stop counted on nothing to give up."""
+    world = World(1)
+    for number in range(2):
+        world.add_instance(f"entry-{number}")
+    world.run_until(lambda: any(claimants(world)))
+    (leaving,) = claimants(world)
+    assert leaving.dispatcher.scheduler is None
+    leaving.dispatcher.leave(lambda: None)
+    world.run(INTAKE_END_S)
+    assert leaving.dispatcher.scheduler is None
+    claims = [one for one in world.store.jobs.records if one.key == LEADER_KEY]
+    by_leaving = [decode_claim(one.value) for one in claims]
+    assert [one.resigned for one in by_leaving if one.instance == leaving.name][-1]
+    leader = world.leader()
+    assert leader is not None
+    assert leader is not leaving
+
+
+def claimants(world: World) -> list[Any]:
+    instances = world.instances.values()
+    return [one for one in instances if any(name == "claims" for name, _ in one.logged.lines)]
