Say where the bound on lines of a stop comes from

Cause: its docstring named a figure that was not that of requests given up. Change: words only. Conclusion: none of logic.

--- a/spoolcrank/open_requests.py
+++ b/spoolcrank/open_requests.py
@@ -8,8 +8,8 @@
 from spoolcrank._web import HttpRequest, Reply, Unsent
 
 GIVEN_UP_LINES = 20
-"""Of one stop, lines that name a request without an answer; beyond it they are only counted. The
-stops that were seen to give requests up had 8 of them at most."""
+"""Of one stop, lines that name a request without an answer; line `stop` has the number of all. A
+choice: enough to see what they wait for, a fifth of the lines about failures of one second."""
 
 
 class Waits(Enum):
