Merge the planned stop whose states each have an end

A test steps by 1 ms until a claim is on its way: by 50 ms it came too late for one of 10 ms (same check).

--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -45,20 +45,20 @@
         self._follower = follower
         self._telemetry = telemetry
         self._clock = clock
-        self.busy = False
+        self._busy = False
         self._again_at = -1.0
         self._term = 0
         self._cautious = 0
 
     def work(self, now: float) -> None:
         """Claim or offer, where that is due; only for an instance that does not lead."""
-        if self.busy or not self.allowed or not self._follower.copy.loaded:
+        if self._busy or not self.allowed or not self._follower.copy.loaded:
             return
         if now < self._again_at:
             return
         duty = self.leadership.duty(now)
         if duty.claim:
-            self.busy = True
+            self._busy = True
             self._follower.eager = True
             self._follower.refresh(self._on_read)
         elif duty.offer:
@@ -108,7 +108,7 @@
             self._follower.refresh(lambda ok: None)
 
     def _end(self) -> None:
-        self.busy = False
+        self._busy = False
         if not self.leadership.leads:
             self._follower.eager = False
 
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -110,10 +110,10 @@
         self._leaving = True
         self._claiming.allowed = False
         self._on_left = done
-        if self.scheduler is not None:
-            self._wake()
-        elif not self._claiming.busy:
+        if self.scheduler is None:
             self._left()
+        else:
+            self._wake()
 
     def _left(self) -> None:
         done, self._on_left = self._on_left, None
@@ -237,7 +237,11 @@
         else:
             self.leadership.lost_contact()
         if self.scheduler is None:
-            self._tick_follower(now)
+            # A claim may be read back while the copy is not whole yet.
+            if self.leadership.leads and self._follower.copy.loaded:
+                self._take_over(self.leadership.claim.term, now)
+            else:
+                self._claiming.work(now)
             return
         if self.leadership.may_extend(now):
             tick(self.scheduler, now)
@@ -254,16 +258,6 @@
                     self.scheduler.move(task, source, destination, now)
         self._work()
 
-    def _tick_follower(self, now: float) -> None:
-        """Claim or offer; lead, where a claim was read back while the copy was not whole yet."""
-        if self._leaving:
-            if not self._claiming.busy:
-                self._left()
-        elif self.leadership.leads and self._follower.copy.loaded:
-            self._take_over(self.leadership.claim.term, now)
-        else:
-            self._claiming.work(now)
-
     def _wake(self) -> None:
         if not self._woken:
             self._woken = True
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -12,12 +12,14 @@
 from spoolcrank.errors import SettingsError
 from spoolcrank.figures import TEXT_TYPE, Figures
 from spoolcrank.ids import Address, Incarnation, unique
+from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.job_index import JobIndex
 from spoolcrank.job_intake import JobIntake
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.leadership import Leadership
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.mechanisms import Mechanism, switched_off
+from spoolcrank.planned_stop import stop_times
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import configuration_of, runner_of
 from spoolcrank.platform.runners import PlatformRunners
@@ -42,14 +44,6 @@
 OUT_OF_TOUCH_S = 1.5
 """An instance that the store has not answered for so long calls itself not ready, s."""
 
-LINGER_S = 2.5
-"""After the signal to stop, new connections are taken for so long, s: the balancer asks each
-second and goes by two answers."""
-
-STOP_CHECK_S = 0.05
-STOP_SPARE_S = 1.0
-"""Left of the grace when the process ends whatever is unanswered, s."""
-
 
 class PlatformDaemon:
     """One instance: takes jobs in, and schedules when it leads."""
@@ -89,8 +83,10 @@
             lease_ms=min(LEASE_MS, cfg.longest_lease_ms),
             without=without,
         )
-        api = ClientApi(self.intake, self.index, lambda: self._routes, self.telemetry, self.figures)
-        self._clients = runtime.serve(cfg.clients, api.answer, "clients")
+        self._api = ClientApi(
+            self.intake, self.index, lambda: self._routes, self.telemetry, self.figures
+        )
+        self._clients = runtime.serve(cfg.clients, self._api.answer, "clients")
         self._ready = runtime.serve(cfg.ready, self._answer_ready, "ready")
         runtime.serve(address_on(cfg.ip, metrics_port), self._answer_metrics, "metrics")
         runtime.on_stop(self._stop)
@@ -198,27 +194,21 @@
         return loaded and in_touch and not self._stopping
 
     def _stop(self, finish: Callable[[], None]) -> None:
-        begun_at = time.monotonic()
         self._stopping = True
-        self._clients.close_after_answers()
-        self.telemetry.log("stopping", grave=True, unanswered=self._clients.unanswered)
-        left = [False]
-
-        def on_left() -> None:
-            left[0] = True
-
-        def check() -> None:
-            since = time.monotonic() - begun_at
-            quiet = left[0] and self._clients.unanswered == 0 and since >= LINGER_S
-            if quiet or since >= self._cfg.grace_s - STOP_SPARE_S:
-                self.telemetry.log("stop", grave=True, after_s=round(since, 2))
-                self.telemetry.flush()
-                finish()
-                return
-            self._runtime.timers.after(STOP_CHECK_S, check)
-
-        self.dispatcher.leave(on_left)
-        check()
+        InstanceStop(
+            stop_times(self._cfg.grace_s),
+            self._clients,
+            self.intake,
+            self._api.open,
+            self._api.give_up,
+            # A claim that was on its way at the signal may be kept after it.
+            lambda: self.dispatcher.scheduler is not None,
+            finish,
+            self._runtime.timers,
+            self.telemetry,
+            time.monotonic,
+        ).begin()
+        self.dispatcher.leave(lambda: None)
 
     def reload(self) -> None:
         """Read the settings file again; what cannot change while running is only logged."""
