Say where the task stands when an end is not held

The line looked like that of an end that gets lost.

Conclusion: the next play that starts a done task again shows which kind it was.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -147,12 +147,28 @@
     runner.seen_next = row.number
     run = runner.runs.get(row.task)
     if run is None or run.number != row.run:
-        state.note("end-not-ours", task=row.task, run=row.run, runner=runner.id, how=row.how.value)
+        _tell_not_ours(state, runner, row)
         return
     _judge_runner(state, runner, run, row, now)
     state.end_run(row.task, runner, row.how, row.saved, now)
 
 
+def _tell_not_ours(state: Scheduler, runner: RunnerState, row: EndedRow) -> None:
+    """Tell of an end whose run is not held, and where its task stands for this leader."""
+    job = state.jobs.get(row.task.job)
+    task = job.task(row.task) if job is not None and job.has(row.task) else None
+    state.note(
+        "end-not-ours",
+        task=row.task,
+        run=row.run,
+        runner=runner.id,
+        how=row.how.value,
+        job_phase=job.phase.value if job is not None else "unknown",
+        task_phase=task.phase.name.lower() if task is not None else "closed",
+        newest_run=task.run if task is not None else 0,
+    )
+
+
 def _judge_runner(
     state: Scheduler, runner: RunnerState, run: Run, row: EndedRow, now: float
 ) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -56,3 +56,20 @@
     world.run(2.0)
     assert world.starts[key] == []
     assert world.broken == []
+
+
+def test_the_line_on_an_end_that_is_not_held_tells_where_its_task_stands() -> None:
+    """Ends that were recorded and come again looked in the log like ends that got lost."""
+    world = small()
+    runner = next(iter(world.runners.values()))
+    steps = [Step(count=2, millicores=1000, memory_mb=100, after=after) for after in ((), (0,))]
+    world.instances["entry-0"].submit("a1", *steps)
+    leader = world.leader()
+    assert leader is not None
+    world.run_until(lambda: any(name == "run-ended" for name, _ in leader.logged.lines))
+    runner.ends += 1
+    key = TaskKey(JobId("a1"), 0, 0, 0)
+    runner.ended.append(EndedRow(runner.ends, key, 9, EndKind.FAILED, ""))
+    world.run(0.5)
+    (told,) = [fields for name, fields in leader.logged.lines if name == "end-not-ours"]
+    assert (told["job_phase"], told["task_phase"], told["newest_run"]) == ("running", "done", 1)
