Let the state machine lose, delay and cut short the answers of runners

Cause: in the simulated world a start was either answered in a millisecond or late in all, and each poll listed every end.

Change: rules that lose answers of calls that were carried out, and make calls and answers slow and overtake one another; worlds whose runners list two ends at once.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -33,9 +33,10 @@
 class Faults(RuleBasedStateMachine):
     """Jobs, cancels, kills, freezes, cuts and a bad store, in any order."""
 
-    @initialize(seed=st.integers(0, 1 << 16))
-    def begin(self, seed: int) -> None:
+    @initialize(seed=st.integers(0, 1 << 16), ends=st.sampled_from([500, 2]))
+    def begin(self, seed: int, ends: int) -> None:
         self.world: World = small(instances=3, runners=3, seed=seed)
+        self.world.ends_at_once = ends
         self.told: dict[str, list[IntakeOutcome]] = {}
         self.tries: Counter[str] = Counter()
         self.first_at: dict[str, float] = {}
@@ -132,6 +133,11 @@
     def late_orders(self, share: float) -> None:
         self.world.late_orders = share
 
+    @rule(share=st.sampled_from([0.0, 0.3]), slow_s=st.sampled_from([0.0, 0.05, 0.25]))
+    def answers_of_runners_are_lost_or_slow(self, share: float, slow_s: float) -> None:
+        self.world.lost_answers = share
+        self.world.slow_way_s = slow_s
+
     @rule(late=st.sampled_from([0.5, 1.0]), seconds=st.floats(0.02, 0.3))
     def leader_dies_with_orders_on_their_way(self, late: float, seconds: float) -> None:
         self.world.late_orders = late
@@ -222,6 +228,7 @@
         world.store.silent = False
         world.store.turned_away.clear()
         world.store.lose_share = world.store.late_share = world.late_orders = 0.0
+        world.lost_answers = world.slow_way_s = 0.0
         world.unreachable.clear()
         world.run(HEAL_S)
 
