--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -134,29 +134,28 @@
     return lambda: None
 
 
+UNREADABLE = (b"\xff\xfe", b"{", b"[]", b"[" * 5_000)
+
+
 def entries_of_another_writer(fleet: Fleet, chance: random.Random) -> Undo:
-    """Write what names no runner, and an entry at a live runner's address whose own may lapse."""
-    life = _runner(fleet, chance)
-    unreadable = [b"\xff\xfe", b"{", b"[]", b"[" * 5_000]
+    """Write what names no runner, for good, and a configuration that cannot be read."""
+    whole = fleet.entry(_runner(fleet, chance).address)
     strange = [{"address": ""}, {"address": "10.0.0.1:x"}, {"state": "?"}, {"service": "unheard"}]
-    values = [*unreadable, *(fleet.entry(life.address, **one) for one in strange)]
-    keys = [f"i-other-{chance.getrandbits(32):08x}" for _ in range(3)]
-    fleet.put("servers", keys[0], chance.choice(values))
-    fleet.put("servers", keys[1], chance.choice(values))
-    fleet.put("servers", keys[2], fleet.entry(life.address))
-    fleet.put("op", "config", chance.choice(unreadable))
-    time.sleep(chance.uniform(0.0, 0.3))
-    if chance.random() < 0.5:
-        fleet.put("servers", life.id, chance.choice([b"", b"{"]))
+    values = [*UNREADABLE, *({**whole, **one} for one in strange)]
+    for _ in range(3):
+        fleet.put("servers", f"i-other-{chance.getrandbits(32):08x}", chance.choice(values))
+    fleet.put("op", "config", chance.choice(UNREADABLE))
+    return lambda: fleet.configure(int(time.monotonic() * 1000))
 
-    def undo() -> None:
-        for key in keys:
-            fleet.put("servers", key, b"")
-        if life.killed_at is None:
-            fleet.list_runner(life)
-        fleet.configure(int(time.monotonic() * 1000))
 
-    return undo
+def another_entry_at_a_runners_address(fleet: Fleet, chance: random.Random) -> Undo:
+    """Write it, for good, and let the runner's own entry lapse or be written over."""
+    life = _runner(fleet, chance)
+    other = f"i-other-{chance.getrandbits(32):08x}"
+    fleet.put("servers", other, fleet.entry(life.address))
+    time.sleep(chance.uniform(0.0, 0.3))
+    fleet.put("servers", life.id, chance.choice([b"", b"{"]))
+    return lambda: fleet.list_runner(life) if life.killed_at is None else None
 
 
 def configuration_changes(fleet: Fleet, chance: random.Random) -> Undo:
@@ -185,4 +184,5 @@
     orders_come_after_a_takeover,
     configuration_changes,
     entries_of_another_writer,
+    another_entry_at_a_runners_address,
 )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -201,15 +201,14 @@
         """Write the entry of a runner."""
         self.put("servers", life.id, self.entry(life.address))
 
-    def entry(self, address: str, **changes: Any) -> dict[str, Any]:
-        """Return an entry as a runner at an address writes it, with changes."""
+    def entry(self, address: str) -> dict[str, Any]:
+        """Return an entry as a runner at an address writes it."""
         return {
             "service": "work",
             "address": address,
             "zone": ZONES[len(self.lives) % len(ZONES)],
             "state": "ready",
             "capacity": {"cpu": MILLICORES, "memMb": 64_000},
-            **changes,
         }
 
     def lose_power(self) -> None:
