--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -7,7 +7,7 @@
 import heapq
 import itertools
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -78,7 +78,7 @@
         self.unreachable: set[tuple[str, str]] = set()
         self.late_orders = 0.0
         self.lasting_jobs: set[str] = set()
-        self.asked: set[str] = set()
+        self.asked: Counter[str] = Counter()
         self.decoded: list[str] = []
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
@@ -438,7 +438,7 @@
         wait_s: float = 0.0,
     ) -> None:
         instance, world = self._instance, self._instance.world
-        world.asked.add(order.target.runner)
+        world.asked[order.target.runner] += 1
         runner = world.runner_at(order.target.address)
         away = (instance.name, order.target.address) in world.unreachable
         if runner is None or away:
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from spoolcrank import dispatcher
 from spoolcrank.ids import Address, JobId
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.orders import EndKind, OrderResult, Poll, Start, Stop, Target
@@ -128,6 +129,16 @@
     assert world.broken == []
 
 
+def test_an_address_where_nobody_ever_answered_is_asked_seldom() -> None:
+    """Such an entry stays, and each question is paid for: it was asked each 0.4 s for good."""
+    world = with_routes(small())
+    world.store.entries.put(OTHER, entry())
+    world.run(30.0)
+    before = world.asked[OTHER]
+    world.run(30.0)
+    assert 5 <= world.asked[OTHER] - before <= 20
+
+
 def test_an_entry_of_a_service_that_no_queue_names_is_not_asked_until_one_does() -> None:
     world = with_routes(small())
     world.store.entries.put(OTHER, entry(service="unheard"))
@@ -380,6 +391,29 @@
     assert [name for name, _ in broken.logged.lines].count("internal-error") == 1
 
 
+@pytest.mark.parametrize("decision", ["tick", "forecast", "batch_kept", "list_runners", "place"])
+def test_an_error_of_a_decision_ends_the_term_wherever_it_is_made(
+    decision: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A leader half went on: what time alone or a kept record led to was not guarded."""
+    world = small()
+    leader = world.leader()
+    assert leader is not None
+    leader.logged.expected = True
+
+    def fail_once(*args: Any) -> None:
+        monkeypatch.undo()
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(dispatcher, decision, fail_once)
+    world.store.entries.put(OTHER, entry())
+    world.instances["entry-0"].submit("a1", QUICK)
+    world.run(0.5)
+    assert [name for name, _ in leader.logged.lines].count("stepped-down") == 1
+    settle(world, "a1")
+    assert world.broken == []
+
+
 # Answers of the store
 
 
