Guard what time and kept records lead to; ask an address where nobody answered seldom

Cause: the decisions of each tick, and what follows a kept batch, ran outside the guard: with an error there a leader went on by half. An entry at a dead address was polled each 0.4 s for as long as it stood. Change: both run under the guard, so an error ends the term; a runner that holds nothing and never answered this leader is polled each 2 s after 10 s (50 to at most 20 questions in 30 s, by the test).

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -297,7 +297,8 @@
             self.leadership.in_contact(now)
         else:
             self.leadership.lost_contact()
-        if self.scheduler is None:
+        scheduler = self.scheduler
+        if scheduler is None:
             ready = self._follower.copy.loaded and not self._claiming and not self._leaving
             duty = self.leadership.duty(now)
             if ready and duty.claim:
@@ -306,20 +307,23 @@
                 self._offer(now)
             return
         if self.leadership.may_extend(now):
-            tick(self.scheduler, now)
-            drop_ended(self.scheduler, now)
-            keep_learnt(self.scheduler, now)
-            forecast(self.scheduler, now)
-            if self.scheduler.uses(Mechanism.PREASSIGNING):
-                self._preassignments.renew(self.scheduler, now)
-            if now - self._told_backlog_at >= BACKLOG_EVERY_S:
-                self._told_backlog_at = now
-                tell_backlog(self.scheduler, now)
-            if self.scheduler.uses(Mechanism.REGROUPING):
-                for task, source, destination in self._regrouping.moves(self.scheduler, now):
-                    self.scheduler.move(task, source, destination, now)
+            self._guard(scheduler, lambda: self._decide_by_time(scheduler, now))
         self._work()
 
+    def _decide_by_time(self, scheduler: Scheduler, now: float) -> None:
+        tick(scheduler, now)
+        drop_ended(scheduler, now)
+        keep_learnt(scheduler, now)
+        forecast(scheduler, now)
+        if scheduler.uses(Mechanism.PREASSIGNING):
+            self._preassignments.renew(scheduler, now)
+        if now - self._told_backlog_at >= BACKLOG_EVERY_S:
+            self._told_backlog_at = now
+            tell_backlog(scheduler, now)
+        if scheduler.uses(Mechanism.REGROUPING):
+            for task, source, destination in self._regrouping.moves(scheduler, now):
+                scheduler.move(task, source, destination, now)
+
     def _wake(self) -> None:
         if not self._woken:
             self._woken = True
@@ -401,7 +405,7 @@
         if now - sent_at > SELF_FENCE_S / 2:
             self._step_down("a write was confirmed too late")
             return
-        batch_kept(scheduler, batch, now)
+        self._guard(scheduler, lambda: batch_kept(scheduler, batch, now))
         self._work()
 
     # Orders
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -43,6 +43,13 @@
 SILENT_POLL_S = 0.4
 """Between polls at a runner that does not answer, s."""
 
+UNHEARD_S = 10.0
+"""A runner that holds nothing and never answered this leader is asked seldom after so long, s:
+more than a zone is cut off for, and than a run of an earlier leader may live unseen (9.5 s)."""
+
+UNHEARD_POLL_S = 2.0
+"""Between polls at it, s; each is paid for, and opens a channel."""
+
 ABSENT_S = 1.0
 """A run that was taken but that polls asked so much later do not show is lost, s."""
 
@@ -96,7 +103,10 @@
         # Its ends wait to be kept and come again at once; the lease has to go on meanwhile.
         return since >= IDLE_POLL_S
     if runner.silent_since is not None:
-        return since >= SILENT_POLL_S
+        # An entry of another writer may name an address where nobody is, for good.
+        unheard = runner.answered_at < 0 and not runner.runs
+        seldom = unheard and now - runner.silent_since >= UNHEARD_S
+        return since >= (UNHEARD_POLL_S if seldom else SILENT_POLL_S)
     if not runner.adopted:
         return True
     if runner.runs:
