--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -11,7 +11,7 @@
 
 from spoolcrank.keyed_log import LEADER_KEY, OFFER_KEY, KeyedRecord
 from spoolcrank.leader_writer import FIRST_SEQUENCE
-from spoolcrank.leadership import Leadership
+from spoolcrank.leadership import Leadership, Offer, decode_offer
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort, WriterFence
 from spoolcrank.telemetry import Telemetry
@@ -49,6 +49,7 @@
         self._again_at = -1.0
         self._term = 0
         self._cautious = 0
+        self._newest_offer = -1
 
     def work(self, now: float) -> None:
         """Claim or offer, where that is due; only for an instance that does not lead."""
@@ -112,6 +113,15 @@
         if not self.leadership.leads:
             self._follower.eager = False
 
+    def read_offer(self, record: KeyedRecord, now: float) -> Offer | None:
+        """Return the offer in a record if it is new and this leader should hand over to it."""
+        # A log that is loaded anew gives the newest offer again; who made it may be gone.
+        if record.offset <= self._newest_offer:
+            return None
+        self._newest_offer = record.offset
+        offer = decode_offer(record.value)
+        return offer if self.leadership.read_offer(offer, now) else None
+
     def _offer(self, now: float) -> None:
         """Tell the leader that this instance is much larger than its own."""
         offer = self.leadership.own_offer(now)
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -23,7 +23,7 @@
 )
 from spoolcrank.lead_watch import Blocked, LeadWatch, watch_placing, watch_runners, why_blocked
 from spoolcrank.leader_writer import Kept, LeaderWriter, Writing
-from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim, decode_offer
+from spoolcrank.leadership import NO_HEIR, SELF_FENCE_S, Leadership, decode_claim
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.notes import GRAVE
@@ -93,7 +93,6 @@
         self._leaving = False
         self._heir = NO_HEIR
         self._watch = LeadWatch(clock())
-        self._newest_offer = -1
         self._on_left: Callable[[], None] | None = None
         self._routes: Mapping[RouteName, RoutePolicy] = {}
         timers.every(TICK_S, self._tick)
@@ -178,19 +177,14 @@
             self._take_over(claim.term, now)
 
     def _on_offer(self, record: KeyedRecord, now: float) -> None:
-        # A log that is loaded anew gives the newest offer again; who made it may be gone.
-        if record.offset <= self._newest_offer:
-            return
-        self._newest_offer = record.offset
-        offer = decode_offer(record.value)
+        offer = self._claiming.read_offer(record, now)
         # The first offer that is read names the heir; who offered later would claim beside it.
-        taken = self.leadership.read_offer(offer, now) and not self._heir
-        if taken and self.scheduler is not None:
-            self._telemetry.log(
-                "hands-over", grave=True, to=offer.instance, processors=offer.processors
-            )
-            self._heir = offer.incarnation
-            self._wake()
+        if offer is None or self.scheduler is None or self._heir:
+            return
+        to, processors = offer.instance, offer.processors
+        self._telemetry.log("hands-over", grave=True, to=to, processors=processors)
+        self._heir = offer.incarnation
+        self._wake()
 
     def _take_over(self, term: int, now: float) -> None:
         self._follower.eager = True
@@ -236,7 +230,8 @@
             self.leadership.in_contact(now)
         else:
             self.leadership.lost_contact()
-        if self.scheduler is None:
+        scheduler = self.scheduler
+        if scheduler is None:
             # A claim may be read back while the copy is not whole yet.
             if self.leadership.leads and self._follower.copy.loaded:
                 self._take_over(self.leadership.claim.term, now)
@@ -244,20 +239,23 @@
                 self._claiming.work(now)
             return
         if self.leadership.may_extend(now):
-            tick(self.scheduler, now)
-            drop_ended(self.scheduler, now)
-            keep_learnt(self.scheduler, now)
-            forecast(self.scheduler, now)
-            if self.scheduler.uses(Mechanism.PREASSIGNING):
-                self._preassignments.renew(self.scheduler, now)
-            if now - self._told_backlog_at >= BACKLOG_EVERY_S:
-                self._told_backlog_at = now
-                tell_backlog(self.scheduler, now)
-            if self.scheduler.uses(Mechanism.REGROUPING):
-                for task, source, destination in self._regrouping.moves(self.scheduler, now):
-                    self.scheduler.move(task, source, destination, now)
+            self._guard(scheduler, lambda: self._decide_by_time(scheduler, now))
         self._work()
 
+    def _decide_by_time(self, scheduler: Scheduler, now: float) -> None:
+        tick(scheduler, now)
+        drop_ended(scheduler, now)
+        keep_learnt(scheduler, now)
+        forecast(scheduler, now)
+        if scheduler.uses(Mechanism.PREASSIGNING):
+            self._preassignments.renew(scheduler, now)
+        if now - self._told_backlog_at >= BACKLOG_EVERY_S:
+            self._told_backlog_at = now
+            tell_backlog(scheduler, now)
+        if scheduler.uses(Mechanism.REGROUPING):
+            for task, source, destination in self._regrouping.moves(scheduler, now):
+                scheduler.move(task, source, destination, now)
+
     def _wake(self) -> None:
         if not self._woken:
             self._woken = True
@@ -355,7 +353,7 @@
                 then()
 
     def _go_on(self, scheduler: Scheduler, batch: Batch) -> None:
-        batch_kept(scheduler, batch, self._clock())
+        self._guard(scheduler, lambda: batch_kept(scheduler, batch, self._clock()))
         self._work()
 
     # Orders
