Test when starts go without a record, and that exchanges are weighed by the backlog

Cause: no test broke when RECORDS_LATE_S or LEAST_LEASE_MS was changed, the check of the service in preassignment was removed, or the weighing of exchanges by the backlog was taken out. Change: four tests, two cases each, on both sides of the bound; the stand-in store of the world of tests can be slow. Conclusion: the four mechanisms are held by tests; no product code changed.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -196,6 +196,7 @@
         self.entries = Topic()
         self.turned_away: set[str] = set()
         self.silent = False
+        self.slow_s = 0.0
         self.lose_share = 0.0
         self.late_share = 0.0
 
@@ -228,7 +229,7 @@
                 got = self.topic.append(append)
                 self._tell(CALL_S if lost else ANSWER_S / 2, done, unknown if lost else got)
 
-            world.at(ANSWER_S / 2, arrive)
+            world.at(ANSWER_S / 2 + store.slow_s, arrive)
 
     def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
         if self._away():
--- a/tests/test_preassignment.py
+++ b/tests/test_preassignment.py
@@ -3,12 +3,19 @@
 import pytest
 
 from spoolcrank.batching import batch_kept, take_batch
+from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState
 from spoolcrank.orders import Start
-from spoolcrank.preassignment import MOST_PREASSIGNED, MOST_RUNNERS
-from spoolcrank.scheduler import Scheduler
+from spoolcrank.preassignment import (
+    MOST_PREASSIGNED,
+    MOST_RUNNERS,
+    Preassignments,
+    start_preassigned,
+)
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
-from tests.fleet_world import World, small
+from tests.fleet_world import ROUTE, SERVICE, World, small
 from tests.test_dispatch import phase, settle
 
 FIRST = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=600)
@@ -169,3 +176,48 @@
     ]
     assert waiting
     assert not [task for task in waiting if task.preassigned]
+
+
+@pytest.mark.parametrize(("slow_s", "early"), [(0.1, False), (0.16, True)])
+def test_starts_go_without_a_record_only_once_one_is_late(
+    monkeypatch: pytest.MonkeyPatch, slow_s: float, early: bool
+) -> None:
+    """Such a start extends no lease, so a store that is merely slow is waited for."""
+    began: list[float] = []
+    monkeypatch.setattr(Preassignments, "start", lambda _, state, now: began.append(now))
+    world = small()
+    world.store.slow_s = slow_s
+    for number in range(30):
+        world.instances["entry-0"].submit(f"{number:04x}", FIRST, NEXT)
+    world.run(8.0)
+    assert sum(map(bool, world.starts.values())) > 30
+    assert bool(began) is early
+
+
+def kept_preassignment() -> tuple[Scheduler, TaskKey, RunnerState, float]:
+    """Return a task that may start without the store, where, and a time when it may."""
+    state, key = preassigned_but_not_kept()
+    task = state.jobs[key.job].task(key)
+    task.preassigned_kept = True
+    state.ready[key.job] = None
+    runner = state.runners[task.preassigned]
+    return state, key, runner, runner.answered_at
+
+
+@pytest.mark.parametrize(("left_ms", "starts"), [(2400.0, False), (2600.0, True)])
+def test_a_start_without_the_store_wants_enough_of_the_lease(left_ms: float, starts: bool) -> None:
+    """It extends no lease; one with less left would mostly be killed at work."""
+    state, key, runner, now = kept_preassignment()
+    runner.granted_ms = runner.clock_lower(now) + left_ms
+    start_preassigned(state, now)
+    assert [order.task for order in state.orders if isinstance(order, Start)] == [key] * starts
+
+
+@pytest.mark.parametrize(("service", "starts"), [("pricing", True), ("other", False)])
+def test_a_start_without_the_store_goes_to_the_service_of_now(service: str, starts: bool) -> None:
+    """A queue may be given to another service after its tasks were preassigned."""
+    state, key, runner, now = kept_preassignment()
+    assert runner.entry.service == SERVICE
+    state.routes = {ROUTE: RoutePolicy(ServiceName(service), 0, 3)}
+    start_preassigned(state, now)
+    assert [order.task for order in state.orders if isinstance(order, Start)] == [key] * starts
--- a/tests/test_regrouping.py
+++ b/tests/test_regrouping.py
@@ -10,6 +10,7 @@
 """
 
 import msgspec
+import pytest
 from test_packing import NOW, ODD, SERVING, at_work, grouped, runner
 
 from spoolcrank.job_state import JobState, TaskState
@@ -40,6 +41,22 @@
     assert images_after(moves, one, two) == [{"b"}, {"s", "b"}]
 
 
+@pytest.mark.parametrize(("pace", "moved"), [(90, 0), (10, 2)])
+def test_single_tasks_change_places_only_for_a_backlog_that_uses_the_room(
+    pace: int, moved: int
+) -> None:
+    """What waits is a ninth of what works, or nine times that: the same exchange, weighed."""
+    one, two = runner("i-1", 25_000), runner("i-2", 25_000)
+    state = grouped(one, two)
+    for where, steps in ((one, (SERVING, ODD, ODD, ODD)), (two, (SERVING, SERVING, ODD, ODD))):
+        for step in steps:
+            at_work(state, where, step)
+    for run in one.runs.values():
+        if run.fills:
+            one.set_pace(run, pace, NOW - 1)
+    assert len(Regrouping().moves(state, NOW)) == moved
+
+
 def test_a_task_that_fits_nowhere_keeps_none_of_its_step_from_moving() -> None:
     mixed, own = runner("i-1"), runner("i-2")
     state = grouped(mixed, own)
