--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from spoolcrank.commitments import Commitments
 from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
@@ -53,8 +52,6 @@
     share = min(1.0, (now - state.forecast_at) / FORECAST_MEMORY_S)
     state.forecast_at = now
     state.contention.expect(filler_mix(state))
-    state.commitments = state.commitments or Commitments()
-    state.commitments.renew(state, now)
     demand = _short_running(state) + _short_waiting(state)
     state.short_demand += share * (demand - state.short_demand)
     usable = sum(1 for runner in state.runners.values() if runner.usable(now))
@@ -108,27 +105,14 @@
     for job_id in list(state.timed):
         _open_due(state, state.jobs[job_id], time_of_day_ms)
     pools = state.pools(now)
-    commitments = state.commitments = state.commitments or Commitments()
     misses: dict[Kind, int] = {}
     claimed: dict[Kind, Prospect] = {}
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
     ready.sort(key=lambda one: one[0])
     for rank, job in ready:
-        if rank[3][0] == Prospect.FRESH and not job.lasting and _fills(job):
-            if not commitments.may_begin(state, job, now):
-                continue
-            before = job.begun
-            _place_job(state, job, Prospect.FRESH, pools, misses, claimed, now)
-            if job.begun and not before:
-                commitments.take(state, job)
-            continue
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, misses, claimed, now)
 
 
-def _fills(job: JobState) -> bool:
-    return any(step.fills for step in job.record.workflow.steps)
-
-
 def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
     before = len(job.rounds)
     job.open_due(time_of_day_ms)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -95,7 +95,6 @@
         self.ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
         self.learnt_at = now
-        self.commitments: Any = None
 
     def note(self, name: str, **fields: Any) -> None:
         """Keep one decision for the log."""
