--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -6,7 +6,7 @@
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import Report
 from spoolcrank.packing import SMALL_EFFECT, SURELY_HARMLESS
-from spoolcrank.placing import harmless_place
+from spoolcrank.placing import has_harmless_place
 from spoolcrank.runner_state import Run, RunnerState
 from spoolcrank.scheduler import Scheduler
 
@@ -192,7 +192,6 @@
         if run.slow_since is None or now - run.slow_since < MOVE_AFTER_S or not run.checkpoints:
             continue
         run.slow_since = now
-        place = harmless_place(state, key, runner.id, now)
-        if place is not None:
+        if has_harmless_place(state, key, runner.id, now):
             state.note("moved", task=key, run=run.number, runner=runner.id, percent=run.percent)
-            state.move(key, runner.id, place, now)
+            state.stop_run(key, runner.id, now)
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -137,7 +137,7 @@
     near = 1.0 if not step.data_rack or step.data_rack in runner.entry.labels else 0.0
     fresh = 0.0 if runner.id == request.avoid else 1.0
     if step.fills:
-        return _score_filler(request, runner, contention, now, (fresh, near))
+        return _score_filler(step, runner, contention, now, (fresh, near))
     if step.target_ms or step.lasting:
         return _score_serving(request, runner, contention, now, (fresh, near))
     borne = contention.borne(frozenset(runner.serving))
@@ -145,13 +145,13 @@
 
 
 def _score_filler(
-    request: PlacementRequest,
+    step: Step,
     runner: RunnerState,
     contention: Contention,
     now: float,
     first: tuple[float, ...],
 ) -> tuple[float, ...]:
-    effect = _filler_effect(request.step, runner, contention, now, request.task)
+    effect = _filler_effect(step, runner, contention, now)
     if isinstance(effect, Obstacle):
         return ()
     harmless = 1.0 if effect <= SMALL_EFFECT else 0.0
@@ -161,15 +161,10 @@
 
 
 def _filler_effect(
-    step: Step,
-    runner: RunnerState,
-    contention: Contention,
-    now: float,
-    task: TaskKey | None = None,
+    step: Step, runner: RunnerState, contention: Contention, now: float
 ) -> float | Obstacle:
     """Return the most that one more filler adds to a tail's logarithm there, or what forbids it."""
-    idle_millicores = runner.idle_millicores - runner.promised_to_fillers(task)
-    if idle_millicores < step.millicores * FILL_SHARE:
+    if runner.idle_millicores < step.millicores * FILL_SHARE:
         return Obstacle.IDLE
     room = _filler_room(runner, contention, now)
     if room.over:
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -11,7 +11,7 @@
 from spoolcrank.packing import SMALL_EFFECT, PlacementRequest, choose, worst_effect
 from spoolcrank.runner_state import RunnerState, RunStage
 from spoolcrank.scheduler import NoPlace, Scheduler
-from spoolcrank.workflow import FINAL, Phase, RunnerId, TaskKey
+from spoolcrank.workflow import RunnerId, TaskKey
 
 Kind = tuple[ServiceName, str]
 """A service and an image: tasks of one kind compete for the same places."""
@@ -105,7 +105,6 @@
     for job_id in list(state.timed):
         _open_due(state, state.jobs[job_id], time_of_day_ms)
     pools = state.pools(now)
-    _place_moved(state, now)
     misses: dict[Kind, int] = {}
     claimed: dict[Kind, Prospect] = {}
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
@@ -114,28 +113,6 @@
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, misses, claimed, now)
 
 
-def _place_moved(state: Scheduler, now: float) -> None:
-    """Bind the fillers that were stopped to go on elsewhere, where their place is kept.
-
-    They come before the order of work: others of their image that found no place would keep them
-    from being tried until the place is not kept any more.
-    """
-    for key in list(state.moving_fillers):
-        job = state.jobs.get(key.job)
-        task = job.task(key) if job is not None and job.has(key) else None
-        if job is None or task is None or job.phase in FINAL or now >= task.wanted_until:
-            del state.moving_fillers[key]
-            continue
-        runner = state.runners.get(task.wanted)
-        if task.phase is not Phase.WAITING or runner is None or not runner.usable(now):
-            continue
-        step = job.rounds[key.round].steps[key.step]
-        request = PlacementRequest(step.spec, step.per_runner(), task.refused_by, task=key)
-        if choose(request, [runner], state.contention, now) is not None:
-            del state.moving_fillers[key]
-            state.bind(job, key, task.run + 1, runner, now)
-
-
 def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
     before = len(job.rounds)
     job.open_due(time_of_day_ms)
@@ -312,21 +289,17 @@
     return True
 
 
-def harmless_place(
-    state: Scheduler, key: TaskKey, away_from: RunnerId, now: float
-) -> RunnerId | None:
-    """Return where else a filler could work without slowing what serves, or None."""
+def has_harmless_place(state: Scheduler, key: TaskKey, away_from: RunnerId, now: float) -> bool:
+    """Tell whether a filler could work somewhere else without slowing what serves."""
     job = state.jobs[key.job]
     step = job.record.workflow.steps[key.step]
     pool = state.pools(now).get(state.service_of(job), [])
     others = [one for one in pool if one.id != away_from]
     found = choose(PlacementRequest(step, {}, NO_RUNNER), others, state.contention, now)
     if found is None:
-        return None
+        return False
     share = found.share(step.millicores)
-    if worst_effect(step.image, share, found, state.contention) > SMALL_EFFECT:
-        return None
-    return found.id
+    return worst_effect(step.image, share, found, state.contention) <= SMALL_EFFECT
 
 
 def _rank(state: Scheduler, job: JobState, now: float) -> tuple[int, int, str, tuple[int, float]]:
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -73,17 +73,10 @@
 
 
 class Promise(NamedTuple):
-    """Room that is kept for a task on its way from another runner, until a monotonic time.
-
-    Attributes:
-        demand: what counts against the room.
-        until: the time.
-        filler_millicores: what a filler wants there, which does not count against the room.
-    """
+    """Room that is kept for a task on its way from another runner, until a monotonic time."""
 
     demand: Demand
     until: float
-    filler_millicores: int = 0
 
 
 class FillerRoom(NamedTuple):
@@ -349,11 +342,6 @@
             and self.used_accelerators + sum(one.accelerators for one in asked) <= room.accelerators
         )
 
-    def promised_to_fillers(self, task: TaskKey | None) -> int:
-        """Return what is kept for fillers on their way here, one task left out, millicores."""
-        held = self.promised.items()
-        return sum(one.filler_millicores for key, one in held if key != task)
-
     def drop_promises(self, now: float) -> None:
         """Forget promises whose time is over."""
         if self.promised:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -95,7 +95,6 @@
         self.ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
         self.learnt_at = now
-        self.moving_fillers: dict[TaskKey, None] = {}
 
     def note(self, name: str, **fields: Any) -> None:
         """Keep one decision for the log."""
@@ -378,10 +377,7 @@
         runner, place = self.runners.get(source), self.runners.get(destination)
         run = runner.runs.get(key) if runner is not None else None
         if run is not None and place is not None:
-            filler_millicores = run.wanted_millicores if run.fills else 0
-            place.promised[key] = Promise(run.demand, task.wanted_until, filler_millicores)
-            if run.fills:
-                self.moving_fillers[key] = None
+            place.promised[key] = Promise(run.demand, task.wanted_until)
         self.note("task-moves", task=key, runner=source, to=destination)
         self.stop_run(key, source, now)
 
