--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -208,6 +208,7 @@
         self.turned_away: set[str] = set()
         self.answers_lost: set[str] = set()
         self.silent = False
+        self.slow_s = 0.0
         self.lose_share = 0.0
         self.late_share = 0.0
         self.answer_s = ANSWER_S
@@ -242,7 +243,7 @@
                 got = self.topic.append(append)
                 self._tell(CALL_S if lost else store.answer_s / 2, done, unknown if lost else got)
 
-            world.at(store.answer_s / 2, arrive)
+            world.at(store.answer_s / 2 + store.slow_s, arrive)
 
     def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
         if self._away():
