Place nothing by a log that was read too long ago

Change: the leader places only while it has read the log to its end as of 1.5 s ago, like it does with the list of runners.

A preassigned start, which needs no record, does not look at it: left as it is, since it is for times in which the store answers nobody.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -56,6 +56,10 @@
 """Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
 below the 2 s after which a leaving runner must get no start."""
 
+STALE_LOG_S = 1.5
+"""Nothing is placed by jobs and cancels read up to a time longer ago, s; with a record and an order
+it stays below the 3 s after which a cancelled job must get no start. Reads wait 0.7 s for news."""
+
 
 class Dispatcher:
     """Reads, writes and orders for the scheduler of one instance."""
@@ -349,7 +353,9 @@
         late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
         if may_place and late:
             self._preassignments.start(scheduler, now)
-        if may_place and now - listed_at <= STALE_LIST_S:
+        # A new leader may be far behind in the log: what it has yet to read may be cancelled.
+        read_up = now - self._follower.copy.read_at <= STALE_LOG_S
+        if may_place and read_up and now - listed_at <= STALE_LIST_S:
             place(scheduler, now, self._time_of_day() * 1000.0)
         self._write(scheduler, now)
         self._order(scheduler, now)
