--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -281,14 +281,13 @@
 
     def _decide(self, scheduler: Scheduler) -> None:
         now = self._clock()
-        listed_at = self._runner_follower.copy.read_at
-        may_place = not self._leaving and self._runner_follower.copy.loaded
-        writer = self._writer
+        listing, writer = self._runner_follower.copy, self._writer
         late = writer is not None and writer.busy and now - writer.busy_since > RECORDS_LATE_S
-        if may_place and late:
+        if late and listing.loaded and not self._leaving:
             self._preassignments.start(scheduler, now)
-        blocked = why_blocked(self._leaving, self._runner_follower.copy.loaded, now - listed_at)
-        watch_placing(self._watch, scheduler, blocked, now - listed_at, now)
+        list_age_s, log_age_s = now - listing.read_at, now - self._follower.copy.read_at
+        blocked = why_blocked(self._leaving, listing.loaded, list_age_s, log_age_s)
+        watch_placing(self._watch, scheduler, blocked, list_age_s, now)
         watch_runners(self._watch, scheduler, now)
         if blocked is not Blocked.NOT:
             scheduler.placing = PlacingPass()
--- a/spoolcrank/lead_watch.py
+++ b/spoolcrank/lead_watch.py
@@ -12,6 +12,10 @@
 """Nothing is placed by a list of runners read longer ago, s; with the time of an order it stays
 below the 2 s after which a leaving runner must get no start."""
 
+STALE_LOG_S = 1.5
+"""Nothing is placed by jobs and cancels read up to a time longer ago, s; with a record and an order
+it stays below the 3 s after which a cancelled job must get no start. Reads wait 0.7 s for news."""
+
 
 class Blocked(Enum):
     """Why a leader places nothing."""
@@ -20,6 +24,7 @@
     LEAVING = "leaving"
     NO_LIST = "the list of runners was not read yet"
     OLD_LIST = "the list of runners is old"
+    OLD_LOG = "the log was read too long ago"
 
 
 @dataclass
@@ -41,13 +46,16 @@
     told: bool = False
 
 
-def why_blocked(leaving: bool, loaded: bool, list_age_s: float) -> Blocked:
-    """Return why nothing may be placed now."""
+def why_blocked(leaving: bool, loaded: bool, list_age_s: float, log_age_s: float) -> Blocked:
+    """Return why nothing may be placed now, by the ages of what was read."""
     if leaving:
         return Blocked.LEAVING
     if not loaded:
         return Blocked.NO_LIST
-    return Blocked.OLD_LIST if list_age_s > STALE_LIST_S else Blocked.NOT
+    if list_age_s > STALE_LIST_S:
+        return Blocked.OLD_LIST
+    # A new leader may be far behind in the log: what it has yet to read may be cancelled.
+    return Blocked.OLD_LOG if log_age_s > STALE_LOG_S else Blocked.NOT
 
 
 def watch_placing(
