--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -89,8 +89,7 @@
         self._preassignments = Preassignments()
         self._told_backlog_at = -BACKLOG_EVERY_S
         self._claiming = Claiming(leadership, log, follower, telemetry, clock)
-        self._woken = False
-        self._leaving = False
+        self._woken = self._leaving = False
         self._heir = NO_HEIR
         self._watch = LeadWatch(clock())
         self._on_left: Callable[[], None] | None = None
