--- /dev/null
+++ b/tests/test_claiming.py
@@ -0,0 +1,131 @@
+"""What a claim and an offer rest on: each test breaks when its mechanism is taken out."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from spoolcrank import placing_pass
+from spoolcrank.claiming import Claiming
+from spoolcrank.dispatcher import TICK_S
+from spoolcrank.ids import Incarnation, InstanceId
+from spoolcrank.keyed_log import LEADER_KEY, OFFER_KEY, KeyedLog
+from spoolcrank.leadership import (
+    JITTER_S,
+    SELF_FENCE_S,
+    SILENT_S,
+    SMALLER_S,
+    Leadership,
+    Offer,
+    decode_claim,
+)
+from spoolcrank.log_follower import LAZY_GAP_S
+from spoolcrank.store_port import Append, Appended
+from spoolcrank.workflow import Step, encode
+from tests.fleet_world import Logged, World, small
+
+NOW = 100.0
+
+
+class _Follower:
+    """Reads up at once; what it reads may be a sign of life of the leader."""
+
+    def __init__(self, on_read: Callable[[], None]) -> None:
+        self.copy = KeyedLog()
+        self.copy.loaded = True
+        self.eager = False
+        self._on_read = on_read
+
+    def refresh(self, done: Callable[[bool], None]) -> None:
+        self._on_read()
+        done(True)
+
+
+class _Log:
+    """Takes note of what is appended and answers nothing."""
+
+    def __init__(self) -> None:
+        self.appends: list[Append] = []
+
+    def append(self, append: Append, done: Callable[[Appended], None]) -> None:
+        self.appends.append(append)
+
+
+def _silent_leader() -> Leadership:
+    leadership = Leadership(InstanceId("entry-1"), Incarnation("entry-1-1"), NOW - 60.0)
+    leadership.in_contact(NOW - 60.0)
+    return leadership
+
+
+@pytest.mark.parametrize(("lives", "claims"), [(False, 1), (True, 0)])
+def test_a_claimant_that_reads_a_sign_of_life_first_does_not_claim(
+    lives: bool, claims: int
+) -> None:
+    """Who does not lead reads late: the leader that seems silent may have written meanwhile."""
+    leadership = _silent_leader()
+    log: Any = _Log()
+    follower: Any = _Follower(lambda: leadership.heard(NOW) if lives else None)
+    logged: Any = Logged()
+    Claiming(leadership, log, follower, logged, lambda: NOW).work(NOW)
+    assert len(log.appends) == claims
+
+
+def test_a_smaller_instance_waits_out_all_that_may_hold_a_large_one_up() -> None:
+    assert SMALLER_S >= JITTER_S + LAZY_GAP_S + TICK_S
+
+
+def test_a_claim_counts_from_the_first_sending_of_its_term() -> None:
+    """Any sending may be the one that was kept, and successors reckon from when it was."""
+    leadership = _silent_leader()
+    first = leadership.next_claim(NOW)
+    again = leadership.next_claim(NOW + 1.0)
+    assert first.term == again.term
+    assert leadership.claimed_at == NOW
+
+
+def test_a_claim_that_is_read_back_late_counts_from_when_it_was_sent() -> None:
+    world = small(instances=2)
+    leader = world.leader()
+    assert leader is not None
+    other = next(one for one in world.instances.values() if one is not leader)
+    world.run(2.0)
+    world.store.slow_reads_s[other.name] = 0.6
+    leader.kill()
+    while other.dispatcher.scheduler is None:
+        world.run(0.001)
+    assert other.leadership.extends_until < world.now - 0.5 + SELF_FENCE_S
+
+
+def test_the_first_offer_that_is_read_names_the_heir() -> None:
+    """The second one would claim beside the first, and the others wait for both."""
+    world = small(instances=3)
+    leader = world.leader()
+    assert leader is not None
+    world.run(1.0)
+    for name in ("large-1", "large-2"):
+        offer = Offer(InstanceId(name), Incarnation(f"{name}-1"), 50.0)
+        world.store.jobs.put(OFFER_KEY, encode(offer))
+    world.run_until(lambda: leader.dispatcher.scheduler is None)
+    claims = [one for one in world.store.jobs.records if one.key == LEADER_KEY]
+    resigned = [decode_claim(one.value) for one in claims]
+    heirs = [one.heir for one in resigned if one.resigned]
+    assert heirs == [Incarnation("large-1-1")]
+
+
+def test_a_pass_in_parts_goes_on_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where a part binds nothing, nothing else wakes the leader before its next tick, 0.1 s."""
+    monkeypatch.setattr(placing_pass, "MOST_WEIGHED", 8)
+    world = World(1)
+    for number in range(8):
+        world.add_runner(f"10.0.0.{number}:80", millicores=64_000)
+    world.add_instance("entry-0")
+    world.run_until(lambda: world.leader() is not None)
+    world.run(SILENT_S)
+    jobs = 60
+    for number in range(jobs):
+        large = Step(count=1, millicores=90_000, memory_mb=1, lasting=True)
+        world.instances["entry-0"].submit(f"a{number:02}", large)
+    fits = Step(count=1, millicores=1000, memory_mb=1, lasting=True)
+    world.instances["entry-0"].submit("ff", fits)
+    took_s = world.run_until(lambda: bool(world.starts))
+    assert took_s < jobs * TICK_S / 3
