Bound the starts on their way by how late their answers come

Change: runs whose record is kept wait at the leader; a window of bytes, grown and shrunk by the delay of answers as congestion control does, lets them out; tasks are bound only for what it soon takes. Time that the leader spent on decisions is no delay of the link. Polls, stops and paces don't wait. A start whose runner began to leave meanwhile is released, as nobody has ordered it. A test of passes in parts sets the window wide open, as nothing is sent in it.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -37,8 +37,7 @@
         runner = state.runners.get(runner_id)
         if runner is not None:
             runner.seen = max(runner.seen, seen)
-    for bound in batch.starts:
-        _start(state, bound, now)
+    state.starts.waiting.extend(batch.starts)
 
 
 def _preassignment_kept(state: Scheduler, bound: BoundRun) -> None:
@@ -51,15 +50,26 @@
         task.preassigned_kept = True
 
 
+def order_starts(state: Scheduler, now: float) -> None:
+    """Order the runs whose record is kept, as far as the leader's link takes them."""
+    while state.starts.waiting and state.starts.open:
+        _start(state, state.starts.waiting.popleft(), now)
+
+
 def _start(state: Scheduler, bound: BoundRun, now: float) -> None:
     runner = state.runners.get(bound.runner)
     run = runner.runs.get(bound.task) if runner is not None else None
     if runner is None or run is None or run.number != bound.number:
         return
-    if run.stage is RunStage.RECORDED:
-        run.stage = RunStage.ORDERED
-        run.since = now
-        state.order_start(bound.task, runner, run, now)
+    if run.stage is not RunStage.RECORDED:
+        return
+    if runner.leaves(now):
+        # It began to leave while the start waited: nobody has ordered it, so it may go elsewhere.
+        state.release(bound.task, runner, "its runner leaves", now)
+        return
+    run.stage = RunStage.ORDERED
+    run.since = now
+    state.order_start(bound.task, runner, run, now)
 
 
 def keep_learnt(state: Scheduler, now: float) -> None:
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -11,7 +11,7 @@
 
 from spoolcrank._timers import Timers
 from spoolcrank.backlog import BACKLOG_EVERY_S, tell_backlog
-from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, take_batch
+from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, order_starts, take_batch
 from spoolcrank.claiming import Claiming
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -271,12 +271,14 @@
         """Run a decision; an error of ours ends the term."""
         if self.scheduler is not scheduler:
             return
+        began = self._clock()
         try:
             decide()
         except Exception:
             # The state in memory is in doubt; the next leader builds its own from the records.
             self._telemetry.log("internal-error", grave=True, trace=traceback.format_exc())
             self._step_down("an error of its own")
+        self._sender.busy_s += self._clock() - began
 
     def _decide(self, scheduler: Scheduler) -> None:
         now = self._clock()
@@ -291,7 +293,8 @@
         if blocked is not Blocked.NOT:
             scheduler.placing = PlacingPass()
         elif not place(scheduler, now, self._time_of_day() * 1000.0):
-            self._wake()
+            if not scheduler.starts.held_back:
+                self._wake()
         self._write(scheduler, now)
         self._order(scheduler, now)
 
@@ -358,6 +361,7 @@
 
     def _order(self, scheduler: Scheduler, now: float) -> None:
         may_extend = self.leadership.may_extend(now)
+        order_starts(scheduler, now)
         scheduler.orders += polls_due(scheduler, now, may_extend)
         orders, scheduler.orders = scheduler.orders, []
         for order in orders:
@@ -369,7 +373,7 @@
             return
         if result is OrderResult.OUTRANKED:
             self._step_down("a runner has seen a higher fence")
-        elif isinstance(order, Poll) or result is not OrderResult.DONE:
+        elif isinstance(order, Poll) or result is not OrderResult.DONE or scheduler.starts.wanted:
             self._wake()
 
     def _tell(self, scheduler: Scheduler) -> None:
--- a/spoolcrank/order_sender.py
+++ b/spoolcrank/order_sender.py
@@ -25,6 +25,9 @@
         clock: monotonic seconds.
         on_answer: told of each answer after the decisions have taken it.
         guard: runs a decision; what it raises ends this leader's term.
+
+    Attributes:
+        busy_s: time spent on decisions so far. An answer that waited for one was not late.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
         self._clock = clock
         self._on_answer = on_answer
         self._guard = guard
+        self.busy_s = 0.0
 
     def send(self, scheduler: Scheduler, order: Order) -> None:
         """Send one order."""
@@ -66,9 +70,17 @@
         self._runners.poll(order, polled)
 
     def _start(self, scheduler: Scheduler, order: Start) -> None:
+        sent_at, busy_s = self._clock(), self.busy_s
+
         def started(got: Answered) -> None:
             def take() -> None:
-                start_answered(scheduler, order, got, self._clock())
+                now = self._clock()
+                if got.result in (OrderResult.UNKNOWN, OrderResult.NOT_DONE):
+                    scheduler.starts.unanswered(order.task, order.run, now)
+                else:
+                    took_s = now - sent_at - (self.busy_s - busy_s)
+                    scheduler.starts.answered(order.task, order.run, took_s, now)
+                start_answered(scheduler, order, got, now)
 
             self._take(scheduler, order, got.result, take)
 
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -104,17 +104,26 @@
         _open_due(state, state.jobs[job_id], time_of_day_ms)
     pools = state.pools(now)
     current = state.placing
-    current.begin_part()
+    current.begin_part(state.starts.room(state.starts_waiting_bytes()))
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
     ready.sort(key=lambda one: one[0])
     for rank, job in ready:
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, current, now)
         if current.spent:
-            return False
+            return _part_ended(state, current)
     state.placing = PlacingPass()
+    state.starts.held_back = False
     return True
 
 
+def _part_ended(state: Scheduler, current: PlacingPass) -> bool:
+    state.starts.held_back = current.link_full
+    if current.link_full:
+        # Nothing was passed over for lack of time: the next part begins with what comes first then.
+        state.placing = PlacingPass()
+    return False
+
+
 def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
     before = len(job.rounds)
     job.open_due(time_of_day_ms)
@@ -198,6 +207,9 @@
     if step.spec.gang:
         current.left -= len(runners) * len(step.tasks)
         found = _place_gang(state, job, round_number, number, step, runners, now)
+        if found:
+            one = state.start_bytes(TaskKey(job.id, round_number, number, 0))
+            current.bytes_left -= one * len(step.tasks)
         return Placed.ALL if found else Placed.NO_PLACE
     held = step.per_runner() if step.spec.max_per_instance else {}
     held_back = False
@@ -227,6 +239,7 @@
             return Placed.NO_PLACE
         held[runner.id] = held.get(runner.id, 0) + 1
         state.bind(job, key, task.run + 1, runner, now)
+        current.bytes_left -= state.start_bytes(key)
         if step.spec.target_ms and state.uses(Mechanism.MAKING_WAY):
             make_way(state, runner, step.spec.image, now)
     return Placed.HELD_BACK if held_back else Placed.ALL
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -1,5 +1,6 @@
 """Bound one pass over waiting work, and remember what it tried until it has seen everything."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -39,6 +40,7 @@
 
     Attributes:
         left: pairs of task and runner that the present part may still weigh.
+        bytes_left: of starts that it may still bind, as the leader's link takes them.
         misses: by kind, how many steps found no place in this part. Those of an earlier part say
             nothing of a job that came since.
         claimed: by kind, the prospect of the first job that found none.
@@ -47,13 +49,15 @@
     """
 
     left: int = MOST_WEIGHED
+    bytes_left: float = math.inf
     misses: dict[Kind, int] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
 
-    def begin_part(self) -> None:
+    def begin_part(self, bytes_left: float = math.inf) -> None:
         """Begin the next part."""
         self.left = MOST_WEIGHED
+        self.bytes_left = bytes_left
         self.misses.clear()
 
     def was_tried(self, step: StepKey, again: bool, now: float) -> bool:
@@ -64,4 +68,9 @@
     @property
     def spent(self) -> bool:
         """Tell whether the present part has to end."""
-        return self.left <= 0
+        return self.left <= 0 or self.link_full
+
+    @property
+    def link_full(self) -> bool:
+        """Tell whether no more starts may be bound now."""
+        return self.bytes_left <= 0
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -28,6 +28,7 @@
     RunStage,
     unlisted,
 )
+from spoolcrank.start_window import START_BYTES, StartWindow
 from spoolcrank.step_times import StepTimes
 from spoolcrank.unkept import BoundRun, Unkept
 from spoolcrank.workflow import (
@@ -94,6 +95,7 @@
         self.placing = PlacingPass()
         self.no_place: dict[tuple[ServiceName, str], NoPlace] = {}
         self.unkept = Unkept()
+        self.starts = StartWindow()
         self.ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
         self.learnt_at = now
@@ -331,6 +333,7 @@
         extends = now <= self.extends_until
         until_ms = runner.grant(now) if extends else int(runner.granted_ms)
         target = self.target(runner)
+        self.starts.sent(key, run.number, START_BYTES + len(payload) + len(task.saved), now)
         self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
 
     # Binding
@@ -356,10 +359,12 @@
         run.resumed = bool(task.saved)
         runner.add(key, run)
         self.unkept.change(job.id)
-        if recorded:
-            # The records name this run and runner already.
+        # Where it is recorded, the records name this run and runner already.
+        if recorded and self.starts.open:
             run.stage = RunStage.ORDERED
             self.order_start(key, runner, run, now)
+        elif recorded:
+            self.starts.waiting.append(BoundRun(runner.id, key, number))
         else:
             self.unkept.starts.append(BoundRun(runner.id, key, number))
         self.note(
@@ -372,6 +377,17 @@
             report_age_ms=round((now - runner.answered_at) * 1000),
         )
 
+    def start_bytes(self, key: TaskKey) -> int:
+        """Return about how large the order to start a task is."""
+        job = self.jobs.get(key.job)
+        payload = job.record.workflow.payload if job is not None else ""
+        return START_BYTES + len(payload)
+
+    def starts_waiting_bytes(self) -> int:
+        """Return how much is bound and not on its way yet, bytes."""
+        bound = (*self.starts.waiting, *self.unkept.starts)
+        return sum(self.start_bytes(one.task) for one in bound)
+
     def preassign(self, job: JobState, key: TaskKey, runner: RunnerId) -> None:
         """Let a runner have the next run of a waiting task, or none; see `preassignment`."""
         task = job.task(key)
--- a/tests/test_placing_pass.py
+++ b/tests/test_placing_pass.py
@@ -1,5 +1,7 @@
 """A pass over waiting work ends in parts, so that the leader reads and writes between them."""
 
+import math
+
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.placing import place
 from spoolcrank.placing_pass import MOST_WEIGHED
@@ -14,6 +16,7 @@
 
 def _state(runners: int) -> Scheduler:
     state = Scheduler(1, NOW, NOW)
+    state.starts.limit = math.inf  # Nothing is sent here: only the work of a part bounds it.
     for number in range(runners):
         entry = RunnerEntry(
             RunnerId(f"r{number}"),
