--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -124,7 +124,7 @@
 
 def _take(jobs: dict[JobId, _Job], line: Line) -> None:
     fields = line.fields
-    if "task" in fields or "tasks" in fields:
+    if "task" in fields or "step" in fields:
         for single in singles(line.fields):
             _take_task(jobs, line._replace(fields=single))
         return
--- a/tests/test_note_lines.py
+++ b/tests/test_note_lines.py
@@ -116,7 +116,14 @@
             0.1,
             "e",
             "job-read",
-            {"job": job, "queue": "q", "objective_s": 1.0, "after": [[]], "images": [""]},
+            {
+                "job": job,
+                "queue": "q",
+                "objective_s": 1.0,
+                "after": [[]],
+                "images": [""],
+                "tasks": [3],
+            },
         ),
     ]
     for at, notes in ((0.2, map(_bound, tasks)), (1.2, map(_ended, tasks))):
