Tell in the report what a run's start took

Change: the end's line says how long the run took to start; the report has a cause of its own for it. Measured: a test of the split.

--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -27,6 +27,7 @@
     INTAKE = "until a leader read it"
     NO_LEADER = "while nobody led"
     PLACE = "waiting for a place"
+    START = "between its record and its start"
     WORK = "at work"
     PACE = "held back by pace"
     MOVED = "between a stop and the next start"
@@ -35,11 +36,12 @@
 
 
 class Run(NamedTuple):
-    """One run of a task: when it was bound, when and how its end was noted."""
+    """One run of a task: when it was bound, how long its start took, when and how its end was noted."""
 
     bound_at: float
     ended_at: float
     how: str
+    start_s: float = 0.0
 
 
 @dataclass
@@ -156,7 +158,8 @@
         bound_at = job.bound.pop(key, None)
         if bound_at is not None:
             how = str(line.fields.get("how", "lost"))
-            job.runs[key].append(Run(bound_at, line.at, how))
+            start_s = min(float(line.fields.get("start_ms", 0.0)) / 1000.0, line.at - bound_at)
+            job.runs[key].append(Run(bound_at, line.at, how, max(0.0, start_s)))
 
 
 def _leaderless(lines: Iterable[Line]) -> list[tuple[float, float]]:
@@ -237,9 +240,11 @@
     elif run.how not in ("done", "stopped", UNFINISHED):
         seconds[Cause.LOST] += in_all
     else:
-        at_work = _at_pace(job.paces[key], run.bound_at, ended_at)
+        started_at = min(run.bound_at + run.start_s, ended_at)
+        at_work = _at_pace(job.paces[key], started_at, ended_at)
+        seconds[Cause.START] += started_at - run.bound_at
         seconds[Cause.WORK] += at_work
-        seconds[Cause.PACE] += in_all - at_work
+        seconds[Cause.PACE] += ended_at - started_at - at_work
 
 
 def _at_pace(paces: list[tuple[float, float]], since: float, until: float) -> float:
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -129,6 +129,7 @@
         worked_before_s: seconds at full pace that it had worked by then.
         resumed: it began from a checkpoint, or before this leader saw it.
         slow_since: since when it works at half its pace or less; None at more.
+        bound_at: when it was bound, or taken over by this leader.
     """
 
     number: int
@@ -155,6 +156,7 @@
     resumed: bool = False
     slow_since: float | None = None
     in_flight: bool = False
+    bound_at: float = 0.0
 
     def worked_s(self, now: float) -> float:
         """Return for how long it has been at work, in seconds at full pace."""
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -172,6 +172,7 @@
             lasting=spec.lasting,
             checkpoints=spec.checkpoints,
             load=step.load,
+            bound_at=now,
         )
 
     def cancel(self, job_id: JobId, now: float) -> None:
@@ -258,7 +259,14 @@
         task = job.task(key)
         if task.phase is not Phase.BOUND or task.run != run.number:
             return
-        self.note("run-ended", task=key, run=run.number, runner=runner.id, how=how.value)
+        self.note(
+            "run-ended",
+            task=key,
+            run=run.number,
+            runner=runner.id,
+            how=how.value,
+            start_ms=round(max(0.0, run.since - run.bound_at) * 1000.0),
+        )
         task.saved = saved or task.saved
         step = job.rounds[key.round].steps[key.step]
         self.unkept.change(job.id)
--- a/tests/test_note_lines.py
+++ b/tests/test_note_lines.py
@@ -38,6 +38,7 @@
 
 def _ended(task: TaskKey, run: int = 1) -> Note:
     fields = {"task": task, "run": run, "runner": f"i-{task.number:010d}", "how": "done"}
+    fields["start_ms"] = 250
     return Note("run-ended", fields)
 
 
@@ -138,5 +139,6 @@
     assert {cause.value: round(s, 2) for cause, s in found.seconds.items() if s > 0.001} == {
         "until a leader read it": 0.1,
         "waiting for a place": 0.1,
-        "at work": 1.0,
+        "between its record and its start": 0.25,
+        "at work": 0.75,
     }
