--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -36,7 +36,7 @@
 
 
 class Run(NamedTuple):
-    """One run of a task: when it was bound, how long its start took, when and how its end was noted."""
+    """One run of a task: when bound, how long until it started, when and how its end was noted."""
 
     bound_at: float
     ended_at: float
