--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -100,7 +100,7 @@
         self._on_left: Callable[[], None] | None = None
         self._routes: Mapping[RouteName, RoutePolicy] = {}
         timers.every(TICK_S, self._tick)
-        timers.every(LINES_EVERY_S, lambda: self._lines.write(telemetry.log))
+        timers.every(LINES_EVERY_S, lambda: self._lines.write(telemetry.log, clock()))
 
     def set_routes(self, routes: Mapping[RouteName, RoutePolicy]) -> None:
         """Take the queues of the configuration in force."""
@@ -219,7 +219,7 @@
         if self.scheduler is None:
             return
         self._tell(self.scheduler)
-        self._lines.write(self._telemetry.log)
+        self._lines.write(self._telemetry.log, self._clock())
         self._telemetry.log("stepped-down", grave=True, term=self.scheduler.term, why=why)
         self.leadership.give_up(self.scheduler.term, self._heir)
         self.scheduler = None
@@ -377,7 +377,7 @@
 
     def _tell(self, scheduler: Scheduler) -> None:
         notes, scheduler.notes = scheduler.notes, []
-        self._lines.add_all(notes)
+        self._lines.add_all(notes, self._clock())
 
     # Runners
 
--- a/spoolcrank/job_times.py
+++ b/spoolcrank/job_times.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from spoolcrank.ids import JobId
 from spoolcrank.log_search import Line
@@ -128,10 +128,11 @@
     fields = line.fields
     if "task" in fields or "step" in fields:
         for single in singles(line.fields):
-            _take_task(jobs, line._replace(fields=single))
+            _take_task(jobs, _decided(line, single))
         return
     if "job" not in fields:
         return
+    line = _decided(line, fields)
     job = jobs[JobId(str(fields["job"]))]
     if line.event == "job-accepted" and job.accepted_at < 0:
         job.accepted_at = line.at
@@ -145,6 +146,11 @@
         job.ended_at, job.phase = line.at, str(fields["phase"])
 
 
+def _decided(line: Line, fields: dict[str, Any]) -> Line:
+    """Return a line as if it had been written when its decision was made."""
+    return line._replace(at=line.at - float(fields.get("ago_ms", 0.0)) / 1000.0, fields=fields)
+
+
 def _take_task(jobs: dict[JobId, _Job], line: Line) -> None:
     name = line.fields["task"]
     key = TaskKey(JobId(str(name[0])), int(name[1]), int(name[2]), int(name[3]))
--- a/tests/test_note_lines.py
+++ b/tests/test_note_lines.py
@@ -15,6 +15,7 @@
 from spoolcrank.telemetry import ATOMIC_BYTES, BURST_LINES, LINES_PER_S
 from spoolcrank.workflow import TaskKey
 
+NOW = 80.0
 STARTS_PER_S = 600
 WIDTH = 24
 """Mean of the widths of a step at that deployment: 39 of settlement, nine of receipts."""
@@ -43,42 +44,42 @@
 
 
 def _decisions() -> list[list[Note]]:
-    """Return five seconds of a large fleet, by the tenths in which lines are written.
+    """Return five seconds of a large fleet, by the periods in which lines are written.
 
-    A step is bound within one tenth, its ends spread over six of them.
+    A step is bound within one period, its ends spread over six of them.
     """
-    tenths: list[list[Note]] = [[] for _ in range(int(SECONDS / LINES_EVERY_S) + 8)]
+    periods: list[list[Note]] = [[] for _ in range(int(SECONDS / LINES_EVERY_S) + 8)]
     steps = int(STARTS_PER_S * SECONDS / WIDTH)
     for step in range(steps):
         at = int(step / steps * SECONDS / LINES_EVERY_S)
         for number in range(WIDTH):
             task = TaskKey(JobId(f"{step:016x}"), 0, 0, number)
-            tenths[at].append(_bound(task))
-            tenths[at + 2 + number % 6].append(_ended(task))
-    return tenths
+            periods[at].append(_bound(task))
+            periods[at + 2 + number % 6].append(_ended(task))
+    return periods
 
 
 def test_a_peak_of_starts_and_ends_stays_within_the_bound_on_lines() -> None:
     lines = NoteLines()
     written = 0
     told: list[dict[str, Any]] = []
-    tenths = _decisions()
-    for notes in tenths:
+    periods = _decisions()
+    for notes in periods:
         for note in notes:
-            lines.add(note)
-        for line in lines.take():
+            lines.add(note, NOW)
+        for line in lines.take(NOW):
             written += 1
             told += singles(line.fields)
-    allowed = BURST_LINES + LINES_PER_S * len(tenths) * LINES_EVERY_S
+    allowed = BURST_LINES + LINES_PER_S * len(periods) * LINES_EVERY_S
     assert written <= allowed
-    assert len(told) == sum(map(len, tenths)), "each decision is told once"
+    assert len(told) == sum(map(len, periods)), "each decision is told once"
 
 
 def test_a_line_of_many_tasks_goes_into_a_pipe_whole() -> None:
     lines = NoteLines()
     for number in range(160):
-        lines.add(_bound(TaskKey(JobId("f" * 16), 0, 1, number)))
-    for line in lines.take():
+        lines.add(_bound(TaskKey(JobId("f" * 16), 0, 1, number)), NOW)
+    for line in lines.take(NOW):
         assert len(json.dumps(line.fields)) < ATOMIC_BYTES - 300
 
 
@@ -86,9 +87,9 @@
     lines = NoteLines()
     notes = [_bound(TaskKey(JobId("a" * 16), 0, 0, number)) for number in range(5)]
     for note in notes:
-        lines.add(note)
-    (line,) = lines.take()
-    alone = [{**note.fields, "task": list(note.fields["task"])} for note in notes]
+        lines.add(note, NOW)
+    (line,) = lines.take(NOW)
+    alone = [{**note.fields, "task": list(note.fields["task"]), "ago_ms": 0} for note in notes]
     assert singles(line.fields) == alone
 
 
@@ -97,10 +98,10 @@
     first, second = (TaskKey(JobId("a" * 16), 0, 0, number) for number in range(2))
     notes = [_bound(first), _ended(first), _bound(second), _bound(first, run=2)]
     for note in notes:
-        lines.add(note)
+        lines.add(note, NOW)
     told = [
         (one.name, *single["task"], single["run"])
-        for one in lines.take()
+        for one in lines.take(NOW)
         for single in singles(one.fields)
     ]
     of_first = [(name, run) for name, *task, run in told if task[-1] == 0]
@@ -129,10 +130,10 @@
     ]
     for at, notes in ((0.2, map(_bound, tasks)), (1.2, map(_ended, tasks))):
         for note in notes:
-            lines.add(note)
-        for line in lines.take():
+            lines.add(note, NOW)
+        for line in lines.take(NOW + 0.3):
             fields = json.loads(json.dumps(line.fields))
-            told.append(Line(at, "e", line.name, fields))
+            told.append(Line(at + 0.3, "e", line.name, fields))
     told.append(Line(1.2, "e", "job-ended", {"job": job, "phase": "completed"}))
     (found,) = job_times(told)
     assert round(found.took_s, 2) == 1.2
