Leave starts to silent runners out of the window, and tell where it shrinks

Cause: read in review of the window: where a zone is cut off a fifth of all starts waits for its time-out, and fills a window that grows slowly; a change of belief had no log line.

--- a/spoolcrank/order_sender.py
+++ b/spoolcrank/order_sender.py
@@ -75,11 +75,8 @@
         def started(got: Answered) -> None:
             def take() -> None:
                 now = self._clock()
-                if got.result in (OrderResult.UNKNOWN, OrderResult.NOT_DONE):
-                    scheduler.starts.unanswered(order.task, order.run, now)
-                else:
-                    took_s = now - sent_at - (self.busy_s - busy_s)
-                    scheduler.starts.answered(order.task, order.run, took_s, now)
+                took_s = now - sent_at - (self.busy_s - busy_s)
+                _watch_link(scheduler, order, got.result, took_s, now)
                 start_answered(scheduler, order, got, now)
 
             self._take(scheduler, order, got.result, take)
@@ -109,3 +106,24 @@
     ) -> None:
         self._guard(scheduler, take)
         self._on_answer(scheduler, order, result)
+
+
+def _watch_link(
+    scheduler: Scheduler, order: Start, result: OrderResult, took_s: float, now: float
+) -> None:
+    """Take the time of a start's answer into the window, and tell where it shrinks."""
+    starts = scheduler.starts
+    before = starts.limit
+    if result in (OrderResult.UNKNOWN, OrderResult.NOT_DONE):
+        starts.unanswered(order.task, order.run, now)
+    else:
+        starts.answered(order.task, order.run, took_s, now)
+    if starts.limit < before:
+        scheduler.note(
+            "starts-held-back",
+            runner=order.target.runner,
+            result=result.value,
+            took_ms=round(took_s * 1000.0),
+            window_bytes=round(starts.limit),
+            waiting=len(starts.waiting),
+        )
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -183,6 +183,8 @@
             self.figures.gauge("jobs", len(scheduler.jobs))
             self.figures.gauge("runs", sum(len(one.runs) for one in scheduler.runners.values()))
             self.figures.gauge("jobs_waiting", sum(1 for _ in scheduler.waiting_jobs()))
+            self.figures.gauge("start_window_bytes", round(scheduler.starts.limit))
+            self.figures.gauge("starts_waiting", len(scheduler.starts.waiting))
         reply(HttpReply(200, {"Content-Type": TEXT_TYPE}, self.figures.text()))
 
     @property
--- a/spoolcrank/start_window.py
+++ b/spoolcrank/start_window.py
@@ -107,10 +107,22 @@
             self._shrink(start, now)
             return
         self._quick_at = now
+        self._leave_out_silent(start)
         if was_full:
             grown = start.size if self._slow_start else STEP * start.size / self.limit
             self.limit = min(MOST_WINDOW, self.limit + grown)
 
+    def _leave_out_silent(self, quick: Flying) -> None:
+        """Count nothing that left long before a start that was answered quickly.
+
+        Its runner is silent, not the link full. Where a zone is cut off the window would else be
+        full of starts that wait there for their time-out.
+        """
+        for key, start in list(self._flying.items()):
+            if start.sent_at > quick.sent_at - LATE_S:
+                return
+            self._landed(*key)
+
     def unanswered(self, task: TaskKey, run: int, now: float) -> None:
         """Take note that a start has no answer: its runner may be at fault, or the link.
 
--- a/tests/test_start_window.py
+++ b/tests/test_start_window.py
@@ -91,3 +91,22 @@
     for task in tasks:
         window.answered(task, 1, LATE_S, 10.2)
     assert window.limit == FIRST_WINDOW * SHRINK
+
+
+def test_starts_to_a_zone_that_is_cut_off_do_not_fill_the_window() -> None:
+    """A fifth of 600 starts a second goes where nobody answers."""
+    window = StartWindow()
+    late = TaskKey(JobId("late"), 0, 0, 0)
+    window.sent(late, 1, 1600, 9.0)
+    window.answered(late, 1, LATE_S, 9.2)  # From here on the window grows slowly.
+    now, held_up = 10.0, 0
+    for number in range(600):
+        now += 1.0 / 600.0
+        task = TaskKey(JobId("a"), 0, 0, number)
+        if not window.open:
+            held_up += 1
+            continue
+        window.sent(task, 1, 1600, now)
+        if number % 5:
+            window.answered(task, 1, 0.005, now)
+    assert held_up == 0
