Part the answers to orders from run_control, and the circle of __main__ and cli

Change: answers to starts, stops and paces stand in order_answers; the words that start the daemon in serve_words. No line of logic differs; the state machine's mutation names the new place. Measured: state machine with its mutations, tests of ends, leads and the platform pass.

--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -12,7 +12,6 @@
 from spoolcrank import ctl as operator_commands
 from spoolcrank import demo, load, replay, standin_backend, standin_instances, standin_log
 from spoolcrank import entry as entry_daemon
-from spoolcrank.__main__ import METRICS_PORT
 from spoolcrank.errors import SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
 from spoolcrank.job_report import image_table, report_table
@@ -20,6 +19,7 @@
 from spoolcrank.job_times import job_times
 from spoolcrank.log_search import lines_about, parsed
 from spoolcrank.resources import Resources
+from spoolcrank.serve_words import METRICS_PORT
 from spoolcrank.settings import check_entry
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
--- a/spoolcrank/order_sender.py
+++ b/spoolcrank/order_sender.py
@@ -2,14 +2,9 @@
 
 from collections.abc import Callable
 
+from spoolcrank.order_answers import pace_answered, start_answered, stop_answered
 from spoolcrank.orders import Answered, Order, OrderResult, Pace, Poll, Start, Stop
-from spoolcrank.run_control import (
-    pace_answered,
-    poll_answered,
-    poll_failed,
-    start_answered,
-    stop_answered,
-)
+from spoolcrank.run_control import poll_answered, poll_failed
 from spoolcrank.runner_port import Polled, RunnerPort
 from spoolcrank.scheduler import Scheduler
 
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from spoolcrank import job_intake, order_sender, run_control
+from spoolcrank import job_intake, order_answers, order_sender, run_control
 from spoolcrank.batching import KEEP_ENDED_S
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
@@ -284,7 +284,7 @@
     runner.seen = runner.seen_next
 
 
-_start_answered = run_control.start_answered
+_start_answered = order_answers.start_answered
 
 
 def _unanswered_is_undone(state: Any, start: Any, answered: Answered, now: float) -> None:
