--- a/tests/test_start_window.py
+++ b/tests/test_start_window.py
@@ -7,11 +7,16 @@
 with a leader that used a twentieth of its core. One day earned 0.085 of what it owed.
 """
 
-from fleet_world import World, small
+from fleet_world import ROUTE, SERVICE, World, small
 
+from spoolcrank.batching import batch_kept, order_starts, take_batch
 from spoolcrank.ids import JobId
+from spoolcrank.orders import Start
+from spoolcrank.placing import place
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.start_window import FIRST_WINDOW, LATE_S, SHRINK, StartWindow
-from spoolcrank.workflow import Step, TaskKey
+from spoolcrank.workflow import JobRecord, Phase, Step, TaskKey, Workflow
 
 LINK_BYTES_PER_S = 125_000.0
 PAYLOAD = "x" * 3000
@@ -110,3 +115,63 @@
         if number % 5:
             window.answered(task, 1, 0.005, now)
     assert held_up == 0
+
+
+def _one_waiting_start() -> tuple[Scheduler, TaskKey, RunnerState]:
+    """Return a leader's state with a run whose record is kept and whose start waits."""
+    world = small(instances=1, runners=2)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    state = leader.dispatcher.scheduler
+    record = JobRecord(ROUTE, SERVICE, 0, 3, 250, 1.5, Workflow("", (Step(count=1, millicores=1),)))
+    state.add_job(JobId("a"), record, 1, None, False, world.now, 0.0)
+    place(state, world.now, 0.0)
+    (key,) = [key for one in state.runners.values() for key in one.runs]
+    state.starts.limit = 0.0
+    batch = take_batch(state)
+    assert batch is not None
+    batch_kept(state, batch, world.now)
+    order_starts(state, world.now)
+    assert not state.orders and state.starts.wanted
+    state.starts.limit = FIRST_WINDOW
+    return state, key, state.runners[state.jobs[JobId("a")].task(key).runner]
+
+
+def test_a_start_that_waits_while_its_runner_begins_to_leave_goes_elsewhere() -> None:
+    state, key, runner = _one_waiting_start()
+    runner.entry = runner.entry._replace(leaving=True)
+    order_starts(state, runner.answered_at)
+    assert not state.orders
+    assert state.jobs[JobId("a")].task(key).phase is Phase.WAITING
+    assert key not in runner.runs
+
+
+def test_no_start_of_a_cancelled_job_leaves_though_it_waited_for_the_link() -> None:
+    state, key, runner = _one_waiting_start()
+    state.cancel(JobId("a"), runner.answered_at)
+    order_starts(state, runner.answered_at)
+    assert not state.orders and key not in runner.runs
+
+
+def test_a_start_that_waited_goes_out_once_the_window_takes_it() -> None:
+    state, key, runner = _one_waiting_start()
+    order_starts(state, runner.answered_at)
+    assert [order.task for order in state.orders if isinstance(order, Start)] == [key]
+    order_starts(state, runner.answered_at)
+    assert len(state.orders) == 1
+
+
+def test_an_answer_that_waited_for_a_decision_does_not_shrink_the_window() -> None:
+    world = small(instances=3, runners=45)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    scheduler, sender = leader.dispatcher.scheduler, leader.dispatcher._sender
+    step = Step(count=8, millicores=1000, memory_mb=10, estimate_ms=600)
+    world.instances["entry-1"].submit("a" * 16, step)
+    while not scheduler.starts._flying:
+        world.run(0.0005)
+    # The leader decides for a whole second while the answers arrive.
+    leader.freeze(1.0)
+    sender.busy_s += 1.0
+    world.run(1.5)
+    assert scheduler.starts.limit >= FIRST_WINDOW
