--- a/spoolcrank/start_window.py
+++ b/spoolcrank/start_window.py
@@ -3,7 +3,7 @@
 Pattern: wide jobs arrive together, every task's start carries the job's payload, and all of them
 leave through one instance's link. What queues there for longer than an order may take counts as
 unanswered, is sent again or stopped, and is bound anew; the repeats fill the link, and the load
-never falls again though the leader's processor idles. So starts wait at the leader, in the order of
+never falls again. So starts wait at the leader, in the order of
 work, and the bytes on their way are bounded by how late their answers come, as congestion control
 does for one connection: a first window doubles with each round trip while answers are quick, and
 shrinks where they are late. Tasks are bound only for what the window will soon take, so that a
