Give no headroom above what a task was allocated and used up

Callers saw: accepted batch jobs pending at attempt 0 for good beside idle servers. Cause: what is allocated follows the largest use of a class and a tenth. A task that works on all it is given showed its own allocation as use, so each start got a tenth more (18.343, 20.177, 22.195 of 24 processors, as logged) until the class fitted nowhere; then nothing ran that could be measured. Change: headroom counts only where use left some of the allocation, or was more than it; what is learnt but fits on no server gives way to the declared size, by which the job was accepted. Why this holds: an allocation can now only grow by a use above it.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -108,9 +108,20 @@
 
 
 def size_for(core: Core, task: Task) -> Resources:
-    """Return what is allocated for a task's next attempt."""
+    """Return what is allocated for a task's next attempt.
+
+    What the class needs is learnt over all its jobs. Where that fits on no server the declared
+    size counts, by which the job was accepted: it would wait for ever.
+    """
     spec = core.ledger.spec(task)
-    return core.learnt.size_for(spec.task_class, spec.size.resources, core.policy)
+    declared = spec.size.resources
+    learnt = core.learnt.size_for(spec.task_class, declared, core.policy)
+    if learnt.fits_in(declared):
+        return learnt
+    backends = (one for one in core.members.listed.values() if one.role is Role.BACKEND)
+    if any(learnt.fits_in(placement.usable(one, core.policy)) for one in backends):
+        return learnt
+    return declared
 
 
 def _record_place(core: Core, task: Task, server: InstanceId, now: float) -> Placed:
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -4,15 +4,16 @@
 returns actions. The same code runs in the daemon, in replay and in the state machines.
 """
 
+from functools import partial
+
 from spoolcrank import assignment, interference, ladder, membership, ownership, servers, tenure
-from spoolcrank.ids import (
-    InstanceId,
-)
+from spoolcrank.ids import InstanceId, TaskId
 from spoolcrank.ledger import Ledger
 from spoolcrank.ledger_records import apply
 from spoolcrank.membership import Heartbeat
 from spoolcrank.policy import Policy
 from spoolcrank.records import Claimed, Ended, Entry, Placed
+from spoolcrank.resources import Resources
 from spoolcrank.servers import Action, OwnedServer, Phase
 from spoolcrank.state import Core, CoreAction, Note, Yielded, can_act
 from spoolcrank.worker import Refused, Report
@@ -71,11 +72,16 @@
     owned = core.owned.get(server)
     if owned is None or report.epoch != owned.epoch or not can_act(core, now):
         return []
-    core.learnt.on_usage(report.usage, now)
+    core.learnt.on_usage(report.usage, partial(_allocated, core))
     situation = core.situation(now)
     return list(servers.on_report(owned, report, sent_at, core.ledger, situation, core.policy, now))
 
 
+def _allocated(core: Core, task: TaskId) -> Resources | None:
+    held = core.ledger.tasks.get(task)
+    return held.size.resources if held is not None else None
+
+
 def on_refused(core: Core, server: InstanceId, refused: Refused, now: float) -> list[CoreAction]:
     """Take a server's no."""
     owned = core.owned.get(server)
--- a/spoolcrank/interference.py
+++ b/spoolcrank/interference.py
@@ -5,6 +5,7 @@
 no more placing, throttle, evict; calm for a while, it grows back step by step.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import NamedTuple
@@ -16,6 +17,8 @@
 
 _ENOUGH_REPORTS = 3
 _HEADROOM = 1.1
+"""Given above the largest use that was seen of a task class."""
+
 _PROBE_EVERY_S = 10.0
 _FAILURES_TO_JUDGE = 3
 _PEER_FACTOR = 3.0
@@ -56,7 +59,7 @@
 
 
 class ToldUse(NamedTuple):
-    """The largest use of a task class as one instance tells it to another."""
+    """What a task class needs as one instance tells it to another."""
 
     task_class: TaskClass
     processors: float
@@ -98,7 +101,7 @@
 
 @dataclass
 class ClassUse:
-    """The largest use that reports showed of a task class."""
+    """What a task of a class needs, by the largest use that reports showed."""
 
     processors: float = 0.0
     memory_mb: float = 0.0
@@ -153,12 +156,21 @@
     probed_at: dict[InstanceId, float] = field(default_factory=dict)
     evicted_at: list[float] = field(default_factory=list)
 
-    def on_usage(self, usage: list[Usage], now: float) -> None:
-        """Take a server's late usage report."""
+    def on_usage(self, usage: list[Usage], given: Callable[[TaskId], Resources | None]) -> None:
+        """Take a server's late usage report.
+
+        Args:
+            usage: of single tasks.
+            given: what a task was allocated, None where that is not known any more.
+        """
         for item in usage:
+            allocated = given(item.task)
+            if allocated is None:
+                continue
             use = self.uses.setdefault(item.task_class, ClassUse())
-            use.processors = max(use.processors, item.processors)
-            use.memory_mb = max(use.memory_mb, item.memory_mb)
+            needed = _needed(item.processors, allocated.processors)
+            use.processors = max(use.processors, needed)
+            use.memory_mb = max(use.memory_mb, _needed(item.memory_mb, allocated.memory_mb))
             use.reports += 1
 
     def on_latency(self, server: InstanceId, latency_s: float, now: float) -> None:
@@ -186,8 +198,8 @@
                 declared.processors * factor, declared.memory_mb * factor, declared.accelerators
             )
         return Resources(
-            round(use.processors * _HEADROOM, 3),
-            round(use.memory_mb * _HEADROOM, 1),
+            round(use.processors, 3),
+            round(use.memory_mb, 1),
             declared.accelerators,
         )
 
@@ -256,3 +268,13 @@
             known = self.pairs.get(pair)
             if known is None or known.at < now - one.age_s:
                 self.pairs[pair] = Estimate(one.slowdown, now - one.age_s)
+
+
+def _needed(used: float, allocated: float) -> float:
+    """Return what to allocate for a use that was seen under an allocation.
+
+    A task that works on all it is given shows no need of more. With headroom above that, each
+    start would be given a tenth more than the last, until the class fits on no server.
+    """
+    wanted = used * _HEADROOM
+    return wanted if used > allocated else min(wanted, allocated)
--- a/tests/world.py
+++ b/tests/world.py
@@ -95,13 +95,13 @@
     def crash(self, name: str) -> None:
         self.owners.pop(name, None)
 
-    def submit(self, tasks: int, run_s: float, repeatable: bool) -> None:
+    def submit(self, tasks: int, run_s: float, repeatable: bool, name: str = "work") -> None:
         self.jobs += 1
         job = JobId(f"job-{self.jobs}")
         if not repeatable:
             self.once_only.append(job)
         spec = JobSpec(
-            name="work",
+            name=name,
             tasks=tasks,
             size=Size(processors=2.0, memory_mb=1000.0),
             repeatable=repeatable,
