Act on claims and placements that come with a peer's ledger

Callers may have seen: jobs that had not ended 60 s after an owner was killed, paused or cut off (three tests, once each beside load); that it was this is suspected, not shown. Found by reading. Cause: an instance whose log does not answer takes the ledger of a peer that is ahead and reads on behind it. A claim of its own in between was never read as a record: the server was its own by the log, in nobody's hands, and the others saw it held. A placement in between kept its room for good. Change: taking a ledger settles what the records would have changed besides it. Owners in the state machine that are cut off from the log take a peer's ledger now, as the daemon does. Why this holds: whichever way a ledger comes, owned servers follow from its claims, and placements from its tasks.

--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -180,8 +180,9 @@
     def _take_snapshot(self, snapshot: Snapshot) -> None:
         if self.config.adopt(snapshot.config_version, snapshot.config_toml):
             self._apply_config()
-        if not decisions.replace_ledger(self.core, snapshot.ledger):
+        if snapshot.ledger.offset <= self.core.ledger.offset:
             return
+        self.act(decisions.replace_ledger(self.core, snapshot.ledger, time.monotonic()))
         self.log_link.skip_to(snapshot.ledger.offset)
         writer = snapshot.ledger.writers.get(self.core.members.incarnation)
         if writer is not None:
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -8,6 +8,7 @@
 
 from spoolcrank import assignment, interference, ladder, membership, ownership, servers, tenure
 from spoolcrank.ids import InstanceId, TaskId
+from spoolcrank.jobs import TaskState
 from spoolcrank.ledger import Ledger
 from spoolcrank.ledger_records import apply
 from spoolcrank.membership import Heartbeat
@@ -209,12 +210,31 @@
     return actions
 
 
-def replace_ledger(core: Core, ledger: Ledger) -> bool:
-    """Take a snapshot's ledger when it is ahead of ours."""
-    if ledger.offset <= core.ledger.offset:
-        return False
+def replace_ledger(core: Core, ledger: Ledger, now: float) -> list[CoreAction]:
+    """Take a peer's or a snapshot's ledger, which has to be ahead of ours.
+
+    The records in between are never read one by one, so what each would have changed besides the
+    ledger is settled here. Left out, a claim of our own leaves a server that is ours by the log
+    and that nobody commands, and a placement keeps its room for good.
+    """
     core.ledger = ledger
+    for owned in core.owned.values():
+        owned.placing = {
+            task: record for task, record in owned.placing.items() if _is_open(ledger, record)
+        }
     for server, owned in list(core.owned.items()):
-        if ledger.epoch(server) > owned.epoch:
+        if ledger.epoch(server) > owned.epoch and not _is_mine(core, server):
             del core.owned[server]
-    return True
+    return tenure.own_claimed(core, now)
+
+
+def _is_open(ledger: Ledger, record: Placed) -> bool:
+    """Tell whether a placement of ours may still take effect, as it was not read yet."""
+    task = ledger.tasks.get(record.task)
+    if task is None or task.state is not TaskState.PENDING:
+        return False
+    return record.attempt == task.attempt + 1
+
+
+def _is_mine(core: Core, server: InstanceId) -> bool:
+    return core.ledger.claims[server].incarnation == core.members.incarnation
--- a/spoolcrank/tenure.py
+++ b/spoolcrank/tenure.py
@@ -35,6 +35,21 @@
     return [Note("claim.won", {"server": record.server, "epoch": str(record.epoch)})]
 
 
+def own_claimed(core: Core, now: float) -> list[CoreAction]:
+    """Own what the log says is ours, where its claim was not read as a record of its own."""
+    if core.stopping:
+        return []
+    actions: list[CoreAction] = []
+    for server, claim in core.ledger.claims.items():
+        if claim.incarnation != core.members.incarnation or server in core.yielded:
+            continue
+        owned = core.owned.get(server)
+        if owned is None or owned.epoch < claim.epoch:
+            _own(core, server, claim.epoch, now, owned)
+            actions.append(Note("claim.found", {"server": server, "epoch": str(claim.epoch)}))
+    return actions
+
+
 def _own(
     core: Core, server: InstanceId, epoch: Epoch, now: float, before: OwnedServer | None
 ) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,6 +9,7 @@
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId, Offset
 from spoolcrank.jobs import JobSpec, Size, TaskState
+from spoolcrank.ledger import dump, load
 from spoolcrank.membership import Heartbeat, Members
 from spoolcrank.policy import DEFAULT, Policy
 from spoolcrank.records import Ended, Entry, Envelope, JobAccepted
@@ -163,9 +164,26 @@
             decisions.on_log_read(core, now)
         else:
             decisions.on_log_failed(core, now)
+            self.take_state(name)
         actions += decisions.tick(core, now, self.now)
         self._act(name, owner, actions)
 
+    def take_state(self, name: str) -> None:
+        """Let an owner take the ledger of a peer that it hears and that is ahead."""
+        owner = self.owners[name]
+        heard = [
+            peer.core.ledger
+            for other, peer in self.owners.items()
+            if other != name and not peer.paused and (other, name) not in self.cut
+        ]
+        ahead = max(heard, key=lambda ledger: ledger.offset, default=owner.core.ledger)
+        if ahead.offset <= owner.core.ledger.offset:
+            return
+        now = self.now + owner.skew_s
+        found = decisions.replace_ledger(owner.core, load(dump(ahead)), now)
+        owner.read = ahead.offset
+        self._act(name, owner, found)
+
     def _append(self, owner: Owner) -> None:
         self.log += owner.outbox
         if self.doubles:
