Weigh waiting tasks behind those that surely find no place now

Callers saw: jobs that wait beside idle servers while another team's queue stands in front of them. Found by reading, while stalls were traced. Cause: a pass weighed the first 64 waiting tasks only; where those were at their team's quota, in backoff or too large for what is free, nothing behind them was tried. 36 tasks of 6 s, one at a time, in the test: 216 s. Change: what stands in the way of a whole job is found once in a pass, and tasks in backoff are passed over; neither counts towards the 64. Why this holds: a task is passed over only where its own weighing would have the same result, as rooms only shrink in a pass.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -5,6 +5,7 @@
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import (
     InstanceId,
+    JobId,
     Rack,
     TaskClass,
 )
@@ -17,6 +18,11 @@
 from spoolcrank.state import Core, CoreAction, Note, free_room
 
 _PLACE_PASS = 64
+"""Tasks weighed in one pass; a pass runs each tick of 50 ms, beside requests."""
+
+_OF_WHOLE_JOB = frozenset({Obstacle.NO_ROOM, Obstacle.QUOTA, Obstacle.NO_SERVER})
+"""What stands in the way of one task of a job stands in the way of them all for the pass."""
+
 _REFUSE_AFTER_S = 1.0
 
 
@@ -62,11 +68,23 @@
     queue.sort(key=lambda task: placement.priority(task, ledger.spec(task), core.policy, wall))
     others = _other_rooms(core, now)
     actions: list[CoreAction] = []
-    for task in queue[:_PLACE_PASS]:
-        choice = _place_one(core, task, list(rooms.values()), others, now, wall)
+    blocked: dict[JobId, Obstacle] = {}
+    weighed = 0
+    for task in queue:
+        obstacle = Obstacle.BACKOFF if task.not_before > wall else blocked.get(task.job)
+        if obstacle is not None:
+            # Tasks that are surely not placed now must not keep those behind them from their turn.
+            core.obstacles[task.id] = obstacle
+            continue
+        if weighed == _PLACE_PASS:
+            break
+        weighed += 1
+        choice = _place_one(core, task, list(rooms.values()), others, now)
         if choice.server is None:
             if choice.obstacle is not None:
                 core.obstacles[task.id] = choice.obstacle
+            if choice.obstacle in _OF_WHOLE_JOB:
+                blocked[task.job] = choice.obstacle
             continue
         core.obstacles.pop(task.id, None)
         record = _record_place(core, task, choice.server, now)
@@ -83,11 +101,8 @@
     rooms: list[Room],
     others: list[tuple[InstanceId, Resources]],
     now: float,
-    wall: float,
 ) -> Choice:
     spec = core.ledger.spec(task)
-    if task.not_before > wall:
-        return Choice(None, Obstacle.BACKOFF)
     size = size_for(core, task)
     held = core.ledger.by_team.get(spec.team, 0.0)
     if not placement.within_quota(spec.team, size, held, core.policy):
--- /dev/null
+++ b/tests/test_waiting_order.py
@@ -0,0 +1,40 @@
+"""Which waiting tasks get their turn where others in front of them cannot be placed."""
+
+from spoolcrank.policy import Policy
+from tests.world import World
+
+TEAM = "renewals"
+RUN_S = 6.0
+SOON_S = 20.0
+MANY = 100
+
+
+def _open_jobs(world: World) -> set[str]:
+    return {one.split()[0].rsplit(".", 1)[0] for one in world.open_tasks()}
+
+
+def test_a_team_at_its_quota_does_not_keep_the_others_waiting() -> None:
+    """Jobs waited beside idle servers while another team's long queue stood in front of them.
+
+    Found by reading, while jobs that wait for a place for good were traced.
+    Cause: each pass weighed the first 64 waiting tasks only. Where these could not be placed, by
+    their team's quota or their size, nothing behind them was ever tried.
+    Proof: this test, without the mend: the second job waits for 36 tasks of 6 s, one at a time.
+    """
+    world = World(Policy(quotas={TEAM: 2.0}))
+    world.submit(MANY, RUN_S, True, team=TEAM)
+    world.advance(1.0)
+    world.submit(1, 1.0, True, name="other")
+    world.advance(SOON_S)
+    assert _open_jobs(world) == {"job-1"}
+
+
+def test_tasks_too_large_for_what_is_free_do_not_keep_small_ones_waiting() -> None:
+    world = World()
+    world.submit(2, 60.0, True, name="first")
+    world.advance(8.0)
+    world.submit(MANY, RUN_S, True, name="large", processors=4.0)
+    world.advance(1.0)
+    world.submit(1, 1.0, True, name="small", processors=0.5)
+    world.advance(SOON_S)
+    assert _open_jobs(world) == {"job-1", "job-2"}
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,7 +7,7 @@
 from spoolcrank import membership, promises, tenure
 from spoolcrank._standin_worker import WorkerModel
 from spoolcrank.fleet import Instance, Role
-from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId, Offset
+from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId, Offset, Team
 from spoolcrank.jobs import JobSpec, Size, TaskState
 from spoolcrank.ledger import dump, load
 from spoolcrank.membership import Heartbeat, Members
@@ -96,7 +96,15 @@
     def crash(self, name: str) -> None:
         self.owners.pop(name, None)
 
-    def submit(self, tasks: int, run_s: float, repeatable: bool, name: str = "work") -> None:
+    def submit(
+        self,
+        tasks: int,
+        run_s: float,
+        repeatable: bool,
+        name: str = "work",
+        team: str = "default",
+        processors: float = 2.0,
+    ) -> None:
         self.jobs += 1
         job = JobId(f"job-{self.jobs}")
         if not repeatable:
@@ -104,8 +112,9 @@
         spec = JobSpec(
             name=name,
             tasks=tasks,
-            size=Size(processors=2.0, memory_mb=1000.0),
+            size=Size(processors=processors, memory_mb=1000.0),
             repeatable=repeatable,
+            team=Team(team),
             payload={"run_s": run_s},
         )
         record = JobAccepted(job=job, spec=spec)
