Judge what fits nowhere by what may be placed on an empty server

Callers saw: an accepted job pending for good beside an empty server, and never refused. Found by reading. Cause: what fits nowhere was judged by the whole server, what may be placed by the whole less the share kept for urgent work. Sizes in between were accepted and never placed. Change: both are judged alike, and the refusal names the share that is kept. Letting such a task have the share was tried first; a test of ours says that the share is kept from it (test_urgent_work_may_take_the_reserve), and a job that has to wait for an empty server is better told at once. Measured: the test fails on the code before (pending after 20 s on two idle servers) and passes with it. Why this holds: one function says what an empty server gives to a job.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -134,7 +134,7 @@
     if learnt.fits_in(declared):
         return learnt
     backends = (one for one in core.members.listed.values() if one.role is Role.BACKEND)
-    if any(learnt.fits_in(placement.usable(one, core.policy)) for one in backends):
+    if any(learnt.fits_in(placement.open_to(one, spec, core.policy)) for one in backends):
         return learnt
     return declared
 
--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -79,6 +79,12 @@
     return instance.capacity.minus(kept_for_runner(instance, policy))
 
 
+def open_to(instance: Instance, spec: JobSpec, policy: Policy) -> Resources:
+    """Return what a job's tasks may take of a server in all, less what is kept for urgent work."""
+    whole = usable(instance, policy)
+    return whole.minus(_kept_of(whole, _reserve(spec, policy)))
+
+
 def priority(task: Task, spec: JobSpec, policy: Policy, wall: float) -> tuple[float, float, str]:
     """Return the sort key of a waiting task; the smallest goes first.
 
@@ -136,7 +142,7 @@
     """
     if not rooms:
         return Choice(None, Obstacle.NO_SERVER)
-    reserve = 0.0 if spec.urgency >= policy.placement.urgent_from else _reserve(policy)
+    reserve = _reserve(spec, policy)
     fit = [room for room in rooms if size.fits_in(_less_reserve(room, reserve))]
     if not fit:
         return Choice(None, Obstacle.NO_ROOM)
@@ -167,13 +173,18 @@
     return known is not None and known <= policy.interference.quiet_slowdown
 
 
-def _reserve(policy: Policy) -> float:
-    return policy.placement.urgent_reserve
+def _reserve(spec: JobSpec, policy: Policy) -> float:
+    """Return the share of each server that is kept from a job for urgent work."""
+    urgent = spec.urgency >= policy.placement.urgent_from
+    return 0.0 if urgent else policy.placement.urgent_reserve
+
+
+def _kept_of(whole: Resources, share: float) -> Resources:
+    return Resources(whole.processors * share, whole.memory_mb * share, 0)
 
 
 def _less_reserve(room: Room, share: float) -> Resources:
-    kept = Resources(room.whole.processors * share, room.whole.memory_mb * share, 0)
-    return room.free.minus(kept)
+    return room.free.minus(_kept_of(room.whole, share))
 
 
 def _trustworthy(rooms: list[Room], spec: JobSpec) -> list[Room]:
@@ -203,17 +214,25 @@
 
 
 def never_fits(spec: JobSpec, instances: list[Instance], policy: Policy) -> str:
-    """Return why a job fits on no instance of the fleet, with the nearest miss; else ''."""
+    """Return why a job fits on no instance of the fleet, with the nearest miss; else ''.
+
+    It is judged by what `choose` may give it of an empty server: what is accepted by more would
+    wait for ever.
+    """
     size = spec.size.resources
     if not instances:
         return ""
-    if any(size.fits_in(usable(instance, policy)) for instance in instances):
+    if any(size.fits_in(open_to(instance, spec, policy)) for instance in instances):
         return ""
-    misses = sorted(instances, key=lambda one: (_missing(size, usable(one, policy)), one.id))
+    misses = sorted(instances, key=lambda one: (_missing(size, open_to(one, spec, policy)), one.id))
     nearest = misses[:_NEAREST_SHOWN]
     shown = "; ".join(_miss(instance, usable(instance, policy)) for instance in nearest)
     asked = f"{size.processors:g} processors, {size.memory_mb:g} MB"
-    return f"fits on no instance: asks for {asked}, {size.accelerators} accelerators; {shown}"
+    kept = _reserve(spec, policy)
+    urgent = f", of which {kept:.0%} is kept for urgent work" if kept else ""
+    return (
+        f"fits on no instance: asks for {asked}, {size.accelerators} accelerators; {shown}{urgent}"
+    )
 
 
 def _missing(size: Resources, room: Resources) -> float:
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -1,7 +1,8 @@
 """Which waiting tasks get their turn where others in front of them cannot be placed."""
 
+from spoolcrank.jobs import TaskState
 from spoolcrank.policy import Policy
-from tests.world import World
+from tests.world import CAPACITY, World
 
 TEAM = "renewals"
 RUN_S = 6.0
@@ -38,3 +39,19 @@
     world.submit(1, 1.0, True, name="small", processors=0.5)
     world.advance(SOON_S)
     assert _open_jobs(world) == {"job-1", "job-2"}
+
+
+def test_a_task_that_only_a_whole_server_holds_is_refused_unless_it_is_urgent() -> None:
+    """An accepted job that only a whole server holds stayed pending for good.
+
+    Found by reading. Cause: a share of each server is kept for urgent work, and what fits
+    nowhere was judged by the whole server; sizes in between were neither placed nor refused.
+    Proof: this test, without the mend, has the first job pending.
+    """
+    world = World()
+    world.submit(1, 1.0, True, processors=CAPACITY.processors)
+    world.submit(1, 1.0, True, name="urgent", processors=CAPACITY.processors, urgency=9)
+    world.advance(SOON_S)
+    ledger = next(iter(world.owners.values())).core.ledger
+    states = {task.job: task.state for task in ledger.tasks.values()}
+    assert states == {"job-1": TaskState.REFUSED, "job-2": TaskState.FINISHED}
--- a/tests/world.py
+++ b/tests/world.py
@@ -104,6 +104,7 @@
         name: str = "work",
         team: str = "default",
         processors: float = 2.0,
+        urgency: int = 0,
     ) -> None:
         self.jobs += 1
         job = JobId(f"job-{self.jobs}")
@@ -115,6 +116,7 @@
             size=Size(processors=processors, memory_mb=1000.0),
             repeatable=repeatable,
             team=Team(team),
+            urgency=urgency,
             payload={"run_s": run_s},
         )
         record = JobAccepted(job=job, spec=spec)
