Tell of each task that has not ended what every instance and the log say

Cause: a test that gave up on jobs printed their states only, so three sightings of a stall could not be read. Change: it prints the claims, each open task with its state, attempt and reason, each instance's explanation of it, and the log's last records of it.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,6 +11,7 @@
 
 SERVICE = "quotes"
 RATE = 25.0
+ENDED = {"finished", "failed", "unknown", "cancelled", "refused"}
 
 __all__ = ["BackendPlan", "Scenario", "call", "plan_backends", "signal", "wait_for"]
 
@@ -88,8 +89,34 @@
         wait_for(lambda: running() >= least, 30, "tasks did not start")
 
     def wait_ended(self, at: str, timeout_s: float = 60.0) -> None:
-        ended = {"finished", "failed", "unknown", "cancelled", "refused"}
-        wait_for(lambda: set(self.states(at)) <= ended, timeout_s, f"jobs: {self.states(at)}")
+        try:
+            wait_for(lambda: set(self.states(at)) <= ENDED, timeout_s, "jobs have not ended")
+        except TimeoutError as exc:
+            raise TimeoutError(f"{exc}:\n{self._tell_open(at)}") from exc
+
+    def _tell_open(self, at: str) -> str:
+        """Return what instances say of tasks that have not ended, and the log's records of them."""
+        records = self._records()
+        lines = [
+            f"claims: {[one for one in records if one['record']['record']['kind'] == 'claim']}"
+        ]
+        for job in self.jobs:
+            tasks = [one for one in self.fleet.job(at, job)["tasks"] if one["state"] not in ENDED]
+            for task in tasks:
+                lines += [str(task), *self._views(task["id"])]
+                lines += [str(one) for one in records if task["id"] in str(one)][-4:]
+        return "\n".join(lines)
+
+    def _views(self, task: str) -> list[str]:
+        """Return how each instance explains where a task stands."""
+        views = []
+        for name, process in self.fleet.entries.items():
+            body = {"text": f"why {task}", "id": f"{name}-{task}"}
+            try:
+                views.append(f"  {name}: {call('POST', f'{process.url}/commands', body).body!r}")
+            except OSError as exc:
+                views.append(f"  {name}: {exc!r}")
+        return views
 
     def stop_load(self) -> LoadReport:
         self._stop.set()
@@ -109,18 +136,22 @@
     def _show_records(self, found: list[promises.Breach], journals: list[Any]) -> None:
         """Print what the log and the journals hold of the first task that broke a promise."""
         task = found[0].detail.replace(":", " ").split()[0]
-        url = f"{self.fleet.log.url}/streams/spoolcrank/records?max=500&from="
-        offset, records = 0, []
-        while page := call("GET", f"{url}{offset}").json()["records"]:
-            records += page
-            offset = page[-1]["offset"] + 1
-        for item in records:
+        for item in self._records():
             kind = item["record"]["record"]["kind"]
             if kind == "claim" or task in str(item):
                 print(item["offset"], item["record"])
         for journal in journals:
             print([run for run in journal["runs"] if run["task"] == task])
 
+    def _records(self) -> list[Any]:
+        """Return all that the log holds of control records."""
+        url = f"{self.fleet.log.url}/streams/spoolcrank/records?max=500&from="
+        offset, records = 0, []
+        while page := call("GET", f"{url}{offset}").json()["records"]:
+            records += page
+            offset = page[-1]["offset"] + 1
+        return records
+
     def owner_of(self, server: str) -> str:
         """Return the entry instance that a server obeys."""
         return str(self.fleet.journal(server)["owner"]).rsplit("-", 1)[0]
