Count what a leader learns among its signs of life

Callers could have seen: a task started a second time up to 0.4 s before its first run lapsed, after a leader died that alone reached its runner. Cause: a record of what was learnt confirms the leader's writes, from which it extends leases, and puts its heartbeat off; others took only progress and claims as signs of life, and count inherited leases from the newest of these. Change: every record that only the leader writes counts. Measured: the test fails on the code before and passes with it. Why this holds: the bound for inherited leases (9.476 s) is counted from no earlier than the newest write that extended them.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -16,6 +16,7 @@
 from spoolcrank.gathering import Gathering
 from spoolcrank.keyed_log import (
     LEADER_KEY,
+    LEADERS_OWN,
     KeyedLog,
     KeyedRecord,
     RecordKind,
@@ -139,7 +140,7 @@
         kind = kind_of(record.key)
         if kind is RecordKind.LEADER:
             self._on_claim(record, now)
-        elif kind is RecordKind.PROGRESS:
+        elif kind in LEADERS_OWN:
             if self.scheduler is None:
                 self.leadership.heard(now)
         elif kind is RecordKind.OFFER:
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -29,6 +29,10 @@
     OFFER = OFFER_KEY
 
 
+LEADERS_OWN = frozenset({RecordKind.PROGRESS, RecordKind.LEARNT})
+"""Only the leader writes these. Each confirms its writes, from which it extends leases; one that
+others did not count would have a successor take leases as passed up to a heartbeat too early."""
+
 _SINGLE_KEYS = frozenset({LEADER_KEY, LEARNT_KEY, OFFER_KEY})
 
 
--- a/tests/test_lead_again.py
+++ b/tests/test_lead_again.py
@@ -1,7 +1,7 @@
 """An instance that gives the lead up and leads again while runs of its earlier term are at work."""
 
 from spoolcrank.ids import Incarnation, InstanceId, JobId
-from spoolcrank.keyed_log import progress_key
+from spoolcrank.keyed_log import LEARNT_KEY, progress_key
 from spoolcrank.leadership import SELF_FENCE_S, Claim, Leadership
 from spoolcrank.workflow import Step
 from tests.fleet_world import Instance, World, small
@@ -95,6 +95,30 @@
     assert world.broken == []
 
 
+def test_what_a_leader_learns_counts_among_its_signs_of_life() -> None:
+    """Leases could be taken as passed up to 0.4 s too early, by a successor that reads at once.
+
+    Found by reading; no play showed it, as a follower that does not lead reads up to 0.3 s late,
+    which makes up for it.
+    Cause: a write of what was learnt confirms the leader, which extends leases from then and
+    puts its next heartbeat off; the others counted progress and claims only.
+    Proof: this test, without the mend: the follower has heard nothing since the last claim.
+    """
+    world = small()
+    first = world.leader()
+    assert first is not None
+    first.submit("a1", TASKS)
+    world.run(2.0)
+    records = world.store.jobs.records
+    known = len(records)
+    world.run_until(lambda: any(one.key == LEARNT_KEY for one in records[known:]))
+    confirmed_at = first.leadership.confirmed_at
+    assert records[-1].key == LEARNT_KEY
+    world.run(0.3)
+    others = [one for one in world.instances.values() if one is not first]
+    assert all(one.leadership.leader_wrote_at >= confirmed_at for one in others)
+
+
 def test_an_instance_counts_its_own_writes_among_those_of_earlier_leaders() -> None:
     leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), 100.0)
     leadership.read_claim(Claim(1, leadership.instance, leadership.incarnation), 101.0)
