Let simulated plays carry calls out twice, and hold stored progress

Whether progress that was stored ever went back was not looked at. Change: the world has these, the state machine draws them, and every record of progress is held against the one before: what was done and is not any more breaks the play.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -52,6 +52,7 @@
     TaskKey,
     Workflow,
 )
+from tests.stored_progress import DoneTasks
 
 SERVICE = ServiceName("pricing")
 ROUTE = RouteName("quotes")
@@ -63,6 +64,12 @@
 CLOCK_RATE = 0.985
 AWAKE_S = 0.002
 ORDER_S = 0.6
+ANSWERS_KEPT = 5
+"""The store gives one of the last so many appends of a writer its first answer again."""
+
+TWICE_S = 3.0
+"""A call that is carried out twice is so up to so much later, s."""
+
 ORDER_BYTES = 400
 """Of an order without its payload, bytes, headers among them."""
 
@@ -73,15 +80,16 @@
     def __init__(self, seed: int = 1) -> None:
         self.now = 100.0
         self.random = random.Random(seed)
+        self.broken: list[str] = []
         self.store = Store(self)
         self.runners: dict[str, Runner] = {}
         self.instances: dict[str, Instance] = {}
-        self.broken: list[str] = []
         self.done: set[TaskKey] = set()
         self.starts: dict[TaskKey, list[float]] = defaultdict(list)
         self.on: dict[TaskKey, set[str]] = defaultdict(set)
         self.unreachable: set[tuple[str, str]] = set()
         self.late_orders = 0.0
+        self.twice = 0.0
         self.lost_answers = 0.0
         self.slow_way_s = 0.0
         self.link_bytes_per_s = math.inf
@@ -113,6 +121,11 @@
             self.run(0.05)
         return self.now - begun
 
+    def again(self, act: Callable[[], object]) -> None:
+        """Carry a call out once more, later, as it may be over connections that fell silent."""
+        if self.twice and self.random.random() < self.twice:
+            self.at(self.random.uniform(0.001, TWICE_S), act)
+
     def _tick(self) -> None:
         for runner in list(self.runners.values()):
             runner.advance()
@@ -159,15 +172,19 @@
 class Topic:
     """One keyed topic: all records, the newest of each key, and the writer's fence."""
 
-    def __init__(self) -> None:
+    def __init__(self, broken: list[str]) -> None:
         self.records: list[KeyedRecord] = []
+        self._broken = broken
+        self._done = DoneTasks()
         self.kept_from = 0
         self.epoch = 0
         self.sequence = 0
         self.first_answers: dict[int, int] = {}
 
     def put(self, key: str, value: bytes) -> None:
-        self.records.append(KeyedRecord(key, value, len(self.records)))
+        record = KeyedRecord(key, value, len(self.records))
+        self.records.append(record)
+        self._broken += [f"BACK {one}, offset {record.offset}" for one in self._done.take(record)]
 
     def append(self, append: Append) -> Appended:
         if append.fence is not None:
@@ -192,7 +209,7 @@
         if term > self.epoch:
             self.first_answers = {}
             return None
-        if sequence in self.first_answers:
+        if sequence in self.first_answers and sequence > self.sequence - ANSWERS_KEPT:
             return Appended(AppendOutcome.KEPT, self.first_answers[sequence])
         if sequence != self.sequence + 1:
             return Appended(AppendOutcome.OUT_OF_ORDER)
@@ -208,8 +225,8 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.jobs = Topic()
-        self.entries = Topic()
+        self.jobs = Topic(world.broken)
+        self.entries = Topic(world.broken)
         self.turned_away: set[str] = set()
         self.answers_lost: set[str] = set()
         self.slow_reads_s: dict[str, float] = {}
@@ -242,6 +259,8 @@
             world.at(world.random.uniform(1, 6), lambda: self.topic.append(append))
             self._tell(CALL_S, done, unknown)
         else:
+            if append.fence is not None:
+                world.again(lambda: self.topic.append(append))
             lost = world.random.random() < store.lose_share
             lost = lost or self.instance.name in store.answers_lost
 
@@ -317,13 +336,14 @@
         self.fails = False
         self.hangs = False
         self.work_s = 0.6
+        self.clock_rate = CLOCK_RATE
         self.done_at: dict[int, float] = {}
         self.lease_ms = 0.0
         self.lapsed_at = -1.0
 
     @property
     def clock_ms(self) -> float:
-        return 5000.0 + (self.world.now - self.begun) * 1000.0 * CLOCK_RATE
+        return 5000.0 + (self.world.now - self.begun) * 1000.0 * self.clock_rate
 
     def advance(self) -> None:
         if not self.alive:
@@ -484,6 +504,9 @@
             world.at(0.001, lambda: runner.alive and act(runner))
             instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
             return
+        if not isinstance(order, Start):
+            # A start that was refused is surely not done, also later.
+            world.again(lambda: runner.alive and act(runner))
         queued_s = self._queued_s(order)
         if queued_s > ORDER_S + wait_s:
             world.at(queued_s, lambda: runner.alive and act(runner))
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -33,10 +33,15 @@
 class Faults(RuleBasedStateMachine):
     """Jobs, cancels, kills, freezes, cuts and a bad store, in any order."""
 
-    @initialize(seed=st.integers(0, 1 << 16), ends=st.sampled_from([500, 2]))
-    def begin(self, seed: int, ends: int) -> None:
+    @initialize(
+        seed=st.integers(0, 1 << 16),
+        ends=st.sampled_from([500, 2]),
+        clock_rate=st.sampled_from([0.985, 0.981, 1.0]),
+    )
+    def begin(self, seed: int, ends: int, clock_rate: float) -> None:
         self.world: World = small(instances=3, runners=3, seed=seed)
         self.world.ends_at_once = ends
+        next(iter(self.world.runners.values())).clock_rate = clock_rate
         self.told: dict[str, list[IntakeOutcome]] = {}
         self.tries: Counter[str] = Counter()
         self.first_at: dict[str, float] = {}
@@ -98,6 +103,14 @@
         self.births += 1
         self.world.add_instance(f"entry-{chr(97 + self.births % 26)}{self.births}")
 
+    @rule(share=st.sampled_from([0.0, 0.1]))
+    def calls_are_carried_out_twice(self, share: float) -> None:
+        self.world.twice = share
+
+    @rule()
+    def history_is_dropped(self) -> None:
+        self.world.store.jobs.kept_from = len(self.world.store.jobs.records)
+
     @rule(leader=st.booleans(), pick=st.integers(0, 5), seconds=LONG)
     def freeze(self, leader: bool, pick: int, seconds: float) -> None:
         victim = self.world.leader() if leader else self.instance(pick)
@@ -228,7 +241,7 @@
         world.store.silent = False
         world.store.turned_away.clear()
         world.store.lose_share = world.store.late_share = world.late_orders = 0.0
-        world.lost_answers = world.slow_way_s = 0.0
+        world.lost_answers = world.slow_way_s = world.twice = 0.0
         world.unreachable.clear()
         world.run(HEAL_S)
 
