Set processors aside for a runner by the slots that are in use

Callers saw: with 8 slots on an 8-processor instance every batch task refused for good, also while no request came. Cause: a processor was set aside for each slot, used or not. Change: the owner counts the requests at its runners; processors are set aside for their peak, which fades by half in 10 s, and for one more. A server that is new to its owner keeps all until it was watched. What fits nowhere is judged beside an idle runner, and the refusal names both figures. The stand-in runner uses processors by its requests too. Traces without the counts replay as before. Not measured: the tail of services beside batch work that now gets more room. Why this holds: what is set aside follows the count that routing rests on.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -15,7 +15,7 @@
 from spoolcrank.records import JobRefused, Placed
 from spoolcrank.resources import Resources
 from spoolcrank.servers import Append, OwnedServer, Phase
-from spoolcrank.state import Core, CoreAction, Note, free_room
+from spoolcrank.state import Core, CoreAction, Note, free_room, usable_room
 
 _PLACE_PASS = 64
 """Tasks weighed in one pass; a pass runs each tick of 50 ms, beside requests."""
@@ -178,7 +178,7 @@
         rack=instance.rack,
         kind=instance.kind,
         free=free_room(core, owned),
-        whole=placement.usable(instance, core.policy),
+        whole=usable_room(core, owned, instance),
         suspect=core.learnt.is_suspect(owned.server),
         probe=core.learnt.may_probe(owned.server, now),
         batch=core.learnt.level(owned.server) is interference.Level.OPEN,
--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -114,7 +114,8 @@
     def _told_tick(self, wall: float) -> dict[str, Any]:
         waiting = {server: owned.waiting for server, owned in self.core.owned.items()}
         rates = replay.rates_of(self.core)
-        return {"kind": "tick", "wall": wall, "waiting": waiting, "rates": rates}
+        busy = {server: self.core.busy_slots(server) for server in self.core.owned}
+        return {"kind": "tick", "wall": wall, "waiting": waiting, "rates": rates, "busy": busy}
 
     def _decided(self, now: float, told: dict[str, Any], actions: list[CoreAction]) -> None:
         """Carry out what was decided on an input, and record both where asked to."""
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -16,6 +16,7 @@
 from spoolcrank.records import Claimed, Ended, Entry, Placed
 from spoolcrank.resources import Resources
 from spoolcrank.servers import Action, OwnedServer, Phase
+from spoolcrank.slot_use import all_busy, seen
 from spoolcrank.state import Core, CoreAction, Note, Yielded, can_act
 from spoolcrank.worker import Refused, Report
 
@@ -109,6 +110,7 @@
         wall: the time of day in Unix seconds, as writers put it into records.
     """
     actions = _watch_pause(core, now)
+    _watch_runners(core, now)
     if not can_act(core, now):
         return actions
     if not core.stopping:
@@ -124,6 +126,16 @@
     return actions
 
 
+def _watch_runners(core: Core, now: float) -> None:
+    """Take note of how many requests are at each runner of ours."""
+    for owned in core.owned.values():
+        instance = core.members.listed.get(owned.server)
+        if instance is None or not instance.service:
+            continue
+        use = owned.runner_use or all_busy(instance.slots, now)
+        owned.runner_use = seen(use, core.busy_slots(owned.server), now)
+
+
 def _watch_pause(core: Core, now: float) -> list[CoreAction]:
     paused = now - core.ticked_at > _PAUSE_S
     core.ticked_at = now
--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -17,6 +17,7 @@
 from spoolcrank.ownership import weight
 from spoolcrank.policy import Policy
 from spoolcrank.resources import Resources
+from spoolcrank.slot_use import SPARE_SLOTS
 
 _NEAREST_SHOWN = 2
 
@@ -66,22 +67,25 @@
 LoudnessOf = Callable[[InstanceId, TaskClass], float | None]
 
 
-def kept_for_runner(instance: Instance, policy: Policy) -> Resources:
-    """Return what a server keeps free for its runner."""
+def kept_for_runner(instance: Instance, busy_slots: int, policy: Policy) -> Resources:
+    """Return what a server keeps free for its runner: processors by use, memory for all slots."""
     if not instance.service:
         return Resources()
     keep = policy.placement
-    return Resources(keep.slot_processors * instance.slots, keep.slot_memory_mb * instance.slots, 0)
+    return Resources(keep.slot_processors * busy_slots, keep.slot_memory_mb * instance.slots, 0)
 
 
-def usable(instance: Instance, policy: Policy) -> Resources:
-    """Return what tasks may take of a server in all."""
-    return instance.capacity.minus(kept_for_runner(instance, policy))
+def usable(instance: Instance, busy_slots: int, policy: Policy) -> Resources:
+    """Return what tasks may take of a server in all while so many slots are set aside."""
+    return instance.capacity.minus(kept_for_runner(instance, busy_slots, policy))
 
 
 def open_to(instance: Instance, spec: JobSpec, policy: Policy) -> Resources:
-    """Return what a job's tasks may take of a server in all, less what is kept for urgent work."""
-    whole = usable(instance, policy)
+    """Return what a job's tasks may take of a server beside an idle runner.
+
+    The share that is kept for urgent work is not among it.
+    """
+    whole = usable(instance, min(SPARE_SLOTS, instance.slots), policy)
     return whole.minus(_kept_of(whole, _reserve(spec, policy)))
 
 
@@ -226,7 +230,7 @@
         return ""
     misses = sorted(instances, key=lambda one: (_missing(size, open_to(one, spec, policy)), one.id))
     nearest = misses[:_NEAREST_SHOWN]
-    shown = "; ".join(_miss(instance, usable(instance, policy)) for instance in nearest)
+    shown = "; ".join(_miss(instance, policy) for instance in nearest)
     asked = f"{size.processors:g} processors, {size.memory_mb:g} MB"
     kept = _reserve(spec, policy)
     urgent = f", of which {kept:.0%} is kept for urgent work" if kept else ""
@@ -244,8 +248,11 @@
     )
 
 
-def _miss(instance: Instance, room: Resources) -> str:
+def _miss(instance: Instance, policy: Policy) -> str:
+    busy = usable(instance, instance.slots, policy)
+    idle = usable(instance, min(SPARE_SLOTS, instance.slots), policy)
+    beside = f" beside a busy runner, {idle.processors:g} beside an idle one" * (idle != busy)
     return (
-        f"nearest {instance.id} has {room.processors:g} processors, "
-        f"{room.memory_mb:g} MB, {room.accelerators} accelerators for tasks"
+        f"nearest {instance.id} has {busy.processors:g} processors, "
+        f"{busy.memory_mb:g} MB, {busy.accelerators} accelerators for tasks{beside}"
     )
--- a/spoolcrank/policy.py
+++ b/spoolcrank/policy.py
@@ -70,7 +70,7 @@
     """How tasks are given to servers."""
 
     slot_processors: float = Field(
-        1.0, ge=0, le=64, description="cores kept free for each slot of a runner"
+        1.0, ge=0, le=64, description="cores kept free for each slot of a runner in use"
     )
     slot_memory_mb: float = Field(
         256.0, ge=0, le=65_536, description="memory kept free for each slot of a runner, MB"
--- a/spoolcrank/replay.py
+++ b/spoolcrank/replay.py
@@ -57,6 +57,10 @@
     return Replayed(inputs, decided, differences)
 
 
+ALL_SLOTS = 1 << 20
+"""Above the slots of any runner."""
+
+
 def _begin(header: dict[str, Any]) -> Core:
     members = Members(
         InstanceId(header["me"]),
@@ -91,6 +95,9 @@
 def _tick(core: Core, now: float, told: dict[str, Any]) -> list[CoreAction]:
     rates = told["rates"]
     core.service_rate = lambda service: float(rates.get(service, 0.0))
+    # Older traces say nothing of it: all slots of each runner were set aside then.
+    busy = told.get("busy")
+    core.busy_slots = lambda server: int(busy.get(server, 0)) if busy is not None else ALL_SLOTS
     for server, owned in core.owned.items():
         owned.waiting = int(told["waiting"].get(server, 0))
     return decisions.tick(core, now, told["wall"])
--- a/spoolcrank/servers.py
+++ b/spoolcrank/servers.py
@@ -17,6 +17,7 @@
 from spoolcrank.policy import Policy
 from spoolcrank.records import AnyRecord, Ended, Placed
 from spoolcrank.resources import NOTHING, Resources, total
+from spoolcrank.slot_use import SlotUse
 from spoolcrank.worker import (
     Adopt,
     AttemptRef,
@@ -82,6 +83,7 @@
     waiting: int = 0
     slots_from: float = 0.0
     slots_held: int = 0
+    runner_use: SlotUse | None = None
     starts: dict[TaskId, float] = field(default_factory=dict)
     ends: dict[AttemptRef, float] = field(default_factory=dict)
     placing: dict[TaskId, Placed] = field(default_factory=dict)
--- a/spoolcrank/standin_backend.py
+++ b/spoolcrank/standin_backend.py
@@ -80,6 +80,7 @@
         while self._queue and self.busy < self._settings.slots:
             req = self._queue.popleft()
             self.busy += 1
+            self._backend.runner_uses(self.busy)
             entry = {
                 "request_id": req.request_id,
                 "key": req.key,
@@ -96,6 +97,7 @@
 
     def _finish(self, req: _RunnerRequest, entry: dict[str, Any]) -> None:
         self.busy -= 1
+        self._backend.runner_uses(self.busy)
         entry["end"] = time.time()
         entry["answered"] = True
         body = {
@@ -121,14 +123,19 @@
             report_lag_s=settings.report_lag_s,
             fail_all=settings.fail_all,
         )
-        if settings.service:
-            self.worker.service_uses = Resources(
-                settings.slots * _SLOT_PROCESSORS, settings.slots * _SLOT_MEMORY_MB, 0
-            )
+        self.runner_uses(0)
         self._runner = _Runner(self, settings)
         self.web = runtime.serve(settings.listen, self.answer)
         runtime.timers.every(_ADVANCE_S, lambda: self.worker.advance(time.time()))
 
+    def runner_uses(self, busy: int) -> None:
+        """Let the worker know what the runner takes: processors by use, memory for all slots."""
+        settings = self._settings
+        if settings.service:
+            self.worker.service_uses = Resources(
+                busy * _SLOT_PROCESSORS, settings.slots * _SLOT_MEMORY_MB, 0
+            )
+
     def stretch(self) -> float:
         """Return the factor on the runner's service time at this moment."""
         slowdown = self.worker.slowdown(lambda name: self._settings.slowdowns.get(name, 0.0))
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from spoolcrank import interference, membership, ownership, placement, servers
+from spoolcrank.fleet import Instance
 from spoolcrank.ids import (
     NO_CONFIG,
     ConfigVersion,
@@ -19,6 +20,7 @@
 from spoolcrank.policy import DEFAULT, Policy
 from spoolcrank.resources import NOTHING, Resources
 from spoolcrank.servers import Action, OwnedServer, Phase, Situation
+from spoolcrank.slot_use import kept_slots
 
 _LOG_DOWN_S = 4.0
 
@@ -113,8 +115,14 @@
         return NOTHING
     if ownership.drained(core.members, core.ledger, owned.server):
         return NOTHING
-    whole = placement.usable(instance, core.policy)
-    return whole.minus(servers.allocated(owned, core.ledger))
+    return usable_room(core, owned, instance).minus(servers.allocated(owned, core.ledger))
+
+
+def usable_room(core: Core, owned: OwnedServer, instance: Instance) -> Resources:
+    """Return what tasks may take of an owned server in all, beside its runner as it is used."""
+    use = owned.runner_use
+    busy = instance.slots if use is None else kept_slots(use, instance.slots)
+    return placement.usable(instance, busy, core.policy)
 
 
 def new_core(members: Members) -> Core:
--- a/spoolcrank/tenure.py
+++ b/spoolcrank/tenure.py
@@ -63,6 +63,7 @@
         fresh.placing = before.placing
         fresh.slots_from = before.slots_from
         fresh.slots_held = before.slots_held
+        fresh.runner_use = before.runner_use
     core.owned[server] = fresh
     core.yielded.pop(server, None)
 
