--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -183,7 +183,9 @@
             self._apply_config()
         if snapshot.ledger.offset <= self.core.ledger.offset:
             return
-        self.act(decisions.replace_ledger(self.core, snapshot.ledger, time.monotonic()))
+        now = time.monotonic()
+        told = trace.told_ledger(snapshot.ledger) if self.recorder else {}
+        self._decided(now, told, decisions.replace_ledger(self.core, snapshot.ledger, now))
         self.log_link.skip_to(snapshot.ledger.offset)
         writer = snapshot.ledger.writers.get(self.core.members.incarnation)
         if writer is not None:
--- a/spoolcrank/replay.py
+++ b/spoolcrank/replay.py
@@ -16,6 +16,7 @@
     Offset,
     ServiceName,
 )
+from spoolcrank.ledger import load
 from spoolcrank.membership import Heartbeat, Members
 from spoolcrank.records import Entry, parse_envelope
 from spoolcrank.state import Core, CoreAction, new_core
@@ -82,6 +83,8 @@
             report = Report.model_validate(told["report"])
             server = InstanceId(told["server"])
             return decisions.on_report(core, server, report, told["sent_at"], now)
+        case "ledger":
+            return decisions.replace_ledger(core, load(told["ledger"]), now)
         case "refused":
             refused = Refused.model_validate(told["refused"])
             return decisions.on_refused(core, InstanceId(told["server"]), refused, now)
--- a/spoolcrank/trace.py
+++ b/spoolcrank/trace.py
@@ -12,6 +12,8 @@
 from spoolcrank import _wire
 from spoolcrank.fleet import Instance, dump_list
 from spoolcrank.ids import InstanceId
+from spoolcrank.ledger import Ledger
+from spoolcrank.ledger import dump as dump_ledger
 from spoolcrank.membership import Heartbeat, Members
 from spoolcrank.records import Entry, dump
 from spoolcrank.servers import Append, Send
@@ -69,6 +71,11 @@
     return {"kind": "entry", "offset": entry.offset, "envelope": dump(entry.envelope)}
 
 
+def told_ledger(ledger: Ledger) -> dict[str, Any]:
+    """Return the input for a ledger taken from a peer or a snapshot."""
+    return {"kind": "ledger", "ledger": dump_ledger(ledger)}
+
+
 def told_beat(beat: Heartbeat) -> dict[str, Any]:
     """Return the input for a peer's heartbeat, as its thrift frame."""
     frame = _wire.encode(beat.sender, beat)
