Let batch work be that was slowed without any relief for the service

Callers saw: jobs that had not ended 60 s after an owner was killed, paused or cut off, in three tests, once or twice each beside other load. Reproduced: all runners made twice as slow, nothing else: jobs of 8 s ended after 101.3 s; four times as slow: 51.4 s. By the journals and counters 4 to 5 tasks were stopped on each server, up to 13 slowed, and what was stopped waited 30 s for a calm server. Cause: a service that is slow for whatever reason was taken for the doing of the batch work beside it, and nothing looked whether giving way helped. Change: once all batch work of a server has been slowed, the latency has to fall by a quarter of what it was above calm before anything is stopped; otherwise the work runs on at full speed for 30 s, unless it gets half as large again. The unit test fails on the code before (four tasks stopped) and passes. Why this holds: work that is the cause shows it within a few requests, as slowing it to a third takes most of the excess away.

--- a/spoolcrank/interference.py
+++ b/spoolcrank/interference.py
@@ -116,6 +116,29 @@
     ended: float = 0.0
 
 
+class Trial(NamedTuple):
+    """What the latency of a runner was when its server's batch work was first slowed.
+
+    Attributes:
+        fast_s: the present latency then.
+        calm_s: the calm one then.
+        stepped_at: when work was last slowed, monotonic seconds.
+        samples: requests that had been measured by then.
+    """
+
+    fast_s: float
+    calm_s: float
+    stepped_at: float
+    samples: int
+
+
+class Excuse(NamedTuple):
+    """Batch work is not the cause of a latency, until a monotonic time."""
+
+    fast_s: float
+    until: float
+
+
 @dataclass
 class Watch:
     """The latency of one runner and what was done about it."""
@@ -132,6 +155,8 @@
     hot_since: float | None = None
     slow: float = 0.0
     slow_at: float = 0.0
+    trial: Trial | None = None
+    excuse: Excuse | None = None
 
     def slow_rate(self, now: float) -> float:
         """Return how many slow requests a second there were of late."""
--- a/spoolcrank/ladder.py
+++ b/spoolcrank/ladder.py
@@ -4,11 +4,13 @@
 from spoolcrank.interference import (
     Estimate,
     EvictTask,
+    Excuse,
     Learnt,
     Level,
     Pair,
     Step,
     ThrottleTask,
+    Trial,
     Watch,
 )
 from spoolcrank.jobs import JobClass
@@ -21,6 +23,22 @@
 _PERSISTS_S = 2.0
 _HEARD_AFTER_S = 2.0
 
+_RELIEF = 0.25
+"""Where batch work is the cause, slowing all of it to a third takes away most of what the latency
+is above its calm level. By less than this share of it, something else is the cause."""
+
+_RELIEF_AFTER_S = 3.0
+"""Relief is looked for so long after work was last slowed, s, and after as many requests as a
+latency needs to count: those under way end first, and the smoothed latency follows by a fifth with
+each request."""
+
+_EXCUSED_S = 30.0
+"""Batch work that was slowed without relief is left alone for so long, s: as long as work waits for
+a calm server. Slowing it again on trial takes a sixth of the time."""
+
+_WORSE = 1.5
+"""A latency so many times the excused one has another cause, perhaps work that came since."""
+
 
 def step(
     learnt: Learnt,
@@ -51,6 +69,8 @@
     batch = [run for run in report.running if run.job_class is JobClass.BATCH]
     if watch.ratio > policy.interference.target_ratio:
         watch.calm_since = None
+        if _excused(watch, now):
+            return []
         if now - watch.blamed_at >= policy.interference.react_s and batch:
             watch.blamed_at = now
             _blame(learnt, watch, service, kind, batch, policy, now)
@@ -63,6 +83,12 @@
     return []
 
 
+def _excused(watch: Watch, now: float) -> bool:
+    """Tell whether the latency was found to have another cause than batch work."""
+    excuse = watch.excuse
+    return excuse is not None and now < excuse.until and watch.fast_s <= excuse.fast_s * _WORSE
+
+
 def _hurts(watch: Watch, service_rate: float, policy: Policy, now: float) -> bool:
     """Tell whether slow requests go on although the routers had time to steer away."""
     if watch.slow_rate(now) <= policy.interference.tail_share * service_rate:
@@ -96,10 +122,37 @@
         watch.level = max(watch.level, Level.THROTTLED)
         half = loud[: max(1, len(loud) // 2)]
         share = policy.interference.throttle
+        begun = watch.trial or Trial(watch.fast_s, watch.calm_s, now, watch.samples)
+        watch.trial = begun._replace(stepped_at=now, samples=watch.samples)
         return [ThrottleTask(run.task, run.attempt, share) for run in half]
+    trial = watch.trial
+    if trial is not None and not _is_over(trial, watch, now):
+        return []
+    if trial is not None and not _relieved(watch, trial):
+        return _excuse(watch, batch, now)
     return _evict_one(learnt, watch, order, policy, now)
 
 
+def _is_over(trial: Trial, watch: Watch, now: float) -> bool:
+    """Tell whether enough requests were measured since work was last slowed."""
+    measured = watch.samples - trial.samples
+    return now - trial.stepped_at >= _RELIEF_AFTER_S and measured >= _ENOUGH_SAMPLES
+
+
+def _relieved(watch: Watch, trial: Trial) -> bool:
+    """Tell whether slowing batch work took away some of what the latency was above calm."""
+    before = trial.fast_s - trial.calm_s
+    return watch.fast_s - trial.calm_s <= (1.0 - _RELIEF) * before
+
+
+def _excuse(watch: Watch, batch: list[RunningTask], now: float) -> list[Step]:
+    """Leave work alone that is not the cause: stopping it would help nobody."""
+    watch.excuse = Excuse(watch.fast_s, now + _EXCUSED_S)
+    watch.trial = None
+    watch.level = Level.OPEN
+    return [ThrottleTask(run.task, run.attempt, 1.0) for run in batch if run.throttle < 1.0]
+
+
 def _evict_one(
     learnt: Learnt, watch: Watch, order: list[RunningTask], policy: Policy, now: float
 ) -> list[Step]:
@@ -171,6 +224,7 @@
     policy: Policy,
     now: float,
 ) -> list[Step]:
+    watch.trial = watch.excuse = None
     if watch.calm_since is None:
         watch.calm_since = now
     if now - watch.cleared_at >= policy.interference.react_s and watch.fresh >= _ENOUGH_SAMPLES:
--- a/tests/test_entry_series.py
+++ b/tests/test_entry_series.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench.processes import BackendPlan
-from tests.scenario import Scenario, signal
+from tests.scenario import Scenario, call, signal
 
 STOPPED_S = 14.0
 """For so long one process stands still, s: past its leases and its peers' patience."""
@@ -18,6 +18,9 @@
 most, and all of them together for about 5 s of the fleet."""
 
 STARTS_S = 30.0
+CALM_S = 6.0
+"""Before anything is done to them, so long, s, the runners' calm latency is learnt."""
+
 BETWEEN_JOBS_S = 0.12
 
 
@@ -92,3 +95,21 @@
         run.submit("entry-a1", name="renewal", tasks=3, size={"processors": 2, "memory_mb": 500})
         run.wait_ended("entry-a1", STARTS_S)
         assert run.states("entry-a1") == ["finished"]
+
+
+def test_batch_work_goes_on_beside_a_service_that_is_slow_for_another_reason() -> None:
+    """Jobs had not ended 101 s after all runners became twice as slow; they work for 8 s.
+
+    Proof that something beside the batch work disturbs it: nothing but the runners' own speed is
+    changed here. The bound is that of the three tests of faults that failed beside other load.
+    """
+    with Scenario() as run:
+        run.offer()
+        time.sleep(CALM_S)
+        run.submit_mix("entry-b1", run_s=8)
+        run.wait_running("entry-b1", 15)
+        for process in run.fleet.backends.values():
+            call("POST", f"{process.url}/faults", {"stretch": 2.0})
+        run.wait_ended("entry-b1", 60)
+        assert run.states("entry-b1") == ["finished", "finished"]
+        assert run.breaches() == []
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -1,5 +1,7 @@
 """The ladder: persistent harm steps down, calm grows back, budgets hold."""
 
+from collections.abc import Callable
+
 from spoolcrank import interference, ladder
 from spoolcrank.ids import Epoch, Incarnation, InstanceId, ServiceName, TaskClass, TaskId
 from spoolcrank.interference import EvictTask, Learnt, Level, ThrottleTask
@@ -95,3 +97,46 @@
         for _ in range(6):
             everywhere.on_end(InstanceId(name), "failed")
     assert not everywhere.is_suspect(SERVER)
+
+
+def play(latency_s: Callable[[float], float], seconds: float) -> list[interference.Step]:
+    """Let two tasks run as they are told, with the latency that follows from their speeds."""
+    learnt = Learnt()
+    drive(learnt, report("noisy", "noisy"), latency_s(0.0), 0.0, 3.0, DEFAULT)
+    speeds = {"job-0.0": 1.0, "job-1.0": 1.0}
+    steps: list[interference.Step] = []
+    for tenth in range(30, round(seconds * 10)):
+        now = tenth / 10
+        told = report(*["noisy"] * len(speeds))
+        running = [
+            run.model_copy(update={"throttle": speed})
+            for run, speed in zip(told.running, speeds.values(), strict=True)
+        ]
+        told = told.model_copy(update={"running": running})
+        learnt.on_latency(SERVER, latency_s(sum(speeds.values())), now)
+        for step in ladder.step(learnt, SERVER, SERVICE, "new", told, RATE, DEFAULT, now):
+            steps.append(step)
+            if isinstance(step, ThrottleTask):
+                speeds[step.task] = step.share
+    return steps
+
+
+def test_work_that_is_not_the_cause_is_neither_stopped_nor_kept_slow() -> None:
+    """Batch jobs took over six times their time while their servers' services were slow.
+
+    Seen: three tests of real processes had jobs that had not ended 60 s after their fault, once
+    each beside other load. With all runners made four times as slow by a fault, and nothing else,
+    jobs of 8 s ended after 51.4 s: on each server four tasks were stopped and the others slowed to
+    a third, and what was stopped waited 30 s for a calm server. Without it they took 7 to 9 s.
+    Cause: a slow service was always taken for the doing of the batch work beside it.
+    Proof: this test, without the mend, stops tasks.
+    """
+    steps = play(lambda speed: 0.02 if speed == 0.0 else 0.08, 60.0)
+    assert not [one for one in steps if isinstance(one, EvictTask)]
+    slowed_s = sum(1.0 for one in steps if isinstance(one, ThrottleTask) and one.share < 1.0)
+    assert 0 < slowed_s <= 8
+
+
+def test_work_that_is_the_cause_in_part_is_stopped_once_slowing_it_is_not_enough() -> None:
+    steps = play(lambda speed: 0.02 + 0.04 * speed, 30.0)
+    assert [one for one in steps if isinstance(one, EvictTask)]
