Part an owner's state and its commands from the decisions on a server

Change: owned_server holds the state and what is asked for, server_commands builds the commands, servers decides. No behaviour changes.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -11,10 +11,10 @@
 )
 from spoolcrank.jobs import JobClass, Size
 from spoolcrank.ledger import Task
+from spoolcrank.owned_server import Append, OwnedServer, Phase
 from spoolcrank.placement import Choice, Obstacle, Room
 from spoolcrank.records import JobRefused, Placed
 from spoolcrank.resources import Resources
-from spoolcrank.servers import Append, OwnedServer, Phase
 from spoolcrank.state import Core, CoreAction, Note, free_room, usable_room
 
 _PLACE_PASS = 64
--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -20,6 +20,7 @@
 from spoolcrank.logs import log
 from spoolcrank.membership import Heartbeat, other_entries
 from spoolcrank.metrics import Metrics
+from spoolcrank.owned_server import Phase
 from spoolcrank.records import join_key
 from spoolcrank.route_state import (
     Count,
@@ -35,7 +36,6 @@
     ToRunner,
 )
 from spoolcrank.runner_answers import judge, public_id, result_of
-from spoolcrank.servers import Phase
 from spoolcrank.state import can_act
 
 TICK_S = 0.02
--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -18,10 +18,10 @@
 from spoolcrank.logs import log
 from spoolcrank.membership import Heartbeat
 from spoolcrank.metrics import Metrics
+from spoolcrank.owned_server import Append, Send
 from spoolcrank.peer_link import PeerLink
 from spoolcrank.published_config import PublishedConfig
 from spoolcrank.records import Entry
-from spoolcrank.servers import Append, Send
 from spoolcrank.state import Core, CoreAction, Handover, Note
 from spoolcrank.worker import Refused, Report
 from spoolcrank.worker_link import WorkerLink
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -6,16 +6,25 @@
 
 from functools import partial
 
-from spoolcrank import assignment, interference, ladder, membership, ownership, servers, tenure
+from spoolcrank import (
+    assignment,
+    interference,
+    ladder,
+    membership,
+    ownership,
+    servers,
+    tenure,
+)
 from spoolcrank.ids import InstanceId, TaskId
 from spoolcrank.jobs import TaskState
 from spoolcrank.ledger import Ledger
 from spoolcrank.ledger_records import apply
 from spoolcrank.membership import Heartbeat
+from spoolcrank.owned_server import Action, OwnedServer, Phase
 from spoolcrank.policy import Policy
 from spoolcrank.records import Claimed, Ended, Entry, Placed
 from spoolcrank.resources import Resources
-from spoolcrank.servers import Action, OwnedServer, Phase
+from spoolcrank.server_commands import evict, throttle
 from spoolcrank.slot_use import all_busy, seen
 from spoolcrank.state import Core, CoreAction, Note, Yielded, can_act
 from spoolcrank.worker import Refused, Report
@@ -201,11 +210,11 @@
     for one in steps:
         match one:
             case interference.ThrottleTask(task, attempt, share):
-                actions.append(servers.throttle(owned, task, attempt, share, core.policy, now))
+                actions.append(throttle(owned, task, attempt, share, core.policy, now))
                 name = "interference.throttled" if share < 1 else "interference.released"
                 actions.append(Note(name, {"task": task, "share": f"{share:.2f}"}))
             case interference.EvictTask(task, attempt):
-                actions.append(servers.evict(owned, task, attempt, core.policy, now))
+                actions.append(evict(owned, task, attempt, core.policy, now))
                 actions.append(Note("interference.evicted", {"task": task}))
     return actions
 
@@ -218,7 +227,7 @@
     actions: list[Action] = []
     for run in moving[:_DRAIN_EVICTIONS]:
         owned.suspended.add(run.task)
-        actions.append(servers.evict(owned, run.task, run.attempt, policy, now))
+        actions.append(evict(owned, run.task, run.attempt, policy, now))
     return actions
 
 
--- /dev/null
+++ b/spoolcrank/owned_server.py
@@ -0,0 +1,98 @@
+"""Hold what an owner knows of one of its backend servers, and name what it asks for."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from spoolcrank.ids import Epoch, Incarnation, InstanceId, TaskId
+from spoolcrank.policy import Policy
+from spoolcrank.records import AnyRecord, Placed
+from spoolcrank.slot_use import SlotUse
+from spoolcrank.worker import AttemptRef, Command, Report
+
+_ON_ITS_WAY = 0.75
+"""Share of the margin for clocks and messages for which a command may be on its way."""
+
+
+class Phase(Enum):
+    """How far an owner knows a server."""
+
+    ADOPTING = "adopting"
+    READY = "ready"
+    SILENT = "silent"
+
+
+class Append(NamedTuple):
+    """Have a record appended to the control stream."""
+
+    record: AnyRecord
+
+
+class Send(NamedTuple):
+    """Have a command sent to a server."""
+
+    server: InstanceId
+    command: Command
+
+
+Action = Append | Send
+
+
+@dataclass
+class OwnedServer:
+    """A backend server that this instance owns.
+
+    Times are of the owner's monotonic clock, in seconds.
+    """
+
+    server: InstanceId
+    me: Incarnation
+    epoch: Epoch
+    claimed_at: float
+    phase: Phase = Phase.ADOPTING
+    report: Report | None = None
+    report_sent_at: float = float("-inf")
+    adopted_at: float = float("inf")
+    contacted_at: float | None = None
+    last_renew_at: float = float("-inf")
+    next_at: float = float("-inf")
+    seq: int = 0
+    waiting: int = 0
+    slots_from: float = 0.0
+    slots_held: int = 0
+    runner_use: SlotUse | None = None
+    starts: dict[TaskId, float] = field(default_factory=dict)
+    ends: dict[AttemptRef, float] = field(default_factory=dict)
+    placing: dict[TaskId, Placed] = field(default_factory=dict)
+    suspended: set[TaskId] = field(default_factory=set)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the worker's incarnation as last reported."""
+        return self.report.incarnation if self.report else Incarnation("")
+
+    def expiry(self, policy: Policy, now: float) -> float:
+        """Return the worker's clock at which a command decided now must lapse unobeyed.
+
+        The worker's clock was read before its report arrived, so this is never too late.
+        """
+        if self.report is None or self.contacted_at is None:
+            return 0.0
+        return self.report.clock + (now - self.contacted_at) + policy.leases.margin_s * _ON_ITS_WAY
+
+    def next_seq(self) -> int:
+        """Return the number of the next command."""
+        self.seq += 1
+        return self.seq
+
+
+class Situation(NamedTuple):
+    """What the owner may rely on at this moment.
+
+    Attributes:
+        log_ok: the log answers.
+        read_at: the last time at which the log had been read to its end.
+    """
+
+    log_ok: bool
+    read_at: float
--- a/spoolcrank/servers.py
+++ b/spoolcrank/servers.py
@@ -6,121 +6,22 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import NamedTuple, TypedDict
 
 from spoolcrank.epochs import claim_of
-from spoolcrank.ids import NO_EPOCH, Epoch, Incarnation, InstanceId, TaskId
+from spoolcrank.ids import NO_EPOCH, TaskId
 from spoolcrank.jobs import JobClass, TaskState
 from spoolcrank.ledger import Ledger, Task
+from spoolcrank.owned_server import Action, Append, OwnedServer, Phase, Send, Situation
 from spoolcrank.policy import Policy
-from spoolcrank.records import AnyRecord, Ended, Placed
+from spoolcrank.records import Ended, Placed
 from spoolcrank.resources import NOTHING, Resources, total
-from spoolcrank.slot_use import SlotUse
-from spoolcrank.worker import (
-    Adopt,
-    AttemptRef,
-    Command,
-    EndedTask,
-    Evict,
-    Refused,
-    Renew,
-    Report,
-    Start,
-    Stop,
-    Throttle,
-)
+from spoolcrank.server_commands import adopt, fence, start, stop
+from spoolcrank.worker import AttemptRef, EndedTask, Refused, Renew, Report
 
 _APPEND_AGAIN_S = 5.0
-_ON_ITS_WAY = 0.75
 _LOST_REASON = "its server did not answer for longer than the lease"
 
 
-class Phase(Enum):
-    """How far an owner knows a server."""
-
-    ADOPTING = "adopting"
-    READY = "ready"
-    SILENT = "silent"
-
-
-class Append(NamedTuple):
-    """Have a record appended to the control stream."""
-
-    record: AnyRecord
-
-
-class Send(NamedTuple):
-    """Have a command sent to a server."""
-
-    server: InstanceId
-    command: Command
-
-
-Action = Append | Send
-
-
-@dataclass
-class OwnedServer:
-    """A backend server that this instance owns.
-
-    Times are of the owner's monotonic clock, in seconds.
-    """
-
-    server: InstanceId
-    me: Incarnation
-    epoch: Epoch
-    claimed_at: float
-    phase: Phase = Phase.ADOPTING
-    report: Report | None = None
-    report_sent_at: float = float("-inf")
-    adopted_at: float = float("inf")
-    contacted_at: float | None = None
-    last_renew_at: float = float("-inf")
-    next_at: float = float("-inf")
-    seq: int = 0
-    waiting: int = 0
-    slots_from: float = 0.0
-    slots_held: int = 0
-    runner_use: SlotUse | None = None
-    starts: dict[TaskId, float] = field(default_factory=dict)
-    ends: dict[AttemptRef, float] = field(default_factory=dict)
-    placing: dict[TaskId, Placed] = field(default_factory=dict)
-    suspended: set[TaskId] = field(default_factory=set)
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """Return the worker's incarnation as last reported."""
-        return self.report.incarnation if self.report else Incarnation("")
-
-    def expiry(self, policy: Policy, now: float) -> float:
-        """Return the worker's clock at which a command decided now must lapse unobeyed.
-
-        The worker's clock was read before its report arrived, so this is never too late.
-        """
-        if self.report is None or self.contacted_at is None:
-            return 0.0
-        return self.report.clock + (now - self.contacted_at) + policy.leases.margin_s * _ON_ITS_WAY
-
-    def next_seq(self) -> int:
-        """Return the number of the next command."""
-        self.seq += 1
-        return self.seq
-
-
-class Situation(NamedTuple):
-    """What the owner may rely on at this moment.
-
-    Attributes:
-        log_ok: the log answers.
-        read_at: the last time at which the log had been read to its end.
-    """
-
-    log_ok: bool
-    read_at: float
-
-
 def allocated(owned: OwnedServer, ledger: Ledger) -> Resources:
     """Return the sum of all that runs, is bound, or is about to be bound to a server."""
     sizes: dict[TaskId, Resources] = {}
@@ -134,32 +35,6 @@
     return total(sizes.values()) if sizes else NOTHING
 
 
-class FenceFields(TypedDict):
-    """The fields that every command but `Adopt` begins with."""
-
-    owner: Incarnation
-    epoch: Epoch
-    seq: int
-    incarnation: Incarnation
-    expires: float
-
-
-def fence(owned: OwnedServer, policy: Policy, now: float) -> FenceFields:
-    """Return what tells a worker who commands, and until when the command holds."""
-    return FenceFields(
-        owner=owned.me,
-        epoch=owned.epoch,
-        seq=owned.next_seq(),
-        incarnation=owned.incarnation,
-        expires=owned.expiry(policy, now),
-    )
-
-
-def adopt(owned: OwnedServer) -> Send:
-    """Ask a server to obey us and to list everything."""
-    return Send(owned.server, Adopt(owner=owned.me, epoch=owned.epoch, seq=owned.next_seq()))
-
-
 def poll(owned: OwnedServer, ledger: Ledger, policy: Policy, now: float) -> list[Action]:
     """Adopt, renew or probe a server when its time has come."""
     if now < owned.next_at or owned.waiting:
@@ -255,9 +130,9 @@
         task = ledger.tasks.get(run.task)
         if _belongs(task, owned, run.attempt):
             if task is not None and ledger.jobs[task.job].cancelled_by is not None:
-                actions.append(_stop(owned, run.task, run.attempt, policy, now))
+                actions.append(stop(owned, run.task, run.attempt, policy, now))
         elif fresh:
-            actions.append(_stop(owned, run.task, run.attempt, policy, now))
+            actions.append(stop(owned, run.task, run.attempt, policy, now))
     for task in ledger.placed_at(owned.server):
         if task.id not in running and not _has_ended(ended, task):
             actions += _missing(owned, ledger, task, situation, policy, now)
@@ -275,15 +150,6 @@
     return end is not None and end.attempt == task.attempt
 
 
-def _stop(owned: OwnedServer, task: TaskId, attempt: int, policy: Policy, now: float) -> Send:
-    command = Stop(
-        **fence(owned, policy, now),
-        task=task,
-        attempt=attempt,
-    )
-    return Send(owned.server, command)
-
-
 def _record_end(
     owned: OwnedServer,
     ledger: Ledger,
@@ -341,24 +207,6 @@
     return [start(owned, ledger, task, policy, now)]
 
 
-def start(owned: OwnedServer, ledger: Ledger, task: Task, policy: Policy, now: float) -> Send:
-    """Start the attempt that the log binds to a server."""
-    spec = ledger.spec(task)
-    owned.starts[task.id] = now
-    command = Start(
-        **fence(owned, policy, now),
-        task=task.id,
-        attempt=task.attempt,
-        size=task.size,
-        job_class=spec.job_class,
-        task_class=spec.task_class,
-        lease_s=policy.leases.lease_s,
-        payload=spec.payload,
-        checkpoint=task.checkpoint,
-    )
-    return Send(owned.server, command)
-
-
 def on_placed(
     owned: OwnedServer, ledger: Ledger, record: Placed, policy: Policy, now: float
 ) -> list[Action]:
@@ -407,29 +255,6 @@
     return actions
 
 
-def evict(owned: OwnedServer, task: TaskId, attempt: int, policy: Policy, now: float) -> Send:
-    """Checkpoint and stop an attempt."""
-    command = Evict(
-        **fence(owned, policy, now),
-        task=task,
-        attempt=attempt,
-    )
-    return Send(owned.server, command)
-
-
-def throttle(
-    owned: OwnedServer, task: TaskId, attempt: int, share: float, policy: Policy, now: float
-) -> Send:
-    """Let an attempt run at a share of its speed."""
-    command = Throttle(
-        **fence(owned, policy, now),
-        task=task,
-        attempt=attempt,
-        share=share,
-    )
-    return Send(owned.server, command)
-
-
 def batch_tasks(owned: OwnedServer) -> Iterable[tuple[TaskId, int]]:
     """Return the batch attempts that the last report showed running."""
     if owned.report is None:
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -16,10 +16,10 @@
 )
 from spoolcrank.ledger import Ledger
 from spoolcrank.membership import Members, ServerStatus
+from spoolcrank.owned_server import Action, OwnedServer, Phase, Situation
 from spoolcrank.placement import Obstacle
 from spoolcrank.policy import DEFAULT, Policy
 from spoolcrank.resources import NOTHING, Resources
-from spoolcrank.servers import Action, OwnedServer, Phase, Situation
 from spoolcrank.slot_use import kept_slots
 
 _LOG_DOWN_S = 4.0
--- a/spoolcrank/tenure.py
+++ b/spoolcrank/tenure.py
@@ -7,8 +7,8 @@
     InstanceId,
 )
 from spoolcrank.ledger import Claim
+from spoolcrank.owned_server import Append, OwnedServer, Phase
 from spoolcrank.records import Claimed
-from spoolcrank.servers import Append, OwnedServer, Phase
 from spoolcrank.state import Core, CoreAction, Handover, Note, Yielded
 
 _CLAIM_AGAIN_S = 3.0
--- a/spoolcrank/trace.py
+++ b/spoolcrank/trace.py
@@ -15,8 +15,8 @@
 from spoolcrank.ledger import Ledger
 from spoolcrank.ledger import dump as dump_ledger
 from spoolcrank.membership import Heartbeat, Members
+from spoolcrank.owned_server import Append, Send
 from spoolcrank.records import Entry, dump
-from spoolcrank.servers import Append, Send
 from spoolcrank.state import CoreAction, Handover, Note
 from spoolcrank.worker import Refused, Report
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,10 +11,12 @@
 from spoolcrank.jobs import JobSpec, Size, TaskState
 from spoolcrank.ledger import dump, load
 from spoolcrank.membership import Heartbeat, Members
+from spoolcrank.owned_server import Append, Send
 from spoolcrank.policy import DEFAULT, Policy
 from spoolcrank.records import Ended, Entry, Envelope, JobAccepted
 from spoolcrank.resources import Resources
-from spoolcrank.servers import Append, Send, batch_tasks, evict
+from spoolcrank.server_commands import evict
+from spoolcrank.servers import batch_tasks
 from spoolcrank.state import Core, Handover, can_act, new_core
 from spoolcrank.worker import Refused
 
