Part what is known of runners from the routing of requests

Change: slots and latencies of own runners and peers', with their constants named, are a module of their own. No behaviour changes; the tests' calls follow the functions. Measured: tests of routing as before.

--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -5,7 +5,7 @@
 
 from circuits import BaseComponent, handler
 
-from spoolcrank import ownership, routing
+from spoolcrank import known_runners, ownership, routing
 from spoolcrank._http import HttpCall, HttpClient, HttpResult
 from spoolcrank._timers import Timers
 from spoolcrank._web import HttpReply, HttpRequest, Reply, refusal_reply
@@ -95,7 +95,7 @@
         return self._rates.get(service, 0.0) * (1 + len(other_entries(self._core.members)))
 
     def _every_second(self) -> None:
-        routing.fade(self.router, time.monotonic())
+        known_runners.fade(self.router, time.monotonic())
         for service in set(self._rates) | set(self._arrived):
             known = self._rates.get(service, 0.0)
             self._rates[service] = known + _RATE_SMOOTHING * (self._arrived[service] - known)
@@ -188,7 +188,7 @@
                 held=owned.slots_held,
             )
             current.append(runner)
-        routing.sync_runners(self.router, current)
+        known_runners.sync_runners(self.router, current)
 
     @handler("fleet_listed", channel="*")
     def _on_fleet_listed(self, instances: list[Instance]) -> None:
@@ -303,7 +303,7 @@
                 if instance is not None and instance.service:
                     known = free.setdefault(instance.service, [])
                     known.append(FreeSlots(status.free_slots, status.latency_s))
-        routing.on_peer_slots(self.router, beat.sender, beat.zone, free, time.monotonic())
+        known_runners.on_peer_slots(self.router, beat.sender, beat.zone, free, time.monotonic())
 
     def _on_forward(self, sender: InstanceId, forward: Forward) -> None:
         now = time.monotonic()
--- a/spoolcrank/routing.py
+++ b/spoolcrank/routing.py
@@ -5,10 +5,9 @@
 at once, and truthfully: it is "not run" only where no byte of it went to a runner.
 """
 
-from collections.abc import Iterable
-
 from spoolcrank.errors import ErrorKind, Refusal
-from spoolcrank.ids import AvailabilityZone, InstanceId, RequestId, ServiceName
+from spoolcrank.ids import InstanceId, RequestId, ServiceName
+from spoolcrank.known_runners import learn_latency
 from spoolcrank.policy import Policy
 from spoolcrank.route_choice import best_peer, best_runner, peer_cost, runner_cost, slot_limit
 from spoolcrank.route_state import (
@@ -17,7 +16,6 @@
     Count,
     Deliver,
     Flight,
-    FreeSlots,
     PeerRunners,
     Refuse,
     Request,
@@ -29,15 +27,10 @@
     ToRunner,
 )
 
-_SMOOTHING = 0.25
-_USUAL_SMOOTHING = 0.025
 _MAX_TRIES = 4
 _QUEUE_TRIES = 3
 _MIN_QUEUE = 8
 _MIN_RETRY_AFTER_S = 0.05
-_FADE_AFTER_S = 1.0
-_FADE = 0.1
-_ALIKE = 1.3
 _FORWARD_MAX_S = 60.0
 
 
@@ -255,19 +248,7 @@
         runner.failures += 1
         runner.out_until = now + policy.routing.probe_s
     if flight is not None and result is Result.ANSWERED and attempt in flight.open:
-        _learn(router, runner, now - flight.sent_at, now)
-
-
-def _learn(router: Router, runner: Runner, latency_s: float, now: float) -> None:
-    runner.samples += 1
-    runner.sampled_at = now
-    weight = max(_SMOOTHING, 1.0 / runner.samples)
-    runner.latency_s += weight * (latency_s - runner.latency_s)
-    usual = router.usual_s.get(runner.service, latency_s)
-    router.usual_s[runner.service] = usual + _USUAL_SMOOTHING * (latency_s - usual)
-    tail = router.tail_s.get(runner.service, latency_s)
-    step = 0.05 * max(tail, 1e-4)
-    router.tail_s[runner.service] = tail + (step * 0.95 if latency_s > tail else -step * 0.05)
+        learn_latency(router, runner, now - flight.sent_at, now)
 
 
 def _settle(
@@ -362,18 +343,6 @@
     return actions + _drain_queues(router, policy, now)
 
 
-def fade(router: Router, now: float) -> None:
-    """Let what is known of runners that get no requests fade towards the usual.
-
-    They are tried again that way, a request at a time. To be called once a second.
-    """
-    for runner in router.runners.values():
-        if now - runner.sampled_at > _FADE_AFTER_S:
-            known = [one.latency_s for one in router.peers.get(runner.service, {}).values()]
-            usual = min([*known, router.usual_s.get(runner.service, runner.latency_s)])
-            runner.latency_s += _FADE * (usual - runner.latency_s)
-
-
 def _expire(router: Router, flight: Flight) -> list[RouteAction]:
     if flight.open or flight.maybe_ran:
         target = next(iter(flight.open.values()), router.me)
@@ -412,41 +381,6 @@
     return [sent, Count("retry.hedge")]
 
 
-def sync_runners(router: Router, current: Iterable[Runner]) -> None:
-    """Take the list of runners that we own now; counts of known ones are kept."""
-    fresh = {runner.server: runner for runner in current}
-    for server, runner in fresh.items():
-        known = router.runners.get(server)
-        if known is not None:
-            known.slots = runner.slots
-            known.open_from = runner.open_from
-            known.held = runner.held
-            fresh[server] = known
-    router.runners = fresh
-
-
-def on_peer_slots(
-    router: Router,
-    peer: InstanceId,
-    zone: AvailabilityZone,
-    free: dict[ServiceName, list[FreeSlots]],
-    now: float,
-) -> None:
-    """Take what a peer tells of its free slots.
-
-    Only its quick runners count, as long as any has a free slot.
-    """
-    for service, known in router.peers.items():
-        if service not in free:
-            known.pop(peer, None)
-    for service, runners in free.items():
-        open_runners = [one for one in runners if one.slots > 0]
-        quickest = min((one.latency_s for one in open_runners), default=FIRST_GUESS_S)
-        count = sum(one.slots for one in open_runners if one.latency_s <= _ALIKE * quickest)
-        found = PeerRunners(peer, zone, count, now, quickest)
-        router.peers.setdefault(service, {})[peer] = found
-
-
 def forget_peer(router: Router, peer: InstanceId, policy: Policy, now: float) -> list[RouteAction]:
     """Settle what was forwarded to a peer whose connection broke."""
     for known in router.peers.values():
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spoolcrank import routing
+from spoolcrank import known_runners, routing
 from spoolcrank.errors import ANSWERS, ErrorKind, Outcome, Refusal
 from spoolcrank.ids import AvailabilityZone, InstanceId, RequestId, ServiceName
 from spoolcrank.policy import DEFAULT
@@ -26,7 +26,7 @@
 def make_router(runners: int = 1, slots: int = 2) -> Router:
     router = Router(InstanceId("entry-1"), ZONE)
     names = [InstanceId(f"backend-{number}") for number in range(runners)]
-    routing.sync_runners(router, [Runner(name, SERVICE, slots) for name in names])
+    known_runners.sync_runners(router, [Runner(name, SERVICE, slots) for name in names])
     return router
 
 
@@ -107,7 +107,7 @@
 
 def test_entry_without_runners_lets_requests_wait_where_slots_come_free() -> None:
     router = make_router(runners=0)
-    routing.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(0, 0.02)]}, 0.0)
+    known_runners.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(0, 0.02)]}, 0.0)
     sent = routing.submit(router, make_request("r"), DEFAULT, 0.1)[0]
     assert isinstance(sent, ToPeer)
     full = Refusal(ErrorKind.OVERLOADED, "full", retry_after_s=0.5)
@@ -119,10 +119,10 @@
 
 def test_forwarded_request_goes_back_at_once_when_the_runners_are_handed_over() -> None:
     router = make_router(runners=1, slots=1)
-    routing.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(0, 0.02)]}, 0.0)
+    known_runners.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(0, 0.02)]}, 0.0)
     for name in ("running", "waiting"):
         routing.submit(router, make_request(name)._replace(origin=PEER), DEFAULT, 0.0)
-    routing.sync_runners(router, [])
+    known_runners.sync_runners(router, [])
     assert refusal_of(routing.tick(router, DEFAULT, 0.1)) is ErrorKind.NO_RUNNER
     late = make_request("late")._replace(origin=PEER)
     assert refusal_of(routing.submit(router, late, DEFAULT, 0.1)) is ErrorKind.NO_RUNNER
@@ -131,7 +131,7 @@
 def test_slowed_runner_of_ours_loses_to_a_calm_one_of_a_peer() -> None:
     router = make_router(runners=1, slots=8)
     router.runners[InstanceId("backend-0")].latency_s = 0.2
-    routing.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(4, 0.02)]}, 0.0)
+    known_runners.on_peer_slots(router, PEER, ZONE, {SERVICE: [FreeSlots(4, 0.02)]}, 0.0)
     sent = routing.submit(router, make_request("r"), DEFAULT, 0.1)[0]
     assert isinstance(sent, ToPeer)
 
