Forget a placement that the queue to the log did not take

Found by reading, as the same leak in another place. Cause: a placement counts as on its way until it is read back; one that was never queued is not read back. Change: the decisions are told of a record that was not queued. Measured: a test places such a task again; the state machine as before. Why this holds: whatever is on its way is queued, in flight or on the log.

--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -142,7 +142,8 @@
         for action in actions:
             match action:
                 case Append():
-                    self.log_link.append(action.record)
+                    if self.log_link.append(action.record) is None:
+                        decisions.on_not_appended(self.core, action.record)
                 case Send():
                     self._workers.command(action.server, action.command)
                 case Handover():
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -22,7 +22,7 @@
 from spoolcrank.membership import Heartbeat
 from spoolcrank.owned_server import Action, OwnedServer, Phase
 from spoolcrank.policy import Policy
-from spoolcrank.records import Claimed, Ended, Entry, Placed
+from spoolcrank.records import AnyRecord, Claimed, Ended, Entry, Placed
 from spoolcrank.resources import Resources
 from spoolcrank.server_commands import evict, throttle
 from spoolcrank.slot_use import all_busy, seen
@@ -76,6 +76,18 @@
     return list(servers.on_placed(owned, core.ledger, record, core.policy, now))
 
 
+def on_not_appended(core: Core, record: AnyRecord) -> None:
+    """Learn that a record will never be on the log, as too much waited for it.
+
+    What else is appended is decided again by itself; a placement would keep its room, and its
+    task, for good.
+    """
+    if isinstance(record, Placed):
+        owned = core.owned.get(record.server)
+        if owned is not None and owned.placing.get(record.task) == record:
+            del owned.placing[record.task]
+
+
 def on_report(
     core: Core, server: InstanceId, report: Report, sent_at: float, now: float
 ) -> list[CoreAction]:
--- a/tests/test_taken_ledger.py
+++ b/tests/test_taken_ledger.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from spoolcrank import core as decisions
 from spoolcrank.records import AnyRecord, Claimed, Placed
 from tests.world import OWNERS, SERVERS, World
 
@@ -93,3 +94,18 @@
     world.advance(LATE_S)
     assert world.open_tasks() == []
     assert world.breaches() == []
+
+
+def test_a_placement_that_was_not_appended_keeps_no_room_and_is_made_again() -> None:
+    """Found by reading, after the same leak above: a full queue to the log took no record."""
+    world = World()
+    world.submit(1, RUN_S, True)
+    _until(world, lambda: any(_unread(world, name, Placed) for name in OWNERS))
+    owner = world.owners[next(name for name in OWNERS if _unread(world, name, Placed))]
+    (lost,) = [one for one in owner.outbox if isinstance(one.record, Placed)]
+    owner.outbox.remove(lost)
+    decisions.on_not_appended(owner.core, lost.record)
+    assert not any(one.placing for one in owner.core.owned.values())
+    world.advance(LATE_S)
+    assert world.open_tasks() == []
+    assert world.breaches() == []
