--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -70,6 +70,12 @@
 TWICE_S = 3.0
 """A call that is carried out twice is so up to so much later, s."""
 
+ENTRY_LASTS_S = 1.2
+"""The entry of a runner that crashed goes so much later, s."""
+
+BACK_S = (1.5, 5.0)
+"""A runner that crashed is back under a new id after between so long, s."""
+
 ORDER_BYTES = 400
 """Of an order without its payload, bytes, headers among them."""
 
@@ -95,6 +101,8 @@
         self.link_bytes_per_s = math.inf
         self.ends_at_once = 500
         self.lasting_jobs: set[str] = set()
+        self.crashing: dict[str, float] = {}
+        self.crashes: dict[TaskKey, list[float]] = defaultdict(list)
         self.asked: Counter[str] = Counter()
         self.decoded: list[str] = []
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -102,6 +110,29 @@
         self._lives = itertools.count(1)
         self._tick()
 
+    def crash(self, runner: "Runner", back_s: float | None = None) -> None:
+        """Let a runner crash; its entry goes, and it is back under a new id."""
+        if not runner.alive:
+            return
+        for key in runner.tasks:
+            self.crashes[key].append(self.now)
+        runner.crash()
+        self.at(ENTRY_LASTS_S, lambda: self.store.entries.put(runner.id, b""))
+
+        def back() -> None:
+            # Whoever was told to act on this runner finds it as it was made.
+            again = self.add_runner(runner.name, millicores=runner.millicores)
+            again.work_s = runner.work_s
+
+        self.at(self.random.uniform(*BACK_S) if back_s is None else back_s, back)
+
+    def starts_after_crashes(self, key: TaskKey, crashes: int) -> int:
+        """Return how often a task was started after so many runners had crashed under it."""
+        if len(self.crashes[key]) < crashes:
+            return 0
+        known_at = self.crashes[key][crashes - 1]
+        return sum(1 for at in self.starts[key] if at > known_at)
+
     def at(self, delay_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._heap, (self.now + delay_s, next(self._count), action))
 
@@ -403,6 +434,15 @@
         world.starts[key].append(world.now)
         until = min(order.until_ms, self.clock_ms + HOLD_MAX_S * 1000)
         self.tasks[key] = Task(order.run, order.target.fence, until, self.work_s)
+        if key.job in world.crashing:
+            delay_s = world.random.uniform(0.1, 1.0) * world.crashing[key.job]
+            world.at(delay_s, lambda: self._crash_by(key, order.run))
+
+    def _crash_by(self, key: TaskKey, run: int) -> None:
+        """Crash by the fault of a task, if it is still here."""
+        held = self.tasks.get(key)
+        if held is not None and held.run == run:
+            self.world.crash(self)
 
     def stop(self, order: Stop) -> OrderResult:
         if order.target.fence < self.fence:
