Give up tasks that crash the runners that start them, and nothing else

Callers saw accepted work stand still: two tasks were started 31 and 34 times, each start took a runner away with the 5 to 18 runs on it. Cause: a run that goes with its runner left no trace in its task; only ends that a runner lists were counted. Class: a way by which a run ends uncounted and may repeat without bound. Change: each crash is marked at the tasks that were there (runner, address, how long the run had lived, whether anything else could have been the cause), in the stored progress before the next start leaves. Proof that comes after the leases passed counts then. A suspect starts away from others; after two crashes it has a runner for itself, after a pause; a run that outlives the moment clears it. A task is given up where plain crashes, at the rate seen of the others, would hit one sound task in ten thousand so soon, and not below three. Why this holds: the count is of all crashes that are proved, the rate is of those that happened without the task, and what is stored is what the next leader judges by.

--- /dev/null
+++ b/spoolcrank/apart.py
@@ -0,0 +1,122 @@
+"""Start tasks under which runners crashed where they can do least harm, and prove or clear most.
+
+After one crash a task goes where no other suspect is. After two it has a runner for itself until
+its run has outlived the moment: nothing starts there any more, what began there lately settles, and
+then its start goes out. A crash then proves something, and costs the runner that is least dear.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from spoolcrank.job_state import TaskState
+from spoolcrank.packing import PlacementRequest, score
+from spoolcrank.runner_loss import SETTLED_S
+from spoolcrank.runner_state import RunnerState, RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import Phase, TaskKey
+
+PATIENCE_S = 1.5
+"""A suspect waits so long until what began lately on its runner has settled, s."""
+
+CLOSED_S = 3.0
+"""Nothing else starts beside a suspect for so long, s; longer would take too much room from others,
+as many are sound."""
+
+RUNNERS_EACH = 8
+"""One suspect at a time has a runner for itself for so many: each may cost one."""
+
+
+class Place(NamedTuple):
+    """What became of a suspect's turn: its runner, or whether it waits for one set aside."""
+
+    runner: RunnerState | None
+    held_back: bool = False
+
+
+def without_suspects(runners: Sequence[RunnerState]) -> list[RunnerState]:
+    """Return the runners on which no suspect is."""
+    return [one for one in runners if not any(run.suspect for run in one.runs.values())]
+
+
+def place_apart(
+    state: Scheduler,
+    key: TaskKey,
+    task: TaskState,
+    request: PlacementRequest,
+    runners: Sequence[RunnerState],
+    now: float,
+) -> Place:
+    """Return the runner for a suspect once that is ready for it."""
+    held = _set_aside(state, key)
+    if held is None:
+        held = _choose(state, task, request, runners, now)
+        if held is None:
+            return Place(None, held_back=_all_in_use(state, runners))
+        held.apart_for = key
+        held.apart_since = now
+        state.note("suspect-apart", task=key, runner=held.id, beside=len(held.runs))
+    if not held.answers(now) or not score(
+        request, request.step.demand, held, state.contention, now
+    ):
+        held.apart_for = None
+        return Place(None, held_back=True)
+    if _settled(held, now) or now - held.apart_since >= PATIENCE_S:
+        return Place(held)
+    return Place(None, held_back=True)
+
+
+def _set_aside(state: Scheduler, key: TaskKey) -> RunnerState | None:
+    return next((one for one in state.runners.values() if one.apart_for == key), None)
+
+
+def _all_in_use(state: Scheduler, runners: Sequence[RunnerState]) -> bool:
+    in_use = sum(1 for one in state.runners.values() if one.apart_for is not None)
+    return in_use >= max(1, (len(runners) + in_use) // RUNNERS_EACH)
+
+
+def _choose(
+    state: Scheduler,
+    task: TaskState,
+    request: PlacementRequest,
+    runners: Sequence[RunnerState],
+    now: float,
+) -> RunnerState | None:
+    """Return the cheapest runner to lose that could take the task now."""
+    if _all_in_use(state, runners):
+        return None
+    crashed = {mark.address for mark in task.crashes}
+    tried = sorted(without_suspects(runners), key=lambda one: _price(one, crashed))
+    demand = request.step.demand
+    return next((one for one in tried if score(request, demand, one, state.contention, now)), None)
+
+
+def _price(runner: RunnerState, crashed: set[str]) -> tuple[int, int, int, int]:
+    """Order runners by what a crash would cost; one that crashed before would prove less."""
+    lasting = sum(1 for run in runner.runs.values() if run.lasting or run.serves)
+    again = int(runner.entry.address in crashed)
+    return (again, lasting, len(runner.runs), runner.used_millicores)
+
+
+def _settled(runner: RunnerState, now: float) -> bool:
+    return all(
+        run.stage is RunStage.RUNNING
+        and run.ordered_at is not None
+        and now - run.ordered_at >= SETTLED_S
+        for run in runner.runs.values()
+    )
+
+
+def reopen(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Open a runner to others again where its suspect needs it no more."""
+    key = runner.apart_for
+    if key is None:
+        return
+    run = runner.runs.get(key)
+    if run is not None:
+        if run.ordered_at is not None and now - run.ordered_at >= CLOSED_S:
+            runner.apart_for = None
+        return
+    job = state.jobs.get(key.job)
+    waits = job is not None and job.has(key) and job.task(key).phase is Phase.WAITING
+    if not waits or now - runner.apart_since >= CLOSED_S:
+        runner.apart_for = None
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -7,6 +7,7 @@
 from spoolcrank.ids import JobId
 from spoolcrank.reading import Unreadable
 from spoolcrank.workflow import (
+    CrashMark,
     JobPhase,
     JobRecord,
     Phase,
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class TaskState:
-    """One task: where it stands, its newest run, checkpoint and failures.
+    """One task: where it stands, its newest run, checkpoint, failures and crashes of runners.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
     `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
@@ -35,6 +36,7 @@
     runner: RunnerId = NO_RUNNER
     saved: str = ""
     failures: int = 0
+    crashes: tuple[CrashMark, ...] = ()
     refused_by: RunnerId = NO_RUNNER
     not_before: float = 0.0
     wanted: RunnerId = NO_RUNNER
@@ -77,11 +79,16 @@
         """Tell whether every task is done."""
         return self.done == len(self.tasks)
 
+    def accountable(self, number: int) -> TaskState:
+        """Return the task that a run's failure counts at: a gang fails, and is given up, whole."""
+        return self.tasks[0 if self.spec.gang else number]
+
     def finish_all(self) -> None:
         """Mark every task as done: one end of a gang stands for all."""
         for task in self.tasks:
             task.phase = Phase.DONE
             task.runner = NO_RUNNER
+            task.crashes = ()
         self.done = len(self.tasks)
         self.waiting.clear()
 
@@ -199,6 +206,10 @@
         """Return one task's state; its round is open."""
         return self.rounds[key.round].steps[key.step].tasks[key.number]
 
+    def accountable(self, key: TaskKey) -> TaskState:
+        """Return the task that failures of a run are counted at; its round is open."""
+        return self.rounds[key.round].steps[key.step].accountable(key.number)
+
     def has(self, key: TaskKey) -> bool:
         """Tell whether a task is one of this job's open rounds."""
         held = self.rounds.get(key.round)
@@ -254,10 +265,10 @@
 
 def _task_mark(index: int, task: TaskState) -> TaskMark:
     """Return what is stored of a task; a preassigned one counts as bound there."""
-    if task.phase is Phase.WAITING and task.preassigned != NO_RUNNER:
-        bound = Phase.BOUND.value
-        return TaskMark(index, bound, task.run + 1, task.preassigned, task.saved, task.failures)
-    return TaskMark(index, task.phase.value, task.run, task.runner, task.saved, task.failures)
+    phase, run, runner = task.phase, task.run, task.runner
+    if phase is Phase.WAITING and task.preassigned != NO_RUNNER:
+        phase, run, runner = Phase.BOUND, task.run + 1, task.preassigned
+    return TaskMark(index, phase.value, run, runner, task.saved, task.failures, task.crashes)
 
 
 def _restore_task(step: StepState, mark: TaskMark) -> None:
@@ -267,6 +278,7 @@
     task.runner = RunnerId(mark.runner)
     task.saved = mark.saved
     task.failures = mark.failures
+    task.crashes = mark.crashes
     if task.phase is not Phase.WAITING:
         step.waiting.pop(mark.index, None)
     if task.phase is Phase.DONE:
--- a/spoolcrank/notes.py
+++ b/spoolcrank/notes.py
@@ -13,6 +13,7 @@
         "task-hangs",
         "run-released",
         "job-ended",
+        "task-given-up",
         "end-not-ours",
         "run-not-ours",
         "places-nothing",
--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -6,6 +6,7 @@
 
 from spoolcrank.orders import Answered, OrderResult, Pace, Start, Stop
 from spoolcrank.pacing import SETTLE_S
+from spoolcrank.runner_loss import lose_runner
 from spoolcrank.runner_state import UNKNOWN_PACE, Run, RunnerState, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL
@@ -31,7 +32,7 @@
             tries=run.tries,
         )
     if result is OrderResult.OTHER_INCARNATION:
-        state.lose_runner(runner, "another incarnation answers", now)
+        lose_runner(state, runner, "another incarnation answers", now)
     elif run.stage is RunStage.STOPPING:
         return
     elif result is OrderResult.DONE:
@@ -81,7 +82,7 @@
     if runner is None:
         return
     if answered.result is OrderResult.OTHER_INCARNATION:
-        state.lose_runner(runner, "another incarnation answers", now)
+        lose_runner(state, runner, "another incarnation answers", now)
         return
     if run is None or run.number != stop.run or run.stage is not RunStage.STOPPING:
         return
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from spoolcrank.apart import place_apart, without_suspects
+from spoolcrank.crash_record import starts_apart
 from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
@@ -277,10 +279,16 @@
             task=key,
             service=state.service_of(job),
         )
-        if task.run:
+        if starts_apart(task.crashes):
+            current.left -= len(runners)
+            runner, waits = place_apart(state, key, task, request, runners, now)
+            if waits:
+                held_back = True
+                continue
+        elif task.run:
             # Where it failed, or where it is to move, sets it apart from the others of its step.
             current.left -= len(runners)
-            runner = _wanted(state, task, request, runners, now)
+            runner = _after_a_run(state, task, request, runners, now)
         else:
             current.left -= len(runners) if ranking is None else 1
             ranking = ranking or Ranking(request, runners, state.contention, now)
@@ -300,6 +308,21 @@
     return Placed.HELD_BACK if held_back else Placed.ALL
 
 
+def _after_a_run(
+    state: Scheduler,
+    task: TaskState,
+    request: PlacementRequest,
+    runners: list[RunnerState],
+    now: float,
+) -> RunnerState | None:
+    """Return the runner for a task that ran before; one that is suspect goes where no other is."""
+    if task.crashes:
+        found = _wanted(state, task, request, without_suspects(runners), now)
+        if found is not None:
+            return found
+    return _wanted(state, task, request, runners, now)
+
+
 def _wanted(
     state: Scheduler,
     task: TaskState,
@@ -335,6 +358,10 @@
     if step.spec.same_rack:
         racks = sorted({label for one in runners for label in one.entry.labels}) + racks
     run = max(task.run for task in step.tasks) + 1
+    if step.tasks[0].crashes:
+        if step.tasks[0].not_before > now:
+            return False
+        runners = without_suspects(runners)
     for rack in racks:
         if _place_members(state, job, round_number, number, step, runners, rack, run, now):
             return True
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -133,7 +133,9 @@
             if any(held.steps[earlier].waiting for earlier in spec.after):
                 continue
             for index in step.waiting:
-                yield TaskKey(job.id, held.number, number, index), step
+                if not step.tasks[index].crashes:
+                    # Which runner a suspect may have is decided only as it starts.
+                    yield TaskKey(job.id, held.number, number, index), step
 
 
 def start_preassigned(state: Scheduler, now: float) -> None:
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -6,6 +6,7 @@
 lease that was granted to it has passed.
 """
 
+from spoolcrank.apart import reopen
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import (
     EndedRow,
@@ -16,6 +17,7 @@
     Stop,
 )
 from spoolcrank.pacing import filler_use, learn, set_paces
+from spoolcrank.runner_loss import leases_passed, lose_runner, outlives, runner_answers
 from spoolcrank.runner_state import Run, RunnerState, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
 from spoolcrank.workflow import FINAL, JobPhase, TaskKey
@@ -133,6 +135,7 @@
     runner.heard(report.clock_ms, asked_at, now)
     if was_silent is not None:
         state.note("runner-answers", runner=runner.id, silent_s=round(now - was_silent, 2))
+    runner_answers(state, runner, now)
     used = filler_use(runner, report, now)
     for end in report.ended:
         _take_end(state, runner, end, now)
@@ -208,6 +211,8 @@
     if run.stage in (RunStage.ORDERED, RunStage.UNSURE):
         run.stage = RunStage.RUNNING
         run.since = now
+    if run.suspect:
+        outlives(state, row.task, run, now)
     if row.percent != max(0, run.percent):
         run.moved_at = now
     run.percent = row.percent
@@ -275,7 +280,7 @@
         return
     runner.polling = False
     if result is OrderResult.OTHER_INCARNATION:
-        state.lose_runner(runner, "another incarnation answers", now)
+        lose_runner(state, runner, "another incarnation answers", now)
         return
     if runner.silent_since is None:
         state.note("runner-silent", runner=runner.id, result=result.value, runs=len(runner.runs))
@@ -289,6 +294,7 @@
     """Do what time alone makes due: lapsed leases, orders to send again, tasks that hang."""
     for runner in list(state.runners.values()):
         runner.drop_promises(now)
+        reopen(state, runner, now)
         if runner.silent_since is not None or not runner.adopted:
             _check_lapsed(state, runner, now)
         for key, run in list(runner.runs.items()):
@@ -311,8 +317,8 @@
     never_reached = not runner.adopted and bound_passed
     if not never_reached and not runner.surely_ended(now):
         return
-    for key in list(runner.runs):
-        state.release(key, runner, "every lease has passed", now)
+    if runner.runs:
+        leases_passed(state, runner, now)
 
 
 def _tick_run(state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float) -> None:
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -130,6 +130,10 @@
         resumed: it began from a checkpoint, or before this leader saw it.
         slow_since: since when it works at half its pace or less; None at more.
         bound_at: when it was bound, or taken over by this leader.
+        ordered_at: when its start was first sent, or it was taken over; None before.
+        inherited: an earlier leader bound it, so that its age is not known.
+        suspect: a runner crashed under an earlier run of its task, and this one has not outlived
+            the moment yet.
     """
 
     number: int
@@ -157,6 +161,9 @@
     slow_since: float | None = None
     in_flight: bool = False
     bound_at: float = 0.0
+    ordered_at: float | None = None
+    inherited: bool = False
+    suspect: bool = False
 
     def worked_s(self, now: float) -> float:
         """Return for how long it has been at work, in seconds at full pace."""
@@ -191,6 +198,9 @@
         seen_next: as `seen`, once what is being recorded now is kept.
         silent_since: when it stopped answering; None while it answers.
         rivals: ids of other entries at its address that it was asked about.
+        apart_for: the suspect that has it for itself for a while; nothing else starts there.
+        apart_since: when it was set aside for that.
+        withdrawn: its entry went while it still answered, as before a planned end.
         serving: how many of its tasks that serve are of each image.
         serving_images: those images; kept, as each choice of a runner looks it up.
     """
@@ -210,6 +220,9 @@
     seen_next: int = 0
     silent_since: float | None = None
     rivals: frozenset[RunnerId] = NOBODY
+    apart_for: TaskKey | None = None
+    apart_since: float = 0.0
+    withdrawn: bool = False
     polling: bool = False
     polled_at: float = -1.0
     learnt_at: float = -1.0
@@ -284,6 +297,10 @@
 
     def reachable(self, now: float) -> bool:
         """Tell whether new work may go there, though it may have failed oddly a moment ago."""
+        return self.apart_for is None and self.answers(now)
+
+    def answers(self, now: float) -> bool:
+        """Tell whether it is well known to answer, and to stay."""
         return (
             self.adopted
             and self.listed
@@ -322,6 +339,8 @@
 
     def remove(self, key: TaskKey) -> Run | None:
         """Free what a run took; returns the run."""
+        if self.apart_for == key:
+            self.apart_for = None
         run = self.runs.pop(key, None)
         if run is not None:
             self._count(run, -1)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from spoolcrank.contention import Contention
+from spoolcrank.crash_record import CrashRecord, starts_apart
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
@@ -95,6 +96,7 @@
         self.placing = PlacingPass()
         self.no_place: dict[tuple[ServiceName, str], NoPlace] = {}
         self.unkept = Unkept()
+        self.crashes = CrashRecord(now)
         self.starts = StartWindow()
         self.ended: list[tuple[float, JobId]] = []
         self.timed: dict[JobId, None] = {}
@@ -129,6 +131,7 @@
         job.accepted_at = job.started_at = now
         if progress is not None:
             job.restore(progress)
+            self.crashes.restore(job)
             job.accepted_at = now - max(0.0, time_of_day_ms - record.accepted_ms) / 1000.0
         self.jobs[job_id] = job
         for key, task in job.bound():
@@ -151,10 +154,13 @@
             )
             self.runners[task.runner] = runner
         run = self.new_run(job, key, task.run, RunStage.UNSURE, self.began_at)
-        run.resumed = True
+        run.resumed = run.inherited = True
+        run.ordered_at = self.began_at
         if run.fills:
             run.pace = UNKNOWN_PACE
         runner.add(key, run)
+        if starts_apart(job.accountable(key).crashes):
+            runner.apart_for = key
 
     def new_run(self, job: JobState, key: TaskKey, number: int, stage: RunStage, now: float) -> Run:
         """Return a run of a task as it counts against a runner."""
@@ -173,6 +179,7 @@
             checkpoints=spec.checkpoints,
             load=step.load,
             bound_at=now,
+            suspect=bool(step.accountable(key.number).crashes),
         )
 
     def cancel(self, job_id: JobId, now: float) -> None:
@@ -182,6 +189,11 @@
             return
         self._end_job(job, JobPhase.CANCELLED, now)
 
+    def give_up(self, job: JobState, now: float) -> None:
+        """End a job as failed, with all that is left of it."""
+        if job.phase not in FINAL:
+            self._end_job(job, JobPhase.FAILED, now)
+
     def _end_job(self, job: JobState, phase: JobPhase, now: float) -> None:
         job.phase = phase
         self.unkept.change(job.id)
@@ -215,14 +227,6 @@
 
     # Runners
 
-    def lose_runner(self, runner: RunnerState, why: str, now: float) -> None:
-        """Take note that an incarnation of a runner is over and nothing runs on it."""
-        if not runner.gone:
-            runner.gone = True
-            self.note("runner-gone", runner=runner.id, why=why, runs=len(runner.runs))
-        for key in list(runner.runs):
-            self.release(key, runner, "runner gone", now)
-
     def target(self, runner: RunnerState) -> Target:
         """Return where orders to a runner go."""
         return Target(runner.id, runner.entry.address, self.term)
@@ -282,13 +286,12 @@
                 task.not_before = now + RETRY_S
         self._wait_again(job, key, task)
         if how is EndKind.FAILED and not step.spec.lasting:
-            self._count_failure(job, step, task, now)
+            self._count_failure(job, step.accountable(key.number), now)
 
-    def _count_failure(self, job: JobState, step: StepState, task: TaskState, now: float) -> None:
-        counted = step.tasks[0] if step.spec.gang else task
+    def _count_failure(self, job: JobState, counted: TaskState, now: float) -> None:
         counted.failures += 1
-        if counted.failures >= self._max_attempts(job) and job.phase not in FINAL:
-            self._end_job(job, JobPhase.FAILED, now)
+        if counted.failures >= self._max_attempts(job):
+            self.give_up(job, now)
 
     def _finish_task(
         self, job: JobState, key: TaskKey, step: StepState, task: TaskState, now: float
@@ -299,6 +302,7 @@
             task.phase = Phase.DONE
             task.runner = NO_RUNNER
             task.saved = ""
+            task.crashes = ()
             step.done += 1
         if not step.finished or job.phase in FINAL:
             return
@@ -337,6 +341,8 @@
         task = job.task(key)
         run.tries += 1
         run.in_flight = True
+        if run.ordered_at is None:
+            run.ordered_at = now
         payload = job.record.workflow.payload
         # Without the store another may lead by now: it counts on no lease being granted any more.
         extends = now <= self.extends_until
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -159,6 +159,24 @@
 FINAL = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
+class CrashMark(msgspec.Struct, array_like=True, omit_defaults=True, frozen=True):
+    """The stored trace of a runner that crashed, or may have, under a run of a task.
+
+    Attributes:
+        runner: that incarnation.
+        address: where it took orders; empty if that is not known.
+        lived_ms: for how long the run had been there at most; 0 if that is not known.
+        alone: nothing else there is likely to have brought the runner down.
+        proved: that incarnation is known to be over.
+    """
+
+    runner: str
+    address: str = ""
+    lived_ms: int = 0
+    alone: bool = False
+    proved: bool = True
+
+
 class TaskMark(msgspec.Struct, array_like=True, omit_defaults=True):
     """The stored state of one task that is no longer untouched.
 
@@ -169,6 +187,7 @@
         runner: where it is bound; empty unless bound.
         saved: its newest checkpoint.
         failures: runs that ended by failing.
+        crashes: runners that crashed under its newest runs.
     """
 
     index: int
@@ -177,6 +196,7 @@
     runner: str = ""
     saved: str = ""
     failures: int = 0
+    crashes: tuple[CrashMark, ...] = ()
 
 
 class StepMark(msgspec.Struct, array_like=True, omit_defaults=True):
