Give up tasks that crash their servers on the own interface too

Callers saw (simulated) one task take a server every 2 s for good: 40 starts after the third crash in 96 s. Cause: as on the users' platform, a run that is lost with its server was counted nowhere and put its task back at once; MAX_FAILURES is of failed runs. Change: the owner writes with a lost run that its server came back as another incarnation, how long the run had lived and whether anything else began there lately; the ledger judges by the records alone, puts the next start off, prefers other servers, gives a task a server for itself after two, and gives it up after three crashes soon after the start of which two were alone, with the servers as its reason. A server that only fell silent, or was drained, proves nothing. Why this holds: records of every loss carry the evidence, so whoever owns the server next judges by the same; records without it are read as before.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -11,6 +11,7 @@
 )
 from spoolcrank.jobs import JobClass, Size
 from spoolcrank.ledger import Task
+from spoolcrank.lost_tasks import APART_AFTER, CLOSED_S, SETTLED_S
 from spoolcrank.owned_server import Append, OwnedServer, Phase
 from spoolcrank.placement import Choice, Obstacle, Room
 from spoolcrank.records import JobRefused, Placed
@@ -70,6 +71,7 @@
     actions: list[CoreAction] = []
     blocked: dict[JobId, Obstacle] = {}
     weighed = 0
+    closed = _closed_servers(core, wall)
     for task in queue:
         obstacle = Obstacle.BACKOFF if task.not_before > wall else blocked.get(task.job)
         if obstacle is not None:
@@ -79,7 +81,8 @@
         if weighed == _PLACE_PASS:
             break
         weighed += 1
-        choice = _place_one(core, task, list(rooms.values()), others, now)
+        open_to_it = _open_to(core, task, list(rooms.values()), closed, wall)
+        choice = _place_one(core, task, open_to_it, others, now)
         if choice.server is None:
             if choice.obstacle is not None:
                 core.obstacles[task.id] = choice.obstacle
@@ -91,10 +94,47 @@
         room = rooms[choice.server]
         left = room.free.minus(record.size.resources)
         rooms[choice.server] = room._replace(free=left, probe=False)
+        if task.crashes:
+            closed.add(choice.server)
         actions.append(Append(record))
     return actions
 
 
+def _closed_servers(core: Core, wall: float) -> set[InstanceId]:
+    """Return our servers where a task that may crash them began lately, or is about to."""
+    ledger = core.ledger
+    closed = set()
+    for owned in core.owned.values():
+        about = any(ledger.tasks[task].crashes for task in owned.placing)
+        if about or any(
+            task.crashes and wall - task.since < CLOSED_S for task in ledger.placed_at(owned.server)
+        ):
+            closed.add(owned.server)
+    return closed
+
+
+def _open_to(
+    core: Core, task: Task, rooms: list[Room], closed: set[InstanceId], wall: float
+) -> list[Room]:
+    """Return the rooms that a task may have: one under which servers crashed has few beside it.
+
+    After two crashes it goes only where nothing began lately, so that the next one proves
+    something, and where the least runs.
+    """
+    free = [room for room in rooms if room.server not in closed]
+    if len(task.crashes) < APART_AFTER:
+        return free
+    quiet = [room for room in free if _is_quiet(core, room.server, wall)]
+    fewest = min((len(core.ledger.placed_at(room.server)) for room in quiet), default=0)
+    return [room for room in quiet if len(core.ledger.placed_at(room.server)) == fewest]
+
+
+def _is_quiet(core: Core, server: InstanceId, wall: float) -> bool:
+    if core.owned[server].placing:
+        return False
+    return all(wall - task.since >= SETTLED_S for task in core.ledger.placed_at(server))
+
+
 def _place_one(
     core: Core,
     task: Task,
--- a/spoolcrank/explain.py
+++ b/spoolcrank/explain.py
@@ -259,6 +259,7 @@
         "attempt": task.attempt,
         "evictions": task.evictions,
         "failures": task.failures,
+        "servers_crashed": [one.server for one in task.crashes],
         "instance": task.server or "",
         "epoch": task.epoch,
         "owner": claim.owner if claim else "",
--- a/spoolcrank/ledger.py
+++ b/spoolcrank/ledger.py
@@ -23,6 +23,7 @@
     Team,
 )
 from spoolcrank.jobs import JobSpec, Size, TaskState
+from spoolcrank.lost_tasks import Crash
 from spoolcrank.records import (
     KeyDone,
 )
@@ -46,6 +47,7 @@
     failures: int = 0
     evictions: int = 0
     failed_on: list[InstanceId] = []
+    crashes: list[Crash] = []
 
 
 class Job(BaseModel):
--- a/spoolcrank/ledger_records.py
+++ b/spoolcrank/ledger_records.py
@@ -11,6 +11,7 @@
 )
 from spoolcrank.jobs import ENDED, JobClass, JobSpec, TaskState
 from spoolcrank.ledger import Claim, Drain, Job, Key, Ledger, Task, Verdict, Writer
+from spoolcrank.lost_tasks import is_guilty, pause_s, with_crash
 from spoolcrank.records import (
     Claimed,
     DeclaredLost,
@@ -138,16 +139,23 @@
     task.server = None
     task.since = at
     task.not_before = 0.0
+    if rec.crash is not None:
+        task.crashes = with_crash(task.crashes, rec.crash)
+    elif rec.how != "lost":
+        # It ended while its server lived on.
+        task.crashes = []
     task.state, task.reason = _next_state(task, rec, spec, job.cancelled_by is not None)
     if rec.how == "failed":
         task.failures += 1
-        if rec.server not in task.failed_on:
-            task.failed_on.append(rec.server)
+    if (rec.how == "failed" or rec.crash is not None) and rec.server not in task.failed_on:
+        task.failed_on.append(rec.server)
     if rec.how == "evicted":
         task.evictions += 1
     if task.state is TaskState.PENDING and rec.how in ("failed", "refused", "finished"):
         steps = min(task.failures + (rec.how == "refused"), len(RESTART_BACKOFF_S) - 1)
         task.not_before = at + RESTART_BACKOFF_S[steps]
+    if task.state is TaskState.PENDING and rec.crash is not None:
+        task.not_before = at + pause_s(len(task.crashes))
     _close_if_ended(job, task)
     ledger._enter(task)
 
@@ -167,6 +175,9 @@
         return _next_once_only(rec, why)
     if rec.how == "failed" and not watcher and task.failures + 1 >= MAX_FAILURES:
         return TaskState.FAILED, f"failed {MAX_FAILURES} times, last on {rec.server}: {why}"
+    if is_guilty(task.crashes):
+        servers = ", ".join(one.server for one in task.crashes)
+        return TaskState.FAILED, f"given up: servers crash soon after they start it: {servers}"
     return TaskState.PENDING, f"attempt {rec.attempt} on {rec.server} {rec.how}"
 
 
--- a/spoolcrank/owned_server.py
+++ b/spoolcrank/owned_server.py
@@ -54,6 +54,7 @@
     report_sent_at: float = float("-inf")
     adopted_at: float = float("inf")
     contacted_at: float | None = None
+    former_heard_at: float | None = None
     last_renew_at: float = float("-inf")
     next_at: float = float("-inf")
     seq: int = 0
--- a/spoolcrank/records.py
+++ b/spoolcrank/records.py
@@ -21,6 +21,7 @@
     TaskId,
 )
 from spoolcrank.jobs import JobSpec, Size
+from spoolcrank.lost_tasks import Crash
 
 CONTROL_STREAM = "spoolcrank"
 CONFIG_STREAM = "config"
@@ -81,7 +82,8 @@
 class Ended(_Base):
     """An attempt ended, as the server's own list of ended attempts shows.
 
-    `how` is one of finished, failed, evicted, stopped, lapsed, refused and lost.
+    `how` is one of finished, failed, evicted, stopped, lapsed, refused and lost. `crash` stands
+    where it was lost as its server crashed.
     """
 
     kind: Literal["end"] = "end"
@@ -92,6 +94,7 @@
     how: str
     checkpoint: dict[str, Any] | None = None
     reason: str = ""
+    crash: Crash | None = None
 
 
 class KeyTaken(_Base):
--- a/spoolcrank/servers.py
+++ b/spoolcrank/servers.py
@@ -11,6 +11,7 @@
 from spoolcrank.ids import NO_EPOCH, TaskId
 from spoolcrank.jobs import JobClass, TaskState
 from spoolcrank.ledger import Ledger, Task
+from spoolcrank.lost_tasks import SETTLED_S, UNKNOWN_S, Crash
 from spoolcrank.owned_server import Action, Append, OwnedServer, Phase, Send, Situation
 from spoolcrank.policy import Policy
 from spoolcrank.records import Ended, Placed
@@ -85,6 +86,8 @@
     restarted = owned.report is not None and report.incarnation != owned.incarnation
     if owned.phase is not Phase.READY or restarted:
         owned.adopted_at = now
+    if restarted:
+        owned.former_heard_at = owned.contacted_at
     owned.phase = Phase.READY
     owned.report = report
     owned.report_sent_at = sent_at
@@ -166,7 +169,29 @@
     return append_end(owned, end, now)
 
 
-def append_end(owned: OwnedServer, end: EndedTask, now: float) -> list[Action]:
+def _lose(
+    owned: OwnedServer, ledger: Ledger, task: Task, policy: Policy, now: float
+) -> list[Action]:
+    """Record that an attempt went with its server's last incarnation, and what was beside it."""
+    reason = f"{owned.server} started anew"
+    lost = EndedTask(task=task.id, attempt=task.attempt, how="lost", reason=reason)
+    started = owned.starts.get(task.id)
+    # An owner that placed it and never told the server has seen nothing of it.
+    untold = started is None and task.epoch == owned.epoch
+    if untold or owned.server in ledger.drains:
+        return append_end(owned, lost, now)
+    others = [one for one in ledger.placed_at(owned.server) if one.id != task.id]
+    alone = all(task.since - one.since >= SETTLED_S and not one.crashes for one in others)
+    lived_s = UNKNOWN_S
+    if started is not None and owned.former_heard_at is not None:
+        lived_s = max(0.0, owned.former_heard_at + policy.leases.renew_s - started)
+    crash = Crash(server=owned.server, lived_s=lived_s, alone=alone)
+    return append_end(owned, lost, now, crash)
+
+
+def append_end(
+    owned: OwnedServer, end: EndedTask, now: float, crash: Crash | None = None
+) -> list[Action]:
     """Have the end of an attempt recorded, once in a while until the log shows it."""
     ref = AttemptRef(task=end.task, attempt=end.attempt)
     appended = owned.ends.get(ref)
@@ -181,6 +206,7 @@
         how=end.how,
         checkpoint=end.checkpoint,
         reason=end.reason,
+        crash=crash,
     )
     return [Append(record)]
 
@@ -196,9 +222,7 @@
     if situation.read_at <= owned.adopted_at or task.epoch == NO_EPOCH:
         return []
     if task.server_incarnation != owned.incarnation:
-        reason = f"{owned.server} started anew"
-        lost = EndedTask(task=task.id, attempt=task.attempt, how="lost", reason=reason)
-        return append_end(owned, lost, now) if situation.log_ok else []
+        return _lose(owned, ledger, task, policy, now) if situation.log_ok else []
     if owned.starts.get(task.id, float("-inf")) >= owned.report_sent_at:
         return []
     if ledger.jobs[task.job].cancelled_by is not None:
