--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -106,6 +106,9 @@
         self.gang_jobs: set[str] = set()
         self.back_s = BACK_S
         self.carried_out_late = False
+        self.refused: dict[str, OrderResult] = {}
+        self.failing: dict[str, float] = {}
+        self.hanging: set[str] = set()
         self.crashes: dict[TaskKey, list[float]] = defaultdict(list)
         self.asked: Counter[str] = Counter()
         self.decoded: list[str] = []
@@ -132,6 +135,10 @@
 
         self.at(self.random.uniform(*self.back_s) if back_s is None else back_s, back)
 
+    def stay(self) -> set[str]:
+        """Return the jobs whose tasks do not end by themselves."""
+        return self.lasting_jobs | self.hanging
+
     def _break(self, gangs: set[tuple[Any, ...]]) -> None:
         """End the members of gangs of which one went with its runner."""
         for runner in self.runners.values():
@@ -173,6 +180,9 @@
         if runner.alive:
             act(runner)
         self.carried_out_late = False
+        self.refused: dict[str, OrderResult] = {}
+        self.failing: dict[str, float] = {}
+        self.hanging: set[str] = set()
 
     def again(self, act: Callable[[], object]) -> None:
         """Carry a call out once more, later, as it may be over connections that fell silent."""
@@ -408,7 +418,11 @@
                 self.end(key, EndKind.LAPSED)
             elif task.stop_at is not None and self.world.now >= task.stop_at:
                 self.end(key, EndKind.STOPPED)
-            elif not self.hangs and key.job not in self.world.lasting_jobs:
+            elif task.worked_s >= self.world.failing.get(key.job, math.inf):
+                self.end(key, EndKind.FAILED)
+            elif key.job in self.world.failing:
+                task.worked_s += 0.02
+            elif not self.hangs and key.job not in self.world.stay():
                 task.worked_s += 0.02
                 if task.worked_s >= task.work_s:
                     self.end(key, EndKind.FAILED if self.fails else EndKind.DONE)
@@ -437,6 +451,8 @@
         if self.clock_ms > order.until_ms:
             return OrderResult.LATE
         held = self.tasks.get(key)
+        if key.job in self.world.refused:
+            return self.world.refused[key.job]
         if held is not None and held.run == order.run:
             return OrderResult.DONE
         if held is not None or order.run <= self.above.get(key, 0):
