Blame a task, not runner after runner, for ends that nobody counts

Cause: each such end spoke against the runner alone, and the task went out again at once. Class: that of tasks that crash their runners. Change: the first two runners are blamed as before; where one task meets it on a third it is the task, which waits longer each time, up to 2 s. A run that was at work for 5 s clears it. Why this holds: what a sound runner does to one task it does not do to others, so two runners are enough to tell.

--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -27,6 +27,8 @@
     """One task: where it stands, its newest run, checkpoint, failures and crashes of runners.
 
     `refused_by` is the runner that it failed on last; a retry prefers another.
+    `odd_ends` counts runs that were refused, stood still or failed, `odd_on` names the runners that
+    were blamed for that; both of this leader's term.
     `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
     `preassigned` is the runner that the records give the next run to, once `preassigned_kept`.
     """
@@ -38,6 +40,8 @@
     failures: int = 0
     crashes: tuple[CrashMark, ...] = ()
     refused_by: RunnerId = NO_RUNNER
+    odd_ends: int = 0
+    odd_on: tuple[RunnerId, ...] = ()
     not_before: float = 0.0
     wanted: RunnerId = NO_RUNNER
     wanted_until: float = 0.0
--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -4,6 +4,7 @@
 stays where it is until a report of its runner says more.
 """
 
+from spoolcrank.odd_ends import blames_runner
 from spoolcrank.orders import Answered, OrderResult, Pace, Start, Stop
 from spoolcrank.pacing import SETTLE_S
 from spoolcrank.runner_loss import lose_runner
@@ -11,6 +12,10 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL
 
+REFUSALS = frozenset(OrderResult) - {OrderResult.NOT_DONE, OrderResult.OUTRANKED}
+"""Answers to a start by which a runner that is well reached says no."""
+
+
 # Starts
 
 
@@ -64,11 +69,12 @@
         runner.missed(now)
     elif result is OrderResult.OUTRANKED:
         runner.adopted = False
-    else:
-        runner.distrust(now)
     job = state.jobs.get(start.task.job)
     if job is not None and job.has(start.task):
-        job.task(start.task).refused_by = runner.id
+        task = job.task(start.task)
+        task.refused_by = runner.id
+        if result in REFUSALS and blames_runner(task, runner, runner.runs[start.task], now):
+            runner.distrust(now)
     state.release(start.task, runner, f"start refused: {result.value}", now)
 
 
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -7,7 +7,9 @@
 """
 
 from spoolcrank.apart import reopen
+from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
+from spoolcrank.odd_ends import blames_runner
 from spoolcrank.orders import (
     EndedRow,
     OrderResult,
@@ -196,12 +198,20 @@
     if row.how.value == "done":
         runner.trust()
     elif row.how.value == "failed":
+        task = _task_of(state, row.task)
+        if task is not None and not blames_runner(task, runner, run, now):
+            return
         runner.odd_failures += 1
         if runner.odd_failures >= 2:
             runner.distrust(now)
             state.note("runner-distrusted", runner=runner.id, failures=runner.odd_failures)
 
 
+def _task_of(state: Scheduler, key: TaskKey) -> TaskState | None:
+    job = state.jobs.get(key.job)
+    return job.task(key) if job is not None and job.has(key) else None
+
+
 def _take_running(state: Scheduler, runner: RunnerState, row: RunningRow, now: float) -> None:
     run = runner.runs.get(row.task)
     if run is None or run.number != row.run:
@@ -351,6 +361,7 @@
     # Only time that reports have covered says anything.
     if run.reported_at - max(run.moved_at, run.since) >= patience_s:
         state.note("task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent)
-        runner.distrust(now)
+        if blames_runner(job.task(key), runner, run, now):
+            runner.distrust(now)
         job.task(key).refused_by = runner.id
         state.stop_run(key, runner.id, now)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -283,7 +283,7 @@
         if how is EndKind.FAILED:
             task.refused_by = runner.id
             if step.spec.lasting:
-                task.not_before = now + RETRY_S
+                task.not_before = max(task.not_before, now + RETRY_S)
         self._wait_again(job, key, task)
         if how is EndKind.FAILED and not step.spec.lasting:
             self._count_failure(job, step.accountable(key.number), now)
