Count crashes of runners that come back elsewhere, or never

Change: a runner that fell silent until every lease had passed, and whose entry went, counts until it answers again; one that keeps its entry is cut off from us only and does not count at all. Crashes that are only suspected raise the rate of plain crashes too, so that a cut of a whole zone blames nobody.

--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -144,9 +144,8 @@
         marks: of the task.
         crashes_per_s: how often one runner crashes, without the task.
     """
-    proved = [one for one in marks if one.proved]
-    alone = [one for one in proved if one.alone]
-    if len(proved) < LEAST_CRASHES or len(alone) < LEAST_ALONE:
+    alone = [one for one in marks if one.alone]
+    if len(marks) < LEAST_CRASHES or len(alone) < LEAST_ALONE:
         return False
     if len(marks) >= SURELY_CRASHES and all(one.lived_ms <= SOON_S * 1000.0 for one in marks):
         return True
@@ -154,7 +153,7 @@
         # What crashes again and again on one machine may be the machine.
         return False
     # All that are known count: a run is the more often alone the shorter it has lived.
-    lived_s = [max(LEAST_LIVED_S, one.lived_ms / 1000.0) for one in proved if one.lived_ms]
+    lived_s = [max(LEAST_LIVED_S, one.lived_ms / 1000.0) for one in marks if one.lived_ms]
     return chance_of(len(lived_s), crashes_per_s * sum(lived_s)) <= UNLIKELY
 
 
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -1,8 +1,9 @@
 """Take note of runners that crashed, and count it against what ran there.
 
 A crash is the end of an incarnation without notice. It is proved once another incarnation answers
-at its address; where that comes after the leases have passed, and the tasks are out again, it
-counts then. Who drained and left, or lives and was only cut off, has not crashed.
+at its address. One that fell silent until every lease had passed, and whose entry went, counts too
+until it answers again: it may be back elsewhere, or never. Who drained and left, or lives and was
+only cut off, has not crashed.
 """
 
 from collections.abc import Iterable
@@ -51,12 +52,15 @@
 
 def leases_passed(state: Scheduler, runner: RunnerState, now: float) -> None:
     """Release what was on a runner that nobody has heard of until every lease had passed."""
-    doubted = [] if _planned(runner, now) else _marks(state, runner, now, proved=False)
+    # One that keeps its entry in the list lives, and is only cut off from us.
+    over = not runner.listed and not _planned(runner, now)
+    doubted = _marks(state, runner, now, proved=False) if over else []
     for key in list(runner.runs):
         state.release(key, runner, "every lease has passed", now)
     for key, mark in doubted:
         _count(state, key, mark, now)
     if doubted:
+        state.crashes.add(Crash(now, frozenset(key for key, _ in doubted)))
         state.crashes.doubt(runner.id, runner.entry.address, (key for key, _ in doubted))
 
 
@@ -77,7 +81,6 @@
     doubt = state.crashes.doubts.pop(runner, None)
     if doubt is None:
         return
-    state.crashes.add(Crash(now, frozenset(doubt.tasks)))
     for key in doubt.tasks:
         task = _accountable(state, key)
         for mark in task.crashes if task is not None else ():
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import os
+import random
 import sys
 import threading
 import time
@@ -17,6 +19,8 @@
 TICK_S = 0.02
 STOP_S = 0.3
 HOLD_MAX_MS = 10_000
+CRASH_S = (0.02, 0.4)
+"""Within that after its start a task whose payload says so brings its runner down, s."""
 
 
 class Task:
@@ -124,6 +128,8 @@
             return 409, {"reason": reason, "clockMs": self.clock_ms}
         self.tasks[name] = Task(run, body["spec"].startswith("lasting"))
         self.write("start", name, run, body["spec"])
+        if body["spec"].startswith("crashing"):
+            threading.Timer(random.uniform(*CRASH_S), os._exit, [1]).start()
         return 200, {"clockMs": self.clock_ms}
 
     def _stop(self, body: dict[str, Any]) -> tuple[int, Any]:
