Read logs in parts that leave a shared link to orders and polls

Cause: a read asked for up to 320 kB, chosen for an instance's own link. The 24 instances of the far region share one of 30 Mbit/s with the leader's polls and orders; a hundred jobs at once are 11 MB, and what did not begin within 0.3 s was asked for again. Runners were unheard for over a lease and their runs started elsewhere. A record that is larger than a read is asked for whole. The test of what is sent again answered its read with a body of another call, which is now taken for a record that does not fit; it gets a read's answer, its assertions are unchanged. Why this holds: whatever shares the link, a follower that is held up asks for less.

--- a/spoolcrank/platform/store.py
+++ b/spoolcrank/platform/store.py
@@ -1,6 +1,7 @@
 """Reach one keyed log of the platform's store over HTTP."""
 
 import struct
+import time
 from collections.abc import Callable, Iterator
 from urllib.parse import urlencode
 
@@ -9,6 +10,7 @@
 from spoolcrank._http import HttpCall, HttpClient, HttpResult
 from spoolcrank.ids import Address
 from spoolcrank.keyed_log import KeyedRecord
+from spoolcrank.read_window import MOST_KB, ReadWindow
 from spoolcrank.reading import Unreadable, reader
 from spoolcrank.store_port import (
     CALL_S,
@@ -29,10 +31,6 @@
 first answer. It is above the answers of a slow store that were seen (0.24) and lets the leader be
 heard again within the 1.3 s after which others claim."""
 
-READ_KB = 320
-"""Of one read, kB: more than the largest record (256), and half a second on the slowest links
-seen (5 Mbit/s)."""
-
 _PRODUCER = "leader"
 _LENGTH = struct.Struct(">I")
 _SPAN = struct.Struct(">QQ")
@@ -75,6 +73,7 @@
         address: of the store.
         name: of the topic, without what makes it a keyed one.
         on_unreadable: told why an item of a page is left out.
+        clock: monotonic seconds.
     """
 
     def __init__(
@@ -83,7 +82,10 @@
         address: Address,
         name: str,
         on_unreadable: Callable[[str], None] = _pass_over,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
+        self._window = ReadWindow()
         self._on_unreadable = on_unreadable
         self._http = http
         self._address = address
@@ -103,12 +105,29 @@
 
     def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
         """Read from an offset on; waits for a first record."""
-        query = {**self._topic, "fromRev": str(from_offset), "max_kb": str(READ_KB)}
+        asked_at = self._clock()
+
+        def answered(got: HttpResult) -> None:
+            records = _records(got, from_offset)
+            if records.outcome is ReadOutcome.FAILED:
+                self._window.failed()
+            elif records.end > from_offset + len(records.records):
+                self._window.full(self._clock() - asked_at)
+            if records.records or records.end <= from_offset:
+                done(records)
+            else:
+                # One record alone is larger than the read.
+                self._ask(from_offset, MOST_KB, 0, lambda got: done(_records(got, from_offset)))
+
+        self._ask(from_offset, self._window.kb, wait_ms, answered)
+
+    def _ask(
+        self, from_offset: int, most_kb: int, wait_ms: int, done: Callable[[HttpResult], None]
+    ) -> None:
+        query = {**self._topic, "fromRev": str(from_offset), "max_kb": str(most_kb)}
         if wait_ms:
             query["waitMs"] = str(wait_ms)
-        self._send(
-            "GET", "log-read", query, b"", wait_ms, lambda got: done(_records(got, from_offset))
-        )
+        self._send("GET", "log-read", query, b"", wait_ms, done)
 
     def newest(self, after_key: str, done: Callable[[NewestPage], None]) -> None:
         """List the newest record of each key."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import tomllib
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 
@@ -23,6 +24,7 @@
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import read_settings
 from spoolcrank.platform.store import StoreLog
+from spoolcrank.read_window import ReadWindow
 from spoolcrank.runner_directory import Listing
 from spoolcrank.runner_listing import list_runners
 from spoolcrank.scheduler import Scheduler
@@ -102,6 +104,23 @@
     assert told[1].outcome is ReadOutcome.EXPIRED
 
 
+def test_a_record_that_is_larger_than_a_read_is_asked_for_whole() -> None:
+    http = Http(answer(200, struct.pack(">QQ", 12, 0)))
+    StoreLog(http, STORE, "jobs").read(10, 700, lambda got: None)
+    asked = [parse_qs(urlsplit(call.path).query) for call in http.calls]
+    assert [one["max_kb"] for one in asked] == [["32"], ["320"]]
+    assert "waitMs" not in asked[1]
+
+
+def test_reads_grow_only_while_full_answers_come_at_once() -> None:
+    window = ReadWindow()
+    for took_s, kb in ((0.05, 64), (0.05, 128), (0.2, 128), (0.4, 64), (0.05, 128)):
+        window.full(took_s)
+        assert window.kb == kb
+    window.failed()
+    assert window.kb == 32
+
+
 def test_the_newest_records_are_listed_by_pages() -> None:
     page = {"items": [{"key": "a", "value": "b25l", "offset": 4}], "more": True, "end": 6}
     told: list[Any] = []
@@ -118,6 +137,7 @@
     log = StoreLog(http, STORE, "jobs")
     log.append(Append([KeyedRecord("j/a", b"one")]), lambda got: None)
     log.append(Append([KeyedRecord("p/a", b"one")], WriterFence(3, 5)), lambda got: None)
+    http.result = answer(200, struct.pack(">QQ", 10, 0))
     log.read(10, 700, lambda got: None)
     assert [call.again_s is not None for call in http.calls] == [False, True, True]
     heartbeat, silent = leadership.HEARTBEAT_S, leadership.SILENT_S
--- a/tests/test_shared_link.py
+++ b/tests/test_shared_link.py
@@ -118,7 +118,7 @@
     followers = []
     for _ in range(FOLLOWERS):
         http: Any = Http(link)
-        log = StoreLog(http, Address("10.0.0.9:80"), "jobs")
+        log = StoreLog(http, Address("10.0.0.9:80"), "jobs", clock=lambda: link.now)
         follower = LogFollower(log, timers, lambda: link.now, lambda news: None, lambda *_: None)
         follower.begin()
         followers.append(follower)
