Start nothing more in a zone that the operator empties

Change: the zones are taken from the newest records of the operator's log, the leader starts nothing on runners there, also what was bound and not sent; what runs goes on, and a new leader knows it from its own copy.

--- a/spoolcrank/apart.py
+++ b/spoolcrank/apart.py
@@ -56,8 +56,10 @@
         held.apart_for = key
         held.apart_since = now
         state.note("suspect-apart", task=key, runner=held.id, beside=len(held.runs))
-    if not held.answers(now) or not score(
-        request, request.step.demand, held, state.contention, now
+    if (
+        held.emptied
+        or not held.answers(now)
+        or not score(request, request.step.demand, held, state.contention, now)
     ):
         held.apart_for = None
         return Place(None, held_back=True)
--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -63,9 +63,10 @@
         return
     if run.stage is not RunStage.RECORDED:
         return
-    if runner.leaves(now):
-        # It began to leave while the start waited: nobody has ordered it, so it may go elsewhere.
-        state.release(bound.task, runner, "its runner leaves", now)
+    if runner.leaves(now) or runner.emptied:
+        # It came to that while the start waited: nobody has ordered it, so it may go elsewhere.
+        why = "its zone is emptied" if runner.emptied else "its runner leaves"
+        state.release(bound.task, runner, why, now)
         return
     run.stage = RunStage.ORDERED
     run.since = now
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -14,6 +14,7 @@
 from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, order_starts, take_batch
 from spoolcrank.claiming import Claiming
 from spoolcrank.gathering import Gathering
+from spoolcrank.ids import AvailabilityZone
 from spoolcrank.keyed_log import (
     LEADER_KEY,
     LEADERS_OWN,
@@ -99,6 +100,7 @@
         self._heir = NO_HEIR
         self._watch = LeadWatch(clock())
         self._on_left: Callable[[], None] | None = None
+        self._emptied: frozenset[AvailabilityZone] = frozenset()
         self._routes: Mapping[RouteName, RoutePolicy] = {}
         timers.every(TICK_S, self._tick)
         timers.every(LINES_EVERY_S, lambda: self._lines.write(telemetry.log, clock()))
@@ -110,6 +112,16 @@
             self.scheduler.routes = dict(routes)
             self._relist()
 
+    def empty_zones(self, zones: frozenset[AvailabilityZone]) -> None:
+        """Take the zones in which the operator wants nothing more to start."""
+        if zones == self._emptied:
+            return
+        self._emptied = zones
+        self._telemetry.log("zones-emptied", grave=True, zones=sorted(zones))
+        if self.scheduler is not None:
+            self.scheduler.empty_zones(zones)
+            self._wake()
+
     def leave(self, done: Callable[[], None]) -> None:
         """Give the leadership up, if it is held, and tell when that is kept."""
         self._leaving = True
@@ -203,6 +215,7 @@
         scheduler = Scheduler(term, now, self.leadership.predecessor_wrote_at, self._lease_ms)
         scheduler.routes = dict(self._routes)
         scheduler.without = self._without
+        scheduler.empty_zones(self._emptied)
         self.scheduler = scheduler
         # The claim counts from when it was sent: successors reckon from when it was kept, and this
         # instance may read it back much later.
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -21,7 +21,7 @@
 from spoolcrank.mechanisms import Mechanism, switched_off
 from spoolcrank.planned_stop import stop_times
 from spoolcrank.platform.clients import ClientApi
-from spoolcrank.platform.documents import configuration_of, runner_of
+from spoolcrank.platform.documents import configuration_of, emptied_zones, runner_of
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import FILE_VARIABLE, PlatformSettings, read_settings
 from spoolcrank.platform.store import StoreLog
@@ -127,6 +127,7 @@
         self.dispatcher.on_news(records)
 
     def _on_operator_news(self, records: list[KeyedRecord]) -> None:
+        self.dispatcher.empty_zones(emptied_zones(self._configuration.copy))
         for record in records:
             if record.key != _CONFIGURATION_KEY or not record.value:
                 continue
--- a/spoolcrank/platform/documents.py
+++ b/spoolcrank/platform/documents.py
@@ -7,6 +7,7 @@
 
 from spoolcrank.errors import ErrorKind, Refusal, SpoolcrankError
 from spoolcrank.ids import Address, AvailabilityZone, ServiceName
+from spoolcrank.keyed_log import KeyedLog
 from spoolcrank.reading import reader
 from spoolcrank.routes import Route, RouteTable
 from spoolcrank.runner_state import RunnerEntry
@@ -94,6 +95,7 @@
     interval_ms: float = msgspec.field(name="intervalMs", default=0)
 
 
+_EMPTY_ZONE = "evacuate/"
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
 _decode_server = msgspec.json.Decoder(_Server).decode
 _decode_job = msgspec.json.Decoder(_Job).decode
@@ -121,6 +123,15 @@
     return RouteTable(raw.version, routes)
 
 
+def emptied_zones(copy: KeyedLog) -> frozenset[AvailabilityZone]:
+    """Return the zones that the operator wants nothing more to start in, by the newest records."""
+    return frozenset(
+        AvailabilityZone(key.removeprefix(_EMPTY_ZONE))
+        for key, record in copy.newest.items()
+        if key.startswith(_EMPTY_ZONE) and record.value
+    )
+
+
 def runner_of(runner: str, value: bytes) -> RunnerEntry:
     """Read the entry that a runner keeps of itself; raises Unreadable for any other's."""
     raw = _server_of(value)
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -68,7 +68,8 @@
 def _list_runner(state: Scheduler, entry: RunnerEntry, now: float) -> None:
     held = state.runners.get(entry.id)
     if held is None:
-        state.runners[entry.id] = RunnerState(entry, lease_ms=state.lease_ms)
+        emptied = entry.availability_zone in state.emptied
+        state.runners[entry.id] = RunnerState(entry, lease_ms=state.lease_ms, emptied=emptied)
         state.note("runner-listed", runner=entry.id, leaving=entry.leaving)
         return
     if not _names(entry, held):
@@ -76,6 +77,7 @@
     if held.entry.leaving != entry.leaving:
         state.note("runner-leaving", runner=entry.id, leaving=entry.leaving)
     held.entry = entry
+    held.emptied = entry.availability_zone in state.emptied
     held.listed = True
     held.withdrawn_at = None
     held.gone_from = None
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -198,6 +198,7 @@
         seen_next: as `seen`, once what is being recorded now is kept.
         silent_since: when it stopped answering; None while it answers.
         rivals: ids of other entries at its address that it was asked about.
+        emptied: the operator wants nothing more to start in its zone.
         apart_for: the suspect that has it for itself for a while; nothing else starts there.
         apart_since: when it was set aside for that.
         withdrawn_at: when its entry went while it still answered, as before a planned end.
@@ -220,6 +221,7 @@
     seen_next: int = 0
     silent_since: float | None = None
     rivals: frozenset[RunnerId] = NOBODY
+    emptied: bool = False
     apart_for: TaskKey | None = None
     apart_since: float = 0.0
     withdrawn_at: float | None = None
@@ -297,7 +299,7 @@
 
     def reachable(self, now: float) -> bool:
         """Tell whether new work may go there, though it may have failed oddly a moment ago."""
-        return self.apart_for is None and self.answers(now)
+        return self.apart_for is None and not self.emptied and self.answers(now)
 
     def answers(self, now: float) -> bool:
         """Tell whether it is well known to answer, and to stay."""
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -11,7 +11,7 @@
 
 from spoolcrank.contention import Contention
 from spoolcrank.crash_record import CrashRecord, starts_apart
-from spoolcrank.ids import JobId, ServiceName
+from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
 from spoolcrank.mechanisms import Mechanism
@@ -90,6 +90,7 @@
         self.reserve = 0
         self.short_demand = 0.0
         self.forecast_at = now
+        self.emptied: frozenset[AvailabilityZone] = frozenset()
         self.orders: list[Order] = []
         self.notes: list[Note] = []
         self.ready: dict[JobId, None] = {}
@@ -227,6 +228,12 @@
 
     # Runners
 
+    def empty_zones(self, zones: frozenset[AvailabilityZone]) -> None:
+        """Start nothing more in some zones; what runs there goes on."""
+        self.emptied = zones
+        for runner in self.runners.values():
+            runner.emptied = runner.entry.availability_zone in zones
+
     def target(self, runner: RunnerState) -> Target:
         """Return where orders to a runner go."""
         return Target(runner.id, runner.entry.address, self.term)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -221,7 +221,7 @@
         return RunnerEntry(
             RunnerId(key),
             Address(runner.name),
-            AvailabilityZone("a"),
+            AvailabilityZone(runner.zone),
             SERVICE,
             Demand(runner.millicores, 64_000, 0),
             frozenset({"rack-1"}),
@@ -391,6 +391,7 @@
         self.name = name
         self.id = life
         self.millicores = millicores
+        self.zone = "a"
         self.alive = True
         self.begun = world.now
         self.fence = 0
