--- a/bench/placing.py
+++ b/bench/placing.py
@@ -13,7 +13,8 @@
 
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.placing import place
-from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerEntry, RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Demand, JobRecord, RouteName, RunnerId, Step, TaskKey, Workflow
 
--- a/spoolcrank/apart.py
+++ b/spoolcrank/apart.py
@@ -12,7 +12,8 @@
 from spoolcrank.job_state import TaskState
 from spoolcrank.packing import PlacementRequest, score
 from spoolcrank.runner_loss import SETTLED_S
-from spoolcrank.runner_state import RunnerState, RunStage
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Phase, TaskKey
 
--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -3,7 +3,7 @@
 from spoolcrank.ids import JobId
 from spoolcrank.keyed_log import LEARNT_KEY, KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.learnt import Learnt, encode_learnt
-from spoolcrank.runner_state import RunStage
+from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.unkept import Batch, BoundRun, Unkept
 from spoolcrank.workflow import encode_progress
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -10,9 +10,9 @@
 from functools import partial
 
 from spoolcrank._timers import Timers
-from spoolcrank.backlog import tell_backlog_now_and_then
-from spoolcrank.batching import batch_kept, drop_ended, keep_learnt, order_starts, take_batch
+from spoolcrank.batching import batch_kept, order_starts, take_batch
 from spoolcrank.claiming import Claiming
+from spoolcrank.due_work import do_what_is_due
 from spoolcrank.gathering import Gathering
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.keyed_log import (
@@ -32,12 +32,12 @@
 from spoolcrank.note_lines import LINES_EVERY_S, NoteLines
 from spoolcrank.order_sender import OrderSender
 from spoolcrank.orders import Order, OrderResult, Poll
-from spoolcrank.placing import forecast, place
+from spoolcrank.placing import place
 from spoolcrank.placing_pass import PlacingPass
 from spoolcrank.preassignment import RECORDS_LATE_S, Preassignments
 from spoolcrank.reading import Unreadable
 from spoolcrank.regrouping import Regrouping
-from spoolcrank.run_control import polls_due, tick
+from spoolcrank.run_control import polls_due
 from spoolcrank.runner_directory import RunnerDirectory
 from spoolcrank.runner_listing import list_runners
 from spoolcrank.runner_port import RunnerPort
@@ -260,21 +260,10 @@
                 self._claiming.work(now)
             return
         if self.leadership.may_extend(now):
-            self._guard(scheduler, lambda: self._decide_by_time(scheduler, now))
+            due = partial(do_what_is_due, scheduler, self._preassignments, self._regrouping, now)
+            self._guard(scheduler, due)
         self._work()
 
-    def _decide_by_time(self, scheduler: Scheduler, now: float) -> None:
-        tick(scheduler, now)
-        drop_ended(scheduler, now)
-        keep_learnt(scheduler, now)
-        forecast(scheduler, now)
-        if scheduler.uses(Mechanism.PREASSIGNING):
-            self._preassignments.renew(scheduler, now)
-        tell_backlog_now_and_then(scheduler, now)
-        if scheduler.uses(Mechanism.REGROUPING):
-            for task, source, destination in self._regrouping.moves(scheduler, now):
-                scheduler.move(task, source, destination, now)
-
     def _decide_now(self) -> None:
         scheduler = self.scheduler
         if scheduler is not None:
--- a/spoolcrank/exchanges.py
+++ b/spoolcrank/exchanges.py
@@ -14,7 +14,8 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.packing import open_cores
-from spoolcrank.runner_state import SERVING_USE, Run, RunnerState, RunStage
+from spoolcrank.runner_state import SERVING_USE, RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, Demand, Phase, RunnerId, Step, TaskKey
 
--- a/spoolcrank/filler_pace.py
+++ b/spoolcrank/filler_pace.py
@@ -5,7 +5,8 @@
 
 from spoolcrank.orders import Pace
 from spoolcrank.packing import SMALL_EFFECT
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import TaskKey
 
--- /dev/null
+++ b/spoolcrank/gangs.py
@@ -0,0 +1,70 @@
+"""Place the tasks of a gang, which work only all together."""
+
+from spoolcrank.apart import without_suspects
+from spoolcrank.binding import bind
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState
+from spoolcrank.packing import PlacementRequest, choose
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import RunnerId, TaskKey
+
+
+def place_gang(
+    state: Scheduler,
+    job: JobState,
+    round_number: int,
+    number: int,
+    step: StepState,
+    runners: list[RunnerState],
+    now: float,
+) -> bool:
+    """Bind all tasks of a gang, or none; returns whether it was."""
+    if len(step.waiting) < len(step.tasks):
+        return False
+    racks = [""]
+    if step.spec.same_rack:
+        racks = sorted({label for one in runners for label in one.entry.labels}) + racks
+    run = max(task.run for task in step.tasks) + 1
+    if step.tasks[0].crashes:
+        if step.tasks[0].not_before > now:
+            return False
+        runners = without_suspects(runners)
+    for rack in racks:
+        if _place_members(state, job, round_number, number, step, runners, rack, run, now):
+            return True
+    return False
+
+
+def _place_members(
+    state: Scheduler,
+    job: JobState,
+    round_number: int,
+    number: int,
+    step: StepState,
+    runners: list[RunnerState],
+    rack: str,
+    run: int,
+    now: float,
+) -> bool:
+    held: dict[RunnerId, int] = {}
+    chosen: list[tuple[RunnerState, TaskKey]] = []
+    for index in range(len(step.tasks)):
+        key = TaskKey(job.id, round_number, number, index)
+        runner = choose(
+            PlacementRequest(step.spec, held, NO_RUNNER, rack), runners, state.contention, now
+        )
+        if runner is None:
+            break
+        held[runner.id] = held.get(runner.id, 0) + 1
+        runner.add(key, state.new_run(job, key, run, RunStage.RECORDED, now))
+        chosen.append((runner, key))
+    for runner, key in chosen:
+        runner.remove(key)
+    if len(chosen) < len(step.tasks):
+        return False
+    saved = next((task.saved for task in step.tasks if task.saved), "")
+    for runner, key in chosen:
+        job.task(key).saved = saved
+        bind(state, job, key, run, runner, now)
+    return True
--- a/spoolcrank/odd_ends.py
+++ b/spoolcrank/odd_ends.py
@@ -6,7 +6,8 @@
 """
 
 from spoolcrank.job_state import TaskState
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run, RunStage
 
 MOST_BLAMED = 2
 """Runners that are blamed for the odd ends of one task: one may be unsound, and two by chance."""
--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -8,7 +8,8 @@
 from spoolcrank.orders import Answered, OrderResult, Pace, Start, Stop
 from spoolcrank.pacing import SETTLE_S
 from spoolcrank.runner_loss import lose_runner
-from spoolcrank.runner_state import UNKNOWN_PACE, Run, RunnerState, RunStage
+from spoolcrank.runner_state import UNKNOWN_PACE, RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL
 
--- a/spoolcrank/pacing.py
+++ b/spoolcrank/pacing.py
@@ -7,7 +7,8 @@
 from spoolcrank.orders import Report
 from spoolcrank.packing import SMALL_EFFECT, SURELY_HARMLESS
 from spoolcrank.placing import has_harmless_place
-from spoolcrank.runner_state import Run, RunnerState
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run
 from spoolcrank.scheduler import Scheduler
 
 REPORT_EVERY_S = 0.5
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -4,8 +4,10 @@
 from collections.abc import Mapping
 
 from spoolcrank.apart import place_apart, without_suspects
+from spoolcrank.binding import bind
 from spoolcrank.crash_record import starts_apart
 from spoolcrank.filler_pace import make_way
+from spoolcrank.gangs import place_gang
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
@@ -13,7 +15,7 @@
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import MOST_WEIGHED, Kind, Placed, PlacingPass
 from spoolcrank.ranking import Ranking
-from spoolcrank.runner_state import RunnerState, RunStage
+from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import NoPlace, Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
 
@@ -254,7 +256,7 @@
 ) -> Placed:
     if step.spec.gang:
         current.left -= len(runners) * len(step.tasks)
-        found = _place_gang(state, job, round_number, number, step, runners, now)
+        found = place_gang(state, job, round_number, number, step, runners, now)
         if found:
             one = state.start_bytes(TaskKey(job.id, round_number, number, 0))
             current.bytes_left -= one * len(step.tasks)
@@ -299,7 +301,7 @@
                 continue
             return Placed.NO_PLACE
         held[runner.id] = held.get(runner.id, 0) + 1
-        state.bind(job, key, task.run + 1, runner, now)
+        bind(state, job, key, task.run + 1, runner, now)
         current.bytes_left -= state.start_bytes(key)
         if step.spec.target_ms and state.uses(Mechanism.MAKING_WAY):
             make_way(state, runner, step.spec.image, now)
@@ -343,65 +345,6 @@
     return found
 
 
-def _place_gang(
-    state: Scheduler,
-    job: JobState,
-    round_number: int,
-    number: int,
-    step: StepState,
-    runners: list[RunnerState],
-    now: float,
-) -> bool:
-    if len(step.waiting) < len(step.tasks):
-        return False
-    racks = [""]
-    if step.spec.same_rack:
-        racks = sorted({label for one in runners for label in one.entry.labels}) + racks
-    run = max(task.run for task in step.tasks) + 1
-    if step.tasks[0].crashes:
-        if step.tasks[0].not_before > now:
-            return False
-        runners = without_suspects(runners)
-    for rack in racks:
-        if _place_members(state, job, round_number, number, step, runners, rack, run, now):
-            return True
-    return False
-
-
-def _place_members(
-    state: Scheduler,
-    job: JobState,
-    round_number: int,
-    number: int,
-    step: StepState,
-    runners: list[RunnerState],
-    rack: str,
-    run: int,
-    now: float,
-) -> bool:
-    held: dict[RunnerId, int] = {}
-    chosen: list[tuple[RunnerState, TaskKey]] = []
-    for index in range(len(step.tasks)):
-        key = TaskKey(job.id, round_number, number, index)
-        runner = choose(
-            PlacementRequest(step.spec, held, NO_RUNNER, rack), runners, state.contention, now
-        )
-        if runner is None:
-            break
-        held[runner.id] = held.get(runner.id, 0) + 1
-        runner.add(key, state.new_run(job, key, run, RunStage.RECORDED, now))
-        chosen.append((runner, key))
-    for runner, key in chosen:
-        runner.remove(key)
-    if len(chosen) < len(step.tasks):
-        return False
-    saved = next((task.saved for task in step.tasks if task.saved), "")
-    for runner, key in chosen:
-        job.task(key).saved = saved
-        state.bind(job, key, run, runner, now)
-    return True
-
-
 def has_harmless_place(state: Scheduler, key: TaskKey, away_from: RunnerId, now: float) -> bool:
     """Tell whether a filler could work somewhere else without slowing what serves."""
     job = state.jobs[key.job]
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from spoolcrank.binding import bind, preassign
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState
 from spoolcrank.objective import work_order
 from spoolcrank.packing import PlacementRequest, choose, could_ever_hold, worst_effect
@@ -73,7 +74,7 @@
                     return
                 left -= 1
                 runner = self._runner_for(state, key, step, pool, held, now)
-                state.preassign(job, key, runner)
+                preassign(state, job, key, runner)
                 if runner != NO_RUNNER:
                     held[runner] += 1
 
@@ -149,7 +150,7 @@
                     key = TaskKey(job.id, held.number, number, index)
                     runner = _runner_now(state, job, key, now)
                     if runner is not None:
-                        state.bind(job, key, step.tasks[index].run + 1, runner, now)
+                        bind(state, job, key, step.tasks[index].run + 1, runner, now)
 
 
 def _runner_now(state: Scheduler, job: JobState, key: TaskKey, now: float) -> RunnerState | None:
--- a/spoolcrank/regrouping.py
+++ b/spoolcrank/regrouping.py
@@ -13,7 +13,8 @@
 from spoolcrank.contention import Contention
 from spoolcrank.exchanges import STAY_S, Move, at_work, exchange_tasks
 from spoolcrank.packing import open_cores
-from spoolcrank.runner_state import SERVING_USE, Run, RunnerState
+from spoolcrank.runner_state import SERVING_USE, RunnerState
+from spoolcrank.runs import Run
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, Demand, RunnerId, Step, TaskKey
 
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -20,7 +20,8 @@
 )
 from spoolcrank.pacing import filler_use, learn, set_paces
 from spoolcrank.runner_loss import leases_passed, lose_runner, outlives, runner_answers
-from spoolcrank.runner_state import Run, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import INHERITED_S, Scheduler
 from spoolcrank.workflow import FINAL, JobPhase, TaskKey
 
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -10,7 +10,8 @@
 
 from spoolcrank.crash_record import Crash, clears_after_s, is_guilty, starts_apart, with_mark
 from spoolcrank.job_state import JobState, TaskState
-from spoolcrank.runner_state import Run, RunnerState
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, CrashMark, Phase, RunnerId, TaskKey
 
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -23,15 +23,13 @@
     CLOCK_DRIFT,
     LEASE_MS,
     UNKNOWN_PACE,
-    Promise,
-    Run,
     RunnerState,
-    RunStage,
     unlisted,
 )
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.start_window import START_BYTES, StartWindow
 from spoolcrank.step_times import StepTimes
-from spoolcrank.unkept import BoundRun, Unkept
+from spoolcrank.unkept import Unkept
 from spoolcrank.workflow import (
     FINAL,
     JobPhase,
@@ -47,10 +45,6 @@
 """A runner that this leader never reached runs nothing any more so long after the last write
 of the earlier leader, s: that one extends for SELF_FENCE_S at most, by LEASE_MS at most."""
 
-MOVE_PATIENCE_S = 1.5
-"""A moved task waits so long for room at the runner that it is meant for, s: where two groups
-change places, a stop takes up to 0.9 s."""
-
 RETRY_S = 0.1
 """A lasting task that failed starts again after so long, s; at once would spin."""
 
@@ -358,48 +352,6 @@
         self.starts.sent(key, run.number, START_BYTES + len(payload) + len(task.saved), now)
         self.orders.append(Start(target, key, run.number, payload, task.saved, until_ms))
 
-    # Binding
-
-    def bind(
-        self, job: JobState, key: TaskKey, number: int, runner: RunnerState, now: float
-    ) -> None:
-        """Bind a waiting task to a runner; its start follows once that is kept."""
-        step = job.rounds[key.round].steps[key.step]
-        task = step.tasks[key.number]
-        step.waiting.pop(key.number, None)
-        meant = self.runners.get(task.wanted)
-        if meant is not None:
-            meant.promised.pop(key, None)
-        task.wanted = NO_RUNNER
-        recorded = task.preassigned_kept and task.preassigned == runner.id
-        task.preassigned, task.preassigned_kept = NO_RUNNER, False
-        task.phase = Phase.BOUND
-        task.run = number
-        task.runner = runner.id
-        job.started_at = now
-        job.begin()
-        run = self.new_run(job, key, number, RunStage.RECORDED, now)
-        run.resumed = bool(task.saved)
-        runner.add(key, run)
-        self.unkept.change(job.id)
-        # Where it is recorded, the records name this run and runner already.
-        if recorded and self.starts.open:
-            run.stage = RunStage.ORDERED
-            self.order_start(key, runner, run, now)
-        elif recorded:
-            self.starts.waiting.append(BoundRun(runner.id, key, number))
-        else:
-            self.unkept.starts.append(BoundRun(runner.id, key, number))
-        self.note(
-            "task-bound",
-            task=key,
-            run=number,
-            runner=runner.id,
-            preassigned=recorded,
-            idle_millicores=runner.idle_millicores,
-            report_age_ms=round((now - runner.answered_at) * 1000),
-        )
-
     def start_bytes(self, key: TaskKey) -> int:
         """Return about how large the order to start a task is."""
         job = self.jobs.get(key.job)
@@ -411,28 +363,6 @@
         bound = (*self.starts.waiting, *self.unkept.starts)
         return sum(self.start_bytes(one.task) for one in bound)
 
-    def preassign(self, job: JobState, key: TaskKey, runner: RunnerId) -> None:
-        """Let a runner have the next run of a waiting task, or none; see `preassignment`."""
-        task = job.task(key)
-        if task.phase is not Phase.WAITING or task.preassigned == runner:
-            return
-        task.preassigned, task.preassigned_kept = runner, False
-        self.unkept.change(job.id)
-        if runner != NO_RUNNER:
-            self.unkept.preassigned.append(BoundRun(runner, key, task.run + 1))
-
-    def move(self, key: TaskKey, source: RunnerId, destination: RunnerId, now: float) -> None:
-        """Stop a task, to be started at another runner."""
-        task = self.jobs[key.job].task(key)
-        task.wanted = destination
-        task.wanted_until = now + MOVE_PATIENCE_S
-        runner, place = self.runners.get(source), self.runners.get(destination)
-        run = runner.runs.get(key) if runner is not None else None
-        if run is not None and place is not None:
-            place.promised[key] = Promise(run.demand, task.wanted_until)
-        self.note("task-moves", task=key, runner=source, to=destination)
-        self.stop_run(key, source, now)
-
     def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
         """Return the runners that may get new work, by service."""
         pools: dict[ServiceName, list[RunnerState]] = {}
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -2,7 +2,7 @@
 
 from spoolcrank.ids import JobId
 from spoolcrank.orders import EndedRow, EndKind
-from spoolcrank.runner_state import RunStage
+from spoolcrank.runs import RunStage
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests.fleet_world import World, small
 
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -8,7 +8,14 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from spoolcrank import job_intake, order_answers, order_sender, run_control
+from spoolcrank import (
+    binding,
+    job_intake,
+    order_answers,
+    order_sender,
+    preassignment,
+    run_control,
+)
 from spoolcrank.batching import KEEP_ENDED_S
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
@@ -327,16 +334,16 @@
     _start_answered(state, start, Answered(OrderResult.NOT_DONE) if undone else answered, now)
 
 
-_preassign = Scheduler.preassign
+_preassign = binding.preassign
 
 
-def _kept_at_once(self: Scheduler, job: Any, key: Any, runner: Any) -> None:
-    _preassign(self, job, key, runner)
+def _kept_at_once(state: Scheduler, job: Any, key: Any, runner: Any) -> None:
+    _preassign(state, job, key, runner)
     job.task(key).preassigned_kept = True
 
 
 MUTATIONS = {
-    "a preassignment counts before it is kept": (Scheduler, "preassign", _kept_at_once),
+    "a preassignment counts before it is kept": (preassignment, "preassign", _kept_at_once),
     "the fence is not raised": (Scheduler, "target", _no_fence),
     "ends are forgotten before they are kept": (run_control, "_take_end", _seen_first),
     "an unknown append counts as refused": (job_intake, "IntakeOutcome", None),
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from spoolcrank.binding import bind, move
 from spoolcrank.contention import Contention, StepLoad
 from spoolcrank.filler_pace import make_way
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
@@ -18,7 +19,8 @@
 from spoolcrank.placing import place as place_waiting
 from spoolcrank.regrouping import Move, Regrouping
 from spoolcrank.run_control import UNSEEN_OVER_S, poll_answered
-from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerEntry, RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.step_times import StepTimes
 from spoolcrank.workflow import (
@@ -426,7 +428,7 @@
     record = JobRecord(RouteName("q"), SERVICE, 2, 3, 9000, 2.0, Workflow("", (LOUD,)))
     state.add_job(JobId("ee"), record, 1, None, False, NOW, 0.0)
     job, key = state.jobs[JobId("ee")], TaskKey(JobId("ee"), 0, 0, 0)
-    state.bind(job, key, 1, one, NOW)
+    bind(state, job, key, 1, one, NOW)
     run = one.runs[key]
     run.stage, run.since = RunStage.RUNNING, NOW
     job.task(key).saved = "0123"
@@ -499,7 +501,7 @@
     one, two = runner("i-1", 8000), runner("i-2", 8000)
     state = grouped(one, two)
     key = at_work(state, one, SERVING)
-    state.move(key, one.id, two.id, NOW)
+    move(state, key, one.id, two.id, NOW)
     assert place(SERVING, [two], state.contention) == ""
     own = PlacementRequest(SERVING, {}, NO_RUNNER, task=key)
     assert choose(own, [two], state.contention, NOW) is two
--- a/tests/test_preassignment.py
+++ b/tests/test_preassignment.py
@@ -3,6 +3,7 @@
 import pytest
 
 from spoolcrank.batching import batch_kept, take_batch
+from spoolcrank.binding import bind, preassign
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState
 from spoolcrank.orders import Start
@@ -66,7 +67,7 @@
 def test_no_preassignment_is_used_before_it_is_kept() -> None:
     state, key = preassigned_but_not_kept()
     runner = next(iter(state.runners.values()))
-    state.bind(state.jobs[key.job], key, 1, runner, 1.0)
+    bind(state, state.jobs[key.job], key, 1, runner, 1.0)
     assert state.orders == []
 
 
@@ -84,7 +85,7 @@
     state.jobs[job.id] = fresh
     state.orders.clear()
     key = TaskKey(job.id, 0, 0, 0)
-    state.preassign(fresh, key, next(iter(state.runners)))
+    preassign(state, fresh, key, next(iter(state.runners)))
     return state, key
 
 
@@ -99,7 +100,7 @@
     batch = take_batch(state)
     assert batch is not None
     other = list(state.runners)[1]
-    state.preassign(state.jobs[key.job], key, other)
+    preassign(state, state.jobs[key.job], key, other)
     batch_kept(state, batch, 1.0)
     assert not state.jobs[key.job].task(key).preassigned_kept
 
@@ -130,7 +131,7 @@
     granted_ms = runner.granted_ms
     now = runner.answered_at + 3.0
     state.extends_until = now - 1.0
-    state.bind(state.jobs[key.job], key, 1, runner, now)
+    bind(state, state.jobs[key.job], key, 1, runner, now)
     (order,) = state.orders
     assert isinstance(order, Start)
     assert order.until_ms == int(granted_ms)
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -10,7 +10,8 @@
 from spoolcrank.job_state import NO_RUNNER
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.ranking import Ranking
-from spoolcrank.runner_state import Run, RunnerEntry, RunnerState, RunStage
+from spoolcrank.runner_state import RunnerEntry, RunnerState
+from spoolcrank.runs import Run, RunStage
 from spoolcrank.workflow import Demand, RunnerId, Step, TaskKey
 
 SERVICE = ServiceName("pricing")
--- a/tests/test_succession_faults.py
+++ b/tests/test_succession_faults.py
@@ -6,7 +6,7 @@
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.orders import EndKind
 from spoolcrank.placing import place
-from spoolcrank.runner_state import RunStage
+from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.store_port import Append, Appended, AppendOutcome
 from spoolcrank.workflow import JobRecord, Phase, RouteName, Step, Workflow
