--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -45,7 +45,8 @@
         if '"took-over"' in log.read_text():
             return
         time.sleep(0.05)
-    raise TimeoutError("the instance does not lead")
+    told = {one.name: one.read_text()[-2000:] for one in fleet.folder.glob("*.log")}
+    raise TimeoutError(f"the instance does not lead: {told}")
 
 
 def lines(fleet: Fleet, name: str) -> list[dict[str, Any]]:
