Bound what a leader remembers of crashes

Found by reading: crashes of idle runners were kept until a task next crashed, and runners that never come back stayed doubted for good. Crashes are dropped after their 30 s as others come, doubts beyond a thousand, the oldest first. The reason of the rate taken at first named 33 s; it is 20 s since that was raised. No decision changes below these bounds.

--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -43,14 +43,16 @@
 
 USUAL_CRASHES = 5.0
 USUAL_RUNNER_S = 100.0
-"""What a new leader takes runners for, until it has seen them: a crash each 33 s of a runner. Where
-plain crashes come in spells each runner crashes every 16 to 25 s; a rate that is too low gives up
-sound work, one that is too high costs a start more."""
+"""What a new leader takes runners for, until it has seen them: each crashes every 20 s, as in a spell
+of plain crashes. A rate that is too low gives up sound work, one that is too high costs a start."""
 
 APART_AFTER = 2
 """Crashes after which a task has a runner for itself; at once would stop more sound work than it
 saves, as most of what is on a runner that crashes is sound."""
 
+MOST_DOUBTS = 1000
+"""Runners that are remembered as perhaps crashed; some never come back, and nothing settles them."""
+
 OUTLIVES = 2.0
 OUTLIVES_BY_S = 1.0
 """A run clears its task once it lived so many times, and so much, longer than any that its runner
@@ -72,7 +74,7 @@
 
 
 class CrashRecord:
-    """What one leader knows of crashes beside the marks of the tasks.
+    """What one leader knows of crashes beside the marks of the tasks; bounded in time and number.
 
     Attributes:
         doubts: runners whose runs were given up before anyone knew what had become of them.
@@ -86,6 +88,11 @@
     def add(self, crash: Crash) -> None:
         """Take note of a crash."""
         self._crashes.append(crash)
+        self._drop_old(crash.at)
+
+    def _drop_old(self, now: float) -> None:
+        while self._crashes and now - self._crashes[0].at > WINDOW_S:
+            self._crashes.popleft()
 
     def forget(self, task: TaskKey) -> None:
         """Leave out what a task that was given up has caused: it says nothing of the runners."""
@@ -93,8 +100,7 @@
 
     def per_runner_s(self, task: TaskKey, runners: int, now: float) -> float:
         """Return how often a runner crashes, a second, by what did not happen under a task."""
-        while self._crashes and now - self._crashes[0].at > WINDOW_S:
-            self._crashes.popleft()
+        self._drop_old(now)
         others = sum(1 for one in self._crashes if task not in one.tasks)
         seen_s = min(WINDOW_S, now - self._since) * runners
         return (USUAL_CRASHES + others) / (USUAL_RUNNER_S + seen_s)
@@ -111,6 +117,8 @@
         held = self.doubts.get(runner)
         known = held.tasks if held is not None else ()
         self.doubts[runner] = Doubt(address, (*known, *tasks))
+        while len(self.doubts) > MOST_DOUBTS:
+            del self.doubts[next(iter(self.doubts))]
 
 
 def _with_marks(job: JobState) -> Iterator[tuple[TaskKey, TaskState]]:
