--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -43,15 +43,15 @@
 
 USUAL_CRASHES = 5.0
 USUAL_RUNNER_S = 100.0
-"""What a new leader takes runners for, until it has seen them: each crashes every 20 s, as in a spell
-of plain crashes. A rate that is too low gives up sound work, one that is too high costs a start."""
+"""What a new leader takes runners for, until it has seen them: each crashes every 20 s, as in a
+spell of plain crashes. Too low a rate gives up sound work, too high a one costs a start."""
 
 APART_AFTER = 2
 """Crashes after which a task has a runner for itself; at once would stop more sound work than it
 saves, as most of what is on a runner that crashes is sound."""
 
 MOST_DOUBTS = 1000
-"""Runners that are remembered as perhaps crashed; some never come back, and nothing settles them."""
+"""Runners remembered as perhaps crashed; some never come back, and nothing settles them."""
 
 OUTLIVES = 2.0
 OUTLIVES_BY_S = 1.0
