Let the others of a step start while a suspect waits for a runner for itself

Found by reading: where a suspect found no runner without another suspect, the rest of its step was taken to find no place either and waited with it. It is held back alone now.

--- a/spoolcrank/apart.py
+++ b/spoolcrank/apart.py
@@ -7,7 +7,6 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from spoolcrank.job_state import TaskState
 from spoolcrank.packing import PlacementRequest, score
@@ -28,13 +27,6 @@
 """One suspect at a time has a runner for itself for so many: each may cost one."""
 
 
-class Place(NamedTuple):
-    """What became of a suspect's turn: its runner, or whether it waits for one set aside."""
-
-    runner: RunnerState | None
-    held_back: bool = False
-
-
 def without_suspects(runners: Sequence[RunnerState]) -> list[RunnerState]:
     """Return the runners on which no suspect is."""
     return [one for one in runners if not any(run.suspect for run in one.runs.values())]
@@ -47,13 +39,13 @@
     request: PlacementRequest,
     runners: Sequence[RunnerState],
     now: float,
-) -> Place:
-    """Return the runner for a suspect once that is ready for it."""
+) -> RunnerState | None:
+    """Return the runner for a suspect once that is ready for it; None while it has to wait."""
     held = _set_aside(state, key)
     if held is None:
         held = _choose(state, task, request, runners, now)
         if held is None:
-            return Place(None, held_back=_all_in_use(state, runners))
+            return None
         held.apart_for = key
         held.apart_since = now
         state.note("suspect-apart", task=key, runner=held.id, beside=len(held.runs))
@@ -63,10 +55,9 @@
         or not score(request, request.step.demand, held, state.contention, now)
     ):
         held.apart_for = None
-        return Place(None, held_back=True)
-    if _settled(held, now) or now - held.apart_since >= PATIENCE_S:
-        return Place(held)
-    return Place(None, held_back=True)
+        return None
+    ready = _settled(held, now) or now - held.apart_since >= PATIENCE_S
+    return held if ready else None
 
 
 def _set_aside(state: Scheduler, key: TaskKey) -> RunnerState | None:
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -283,8 +283,9 @@
         )
         if starts_apart(task.crashes):
             current.left -= len(runners)
-            runner, waits = place_apart(state, key, task, request, runners, now)
-            if waits:
+            runner = place_apart(state, key, task, request, runners, now)
+            if runner is None:
+                # That it finds no runner for itself says nothing of the others of its step.
                 held_back = True
                 continue
         elif task.run:
