--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -12,11 +12,12 @@
 """
 
 import json
+from types import ModuleType
 from typing import Any
 
 import pytest
 
-from spoolcrank import dispatcher
+from spoolcrank import dispatcher, due_work
 from spoolcrank.ids import Address, JobId
 from spoolcrank.keyed_log import KeyedRecord, cancel_key, job_key, progress_key
 from spoolcrank.orders import EndKind, OrderResult, Poll, Start, Stop, Target
@@ -391,9 +392,18 @@
     assert [name for name, _ in broken.logged.lines].count("internal-error") == 1
 
 
-@pytest.mark.parametrize("decision", ["tick", "forecast", "batch_kept", "list_runners", "place"])
+@pytest.mark.parametrize(
+    ("module", "decision"),
+    [
+        (due_work, "tick"),
+        (due_work, "forecast"),
+        (dispatcher, "batch_kept"),
+        (dispatcher, "list_runners"),
+        (dispatcher, "place"),
+    ],
+)
 def test_an_error_of_a_decision_ends_the_term_wherever_it_is_made(
-    decision: str, monkeypatch: pytest.MonkeyPatch
+    module: ModuleType, decision: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A leader half went on: what time alone or a kept record led to was not guarded."""
     world = small()
@@ -405,7 +415,7 @@
         monkeypatch.undo()
         raise ZeroDivisionError
 
-    monkeypatch.setattr(dispatcher, decision, fail_once)
+    monkeypatch.setattr(module, decision, fail_once)
     world.store.entries.put(OTHER, entry())
     world.instances["entry-0"].submit("a1", QUICK)
     world.run(0.5)
