--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from spoolcrank import job_state, runner_loss
+from spoolcrank import job_state, placing, runner_loss
 from spoolcrank.crash_record import clears_after_s, is_guilty, with_mark
 from spoolcrank.ids import JobId
 from spoolcrank.job_state import JobState
@@ -291,6 +291,17 @@
             play(seed)
 
 
+def test_starting_suspects_beside_anything_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    from tests.test_crashing_tasks import (
+        test_a_task_that_crashes_its_runners_is_given_up_and_nothing_else as play,
+    )
+
+    monkeypatch.setattr(placing, "starts_apart", lambda marks: False)
+    with pytest.raises(AssertionError):
+        for seed in range(10):
+            play(seed)
+
+
 def test_blaming_all_that_was_on_a_runner_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     from tests.test_crashing_tasks import test_sound_work_outlives_a_spell_of_plain_crashes as play
 
