--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -74,7 +74,10 @@
 """The entry of a runner that crashed goes so much later, s."""
 
 BACK_S = (1.5, 5.0)
-"""A runner that crashed is back under a new id after between so long, s."""
+"""A runner that crashed is back after between so long, s."""
+
+BACK_SOON_S = (0.1, 1.0)
+"""One that is back before its entry goes is so after between so long, s."""
 
 ORDER_BYTES = 400
 """Of an order without its payload, bytes, headers among them."""
@@ -106,6 +109,8 @@
         self.gang_jobs: set[str] = set()
         self.back_s = BACK_S
         self.back_elsewhere = False
+        self.keeps_ids = 0.0
+        self.back_soon = 0.5
         self.carried_out_late = False
         self.refused: dict[str, OrderResult] = {}
         self.failing: dict[str, float] = {}
@@ -119,23 +124,36 @@
         self._tick()
 
     def crash(self, runner: "Runner", back_s: float | None = None) -> None:
-        """Let a runner crash; its entry goes, and it is back under a new id."""
+        """Let a runner crash; it is back under a new id, or `keeps_ids` of them under their own.
+
+        The entry goes, unless the runner is back before that, as `back_soon` of those are.
+        """
         if not runner.alive:
             return
+        keeps_id = self.random.random() < self.keeps_ids
+        if back_s is None:
+            soon = keeps_id and self.random.random() < self.back_soon
+            back_s = self.random.uniform(*(BACK_SOON_S if soon else self.back_s))
         gangs = {key[:3] for key in runner.tasks if key.job in self.gang_jobs}
         for key in runner.tasks:
             self.crashes[key].append(self.now)
         runner.crash()
         self.at(0.05, lambda: self._break(gangs))
-        self.at(ENTRY_LASTS_S, lambda: self.store.entries.put(runner.id, b""))
+
+        def entry_goes() -> None:
+            if self.runners[runner.id] is runner:
+                self.store.entries.put(runner.id, b"")
 
         def back() -> None:
             # Whoever was told to act on this runner finds it as it was made.
             name = f"{runner.name}'" if self.back_elsewhere else runner.name
-            again = self.add_runner(name, millicores=runner.millicores)
+            life = runner.id if keeps_id else None
+            again = self.add_runner(name, life, millicores=runner.millicores)
             again.work_s = runner.work_s
+            again.fails, again.hangs = runner.fails, runner.hangs
 
-        self.at(self.random.uniform(*self.back_s) if back_s is None else back_s, back)
+        self.at(ENTRY_LASTS_S, entry_goes)
+        self.at(back_s, back)
 
     def stay(self) -> set[str]:
         """Return the jobs whose tasks do not end by themselves."""
@@ -177,27 +195,32 @@
         return self.now - begun
 
     def late(self, runner: "Runner", act: Callable[["Runner"], object]) -> None:
-        """Carry an order out long after it was sent."""
+        """Carry an order out long after it was sent, by whoever has the id by then."""
         self.carried_out_late = True
-        if runner.alive:
-            act(runner)
+        self._carry_out(runner, act)
         self.carried_out_late = False
-        self.refused: dict[str, OrderResult] = {}
-        self.failing: dict[str, float] = {}
-        self.hanging: set[str] = set()
+
+    def _carry_out(self, runner: "Runner", act: Callable[["Runner"], object]) -> None:
+        present = self.runners[runner.id]
+        if present.alive:
+            act(present)
 
     def again(self, act: Callable[[], object]) -> None:
         """Carry a call out once more, later, as it may be over connections that fell silent."""
         if self.twice and self.random.random() < self.twice:
             self.at(self.random.uniform(0.001, TWICE_S), act)
 
+    def again_at(self, runner: "Runner", act: Callable[["Runner"], object]) -> None:
+        """Carry an order out once more, by whoever has the id by then."""
+        self.again(lambda: self._carry_out(runner, act))
+
     def _tick(self) -> None:
         for runner in list(self.runners.values()):
             runner.advance()
         self.at(0.02, self._tick)
 
-    def add_runner(self, name: str, **fields: Any) -> "Runner":
-        runner = Runner(self, name, f"i-{next(self._lives)}", **fields)
+    def add_runner(self, name: str, life: str | None = None, **fields: Any) -> "Runner":
+        runner = Runner(self, name, life or f"i-{next(self._lives)}", **fields)
         self.runners[runner.id] = runner
         self.store.entries.put(runner.id, b"ready")
         return runner
@@ -394,6 +417,7 @@
         self.zone = "a"
         self.alive = True
         self.begun = world.now
+        self.born = round(world.now * 1000.0)
         self.fence = 0
         self.tasks: dict[TaskKey, Task] = {}
         self.ended: list[EndedRow] = []
@@ -590,7 +614,7 @@
             return
         if not isinstance(order, Start):
             # A start that was refused is surely not done, also later.
-            world.again(lambda: runner.alive and act(runner))
+            world.again_at(runner, act)
         queued_s = self._queued_s(order)
         if queued_s > ORDER_S + wait_s:
             world.at(queued_s, lambda: runner.alive and act(runner))
--- /dev/null
+++ b/tests/test_lives_of_runners.py
@@ -0,0 +1,125 @@
+"""Runners that start again under the id that they had, and hold and know nothing of before."""
+
+import pytest
+
+from spoolcrank.ids import JobId
+from spoolcrank.job_intake import IntakeOutcome
+from spoolcrank.workflow import JobPhase, Step, TaskKey
+from tests.fleet_world import Instance, small
+
+RUNNERS = 8
+INSTANCES = 4
+JOBS = 80
+EVERY_S = 0.5
+RESTART_EVERY = 6
+"""One runner restarts with every so many jobs."""
+
+KILL_EVERY = 16
+SETTLE_S = 30.0
+ATTEMPTS = 3
+STEP = Step(count=3, millicores=1000, memory_mb=100, estimate_ms=600)
+ALONE = Step(count=1, millicores=1000, memory_mb=100, estimate_ms=600)
+FAILS_AFTER_S = 0.3
+MOST_STARTS = ATTEMPTS + 1
+"""Starts of a task that always fails: a start that was refused or went with its runner counts."""
+
+
+class Play:
+    """Jobs that come in while runners restart, with the faults that the world was told of."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = small(instances=INSTANCES, runners=RUNNERS, seed=seed)
+        self.world.keeps_ids = 1.0
+        self.kills = False
+        self.all_at: tuple[int, ...] = ()
+        self.told: dict[str, list[IntakeOutcome]] = {}
+        self.failing = [f"fail{number}" for number in range(JOBS // 10)]
+        self.world.failing = dict.fromkeys(self.failing, FAILS_AFTER_S)
+
+    def run(self) -> None:
+        for number in range(JOBS):
+            self._submit(number)
+            self.world.run(EVERY_S)
+            if number in self.all_at:
+                self._restart(RUNNERS)
+            elif number % RESTART_EVERY == RESTART_EVERY - 1:
+                self._restart(1)
+            if self.kills and number % KILL_EVERY == KILL_EVERY - 1:
+                self._replace_leader(number)
+        self.world.run(SETTLE_S)
+
+    def _submit(self, number: int) -> None:
+        if number % 10 == 0:
+            self._instance().submit(self.failing[number // 10], ALONE, max_attempts=ATTEMPTS)
+        job = f"{number:04x}"
+        self.told[job] = self._instance().submit(job, STEP, max_attempts=9)
+
+    def _instance(self) -> Instance:
+        return self.world.instances[self.world.random.choice(sorted(self.world.instances))]
+
+    def _restart(self, runners: int) -> None:
+        alive = [one for one in self.world.runners.values() if one.alive]
+        for one in self.world.random.sample(alive, min(runners, len(alive))):
+            self.world.crash(one)
+
+    def _replace_leader(self, number: int) -> None:
+        leader = self.world.leader()
+        if leader is not None:
+            leader.kill()
+            self.world.add_instance(f"entry-{number + INSTANCES}")
+
+    def unfinished(self) -> list[str]:
+        """Return the accepted jobs that are not completed."""
+        accepted = [job for job, got in self.told.items() if IntakeOutcome.KEPT in got]
+        index = self._instance().index
+        return [job for job in accepted if index.phase(JobId(job)) is not JobPhase.COMPLETED]
+
+    def most_starts(self) -> int:
+        """Return how often the task that was started most of those that always fail was."""
+        keys = [TaskKey(JobId(job), 0, 0, 0) for job in self.failing]
+        return max(len(self.world.timely_starts[key]) for key in keys)
+
+    def check(self) -> None:
+        assert self.world.broken == []
+        assert self.unfinished() == []
+        assert self.most_starts() <= MOST_STARTS
+
+
+# Guards against ends of a new life that were dropped as known, so that done work ran again.
+@pytest.mark.parametrize("seed", range(3))
+def test_runners_reborn_under_their_ids_run_nothing_twice(seed: int) -> None:
+    play = Play(seed)
+    play.run()
+    play.check()
+
+
+# Guards against a leader that takes the runs of an earlier life for those of the present one.
+@pytest.mark.parametrize("seed", range(3))
+def test_runners_reborn_under_their_ids_while_leaders_die_run_nothing_twice(seed: int) -> None:
+    play = Play(seed)
+    play.kills = True
+    play.run()
+    play.check()
+
+
+# Guards against orders to an earlier life that the present one carries out late.
+@pytest.mark.parametrize("kills", [False, True], ids=["", "leaders-killed"])
+@pytest.mark.parametrize("seed", range(3))
+def test_orders_to_an_earlier_life_carried_out_late_run_nothing_twice(
+    seed: int, kills: bool
+) -> None:
+    play = Play(seed)
+    play.kills = kills
+    play.all_at = (20, 50)
+    play.world.late_orders, play.world.lost_answers = 0.05, 0.05
+    play.run()
+    play.check()
+
+
+# Guards the plays themselves: with new ids the same faults break nothing.
+def test_runners_back_under_new_ids_run_nothing_twice() -> None:
+    play = Play(1)
+    play.world.keeps_ids = 0.0
+    play.all_at = (20, 50)
+    play.run()
+    play.check()
