Count no crash against tasks where runners fell together by a common cause

What callers saw: after two losses of power of all runners, steps of many tasks took minutes to end beside free runners; each task had two crashes against it and waited for a runner for itself.

Cause: every crash was counted against all that was on the runner, also where all runners, or a rack, fell at one moment, which no task does.

A runner fell between the last call that it answered and the first that it missed. Where these times of four runners or more overlap, and they are three fifths of a service, a zone or a label, nothing is counted, and what was counted of the same event before is taken back. The exception is one step of which a task had just begun on each of them: its tasks may all be guilty.

--- /dev/null
+++ b/spoolcrank/common_cause.py
@@ -0,0 +1,85 @@
+"""Tell crashes that have a cause of their own, such as a loss of power, from those under a task.
+
+Where most runners of a zone, a rack or a whole service fall at one moment, no task did it, and the
+crash says nothing against what ran there. When one fell is known to lie between the last call that
+it answered and the first that it did not.
+"""
+
+from collections.abc import Hashable, Iterable, Iterator
+
+from spoolcrank.crash_record import SOON_S, Fall, StepKey
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.scheduler import Scheduler
+
+MOST_FALL = 0.6
+"""Share of such a group that falls at one moment by a common cause. A few tasks that crash their
+runners take fewer: each has one runner at a time, and pauses."""
+
+LEAST_FALL = 4
+"""Runners that fall together at least; fewer do so by chance."""
+
+
+def fall_of(runner: RunnerState, now: float) -> Fall:
+    """Return when and where a runner fell, and what had begun there shortly before."""
+    missed_at = now if runner.silent_since is None else runner.silent_since
+    young = frozenset(
+        StepKey(key.job, key.round, key.step)
+        for key, run in runner.runs.items()
+        if run.ordered_at is not None and missed_at - run.ordered_at <= SOON_S
+    )
+    return Fall(
+        runner.id,
+        max(0.0, runner.answered_at),
+        missed_at,
+        _groups(runner),
+        young,
+        bool(runner.runs),
+    )
+
+
+def fell_with(state: Scheduler, fall: Fall, now: float) -> list[Fall]:
+    """Return the runners that fell with one by a common cause, itself among them; else none."""
+    together = [one for one in _falls(state, now) if _overlap(one, fall)]
+    for group in fall.groups:
+        fallen = [one for one in together if group in one.groups]
+        stand = sum(1 for one in _standing(state, fall) if group in _groups(one))
+        if len(fallen) >= max(LEAST_FALL, MOST_FALL * (len(fallen) + stand)):
+            return fallen
+    return []
+
+
+def only_step(fallen: Iterable[Fall]) -> StepKey | None:
+    """Return the one step of which a task had just begun on each of some runners, if there is one.
+
+    Its tasks may all bring their runners down: that these fell together then says nothing for them.
+    """
+    steps = [one.young for one in fallen if one.had_runs]
+    shared = frozenset.intersection(*steps) if steps else frozenset()
+    return next(iter(shared)) if len(shared) == 1 else None
+
+
+def _falls(state: Scheduler, now: float) -> Iterator[Fall]:
+    """Yield what has fallen, and what is silent and may have."""
+    known = {one.runner for one in state.crashes.falls}
+    yield from state.crashes.falls
+    for runner in state.runners.values():
+        silent = runner.silent_since is not None and runner.answered_at >= 0
+        if silent and runner.id not in known:
+            yield fall_of(runner, now)
+
+
+def _standing(state: Scheduler, fall: Fall) -> Iterator[RunnerState]:
+    """Yield the runners that were there before a fall and are still."""
+    for runner in state.runners.values():
+        stands = runner.adopted and not runner.gone and runner.silent_since is None
+        if stands and runner.met_at <= fall.answered_at:
+            yield runner
+
+
+def _overlap(one: Fall, other: Fall) -> bool:
+    return one.answered_at <= other.missed_at and other.answered_at <= one.missed_at
+
+
+def _groups(runner: RunnerState) -> frozenset[Hashable]:
+    entry = runner.entry
+    return frozenset({entry.service, (entry.service, entry.availability_zone), *entry.labels})
--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -8,10 +8,10 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Hashable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
-from spoolcrank.ids import Address
+from spoolcrank.ids import Address, JobId
 from spoolcrank.job_state import JobState, TaskState
 from spoolcrank.workflow import CrashMark, RunnerId, TaskKey
 
@@ -59,10 +59,38 @@
 crashed under: well past the moment, also at half the pace."""
 
 
+class StepKey(NamedTuple):
+    """One step of one round of a job."""
+
+    job: JobId
+    round: int
+    step: int
+
+
+class Fall(NamedTuple):
+    """When and where a runner fell.
+
+    Attributes:
+        answered_at: when the last call that it answered was sent, monotonic seconds.
+        missed_at: when the first was missed.
+        groups: its service, its zone, its labels.
+        young: steps of which a task had begun there shortly before.
+        had_runs: something was there.
+    """
+
+    runner: RunnerId
+    answered_at: float
+    missed_at: float
+    groups: frozenset[Hashable]
+    young: frozenset[StepKey]
+    had_runs: bool
+
+
 class Crash(NamedTuple):
     """A runner that crashed, and what was there."""
 
     at: float
+    runner: RunnerId
     tasks: frozenset[TaskKey]
 
 
@@ -78,12 +106,26 @@
 
     Attributes:
         doubts: runners whose runs were given up before anyone knew what had become of them.
+        falls: runners that fell lately.
     """
 
     def __init__(self, now: float) -> None:
         self._since = now
         self._crashes: deque[Crash] = deque()
         self.doubts: dict[RunnerId, Doubt] = {}
+        self.falls: deque[Fall] = deque()
+
+    def fell(self, fall: Fall, now: float) -> None:
+        """Take note of a runner that fell."""
+        self.falls.append(fall)
+        while now - self.falls[0].missed_at > WINDOW_S:
+            self.falls.popleft()
+
+    def withdraw(self, runner: RunnerId) -> frozenset[TaskKey]:
+        """Leave out a crash that had a cause of its own; returns what it was counted against."""
+        tasks = frozenset[TaskKey]().union(*(c.tasks for c in self._crashes if c.runner == runner))
+        self._crashes = deque(one for one in self._crashes if one.runner != runner)
+        return tasks
 
     def add(self, crash: Crash) -> None:
         """Take note of a crash."""
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -8,7 +8,16 @@
 
 from collections.abc import Iterable
 
-from spoolcrank.crash_record import Crash, clears_after_s, is_guilty, starts_apart, with_mark
+from spoolcrank.common_cause import fall_of, fell_with, only_step
+from spoolcrank.crash_record import (
+    Crash,
+    Fall,
+    StepKey,
+    clears_after_s,
+    is_guilty,
+    starts_apart,
+    with_mark,
+)
 from spoolcrank.job_state import JobState, TaskState
 from spoolcrank.runner_life import name_of
 from spoolcrank.runner_state import RunnerState
@@ -39,12 +48,13 @@
     """Take note that an incarnation of a runner is over and nothing runs on it."""
     crashed = not runner.gone and not _planned(runner, now)
     counted: list[Counted] = []
+    fall = fall_of(runner, now)
     if not runner.gone:
         runner.gone = True
         state.note("runner-gone", runner=runner.id, why=why, runs=len(runner.runs), crashed=crashed)
     if crashed:
-        counted = _marks(state, runner, now, proved=True)
-        state.crashes.add(Crash(now, frozenset(key for key, _ in counted)))
+        counted = _against_tasks(state, runner, fall, now, proved=True)
+        _add_crash(state, runner, counted, now)
     for key in list(runner.runs):
         state.release(key, runner, "runner gone", now)
     for key, mark in counted:
@@ -56,13 +66,14 @@
     """Release what was on a runner that nobody has heard of until every lease had passed."""
     # One that keeps its entry in the list lives, and is only cut off from us.
     over = not runner.listed and not _planned(runner, now)
-    doubted = _marks(state, runner, now, proved=False) if over else []
+    fall = fall_of(runner, now)
+    doubted = _against_tasks(state, runner, fall, now, proved=False) if over else []
     for key in list(runner.runs):
         state.release(key, runner, "every lease has passed", now)
     for key, mark in doubted:
         _count(state, key, mark, now)
     if doubted:
-        state.crashes.add(Crash(now, frozenset(key for key, _ in doubted)))
+        _add_crash(state, runner, doubted, now)
         state.crashes.doubt(runner.id, runner.entry.address, (key for key, _ in doubted))
 
 
@@ -131,6 +142,37 @@
 # Marks
 
 
+def _add_crash(
+    state: Scheduler, runner: RunnerState, counted: Iterable[Counted], now: float
+) -> None:
+    state.crashes.add(Crash(now, runner.id, frozenset(key for key, _ in counted)))
+
+
+def _against_tasks(
+    state: Scheduler, runner: RunnerState, fall: Fall, now: float, proved: bool
+) -> list[Counted]:
+    """Return what counts against each task that was there: nothing where no task was the cause."""
+    state.crashes.fell(fall, now)
+    fallen = fell_with(state, fall, now)
+    marks = _marks(state, runner, now, proved)
+    if not fallen:
+        return marks
+    suspect = only_step(fallen)
+    state.note("crashed-together", runner=runner.id, runners=len(fallen), suspect=suspect)
+    for other in fallen:
+        _withdraw(state, other.runner, suspect)
+    return [(key, mark) for key, mark in marks if key[:3] == suspect]
+
+
+def _withdraw(state: Scheduler, runner: RunnerId, suspect: StepKey | None) -> None:
+    """Take back what was counted before others were known to have crashed with a runner."""
+    for key in state.crashes.withdraw(runner):
+        task = _accountable(state, key)
+        if task is not None and key[:3] != suspect:
+            task.crashes = tuple(one for one in task.crashes if one.runner != runner)
+            state.unkept.change(key.job)
+
+
 def _planned(runner: RunnerState, now: float) -> bool:
     """Tell whether it was to end: it said so, or its entry went well before it did."""
     if (
--- /dev/null
+++ b/tests/test_crashes_together.py
@@ -0,0 +1,52 @@
+"""Runners that lose power together, more than once, under steps of many tasks.
+
+No task is the cause of what takes all runners, or a rack of them, at one moment.
+"""
+
+import pytest
+
+from spoolcrank.ids import JobId
+from spoolcrank.workflow import JobPhase, Step
+from tests.fleet_world import World, small
+
+RUNNERS = 12
+JOBS = ("0001", "0002", "0003", "0004")
+STEP = Step(count=17, millicores=1000, memory_mb=100, estimate_ms=4000)
+WORK_S = 4.0
+FIRST_S = 2.0
+APART_S = 6.5
+MOST_S = 15.0
+"""From the last loss to the end of all work, s, however many tasks are under suspicion."""
+
+
+def _lose_power(losses: int, seed: int, keeps_ids: float = 0.0, share: float = 1.0) -> World:
+    world = small(instances=4, runners=RUNNERS, seed=seed)
+    world.keeps_ids = keeps_ids
+    for one in world.runners.values():
+        one.work_s = WORK_S
+    for job in JOBS:
+        world.instances["entry-0"].submit(job, STEP, max_attempts=9)
+    for number in range(losses):
+        world.run(APART_S if number else FIRST_S)
+        alive = [one for one in world.runners.values() if one.alive]
+        for one in world.random.sample(alive, round(share * len(alive))):
+            world.crash(one)
+    return world
+
+
+def _ended(world: World) -> bool:
+    index = world.instances["entry-0"].index
+    return all(index.phase(JobId(job)) is JobPhase.COMPLETED for job in JOBS)
+
+
+# Guards against work that waits one task behind the other for a runner for itself.
+@pytest.mark.parametrize("keeps_ids", [0.0, 1.0], ids=["new-ids", "same-ids"])
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("losses", [1, 2, 3, 5])
+def test_all_work_ends_soon_after_all_runners_lost_power(
+    losses: int, seed: int, keeps_ids: float
+) -> None:
+    world = _lose_power(losses, seed, keeps_ids)
+    took_s = world.run_until(lambda: _ended(world), limit_s=400.0)
+    assert world.broken == []
+    assert took_s <= MOST_S, f"{took_s:.1f} s"
