Bound how long a suspect waits for a runner for itself

What callers saw: accepted work waits while most of the room is free, for longer the more tasks are under suspicion.

Cause: one suspect for eight runners at a time had a runner for itself, closed for up to 3 s, and all others waited for their turn without bound.

A suspect that has waited 0.5 s may have one of every second runner, and after 1.5 s it starts beside others, away from other suspects where it can. The bound holds whatever their number.

--- a/spoolcrank/apart.py
+++ b/spoolcrank/apart.py
@@ -17,7 +17,14 @@
 from spoolcrank.workflow import Phase, TaskKey
 
 PATIENCE_S = 1.5
-"""A suspect waits so long until what began lately on its runner has settled, s."""
+"""A suspect waits so long for a runner for itself, and until what began there has settled, s;
+then it starts beside others. A job with nothing at work for 3 s counts as lost."""
+
+MORE_AFTER_S = 0.5
+"""Where suspects have waited so long, s, more runners are set aside for them."""
+
+RUNNERS_EACH_LATER = 2
+"""One suspect at a time has a runner for itself for so many then."""
 
 CLOSED_S = 3.0
 """Nothing else starts beside a suspect for so long, s; longer would take too much room from others,
@@ -41,9 +48,10 @@
     now: float,
 ) -> RunnerState | None:
     """Return the runner for a suspect once that is ready for it; None while it has to wait."""
+    waited_s = _waited_s(task, now)
     held = _set_aside(state, key)
     if held is None:
-        held = _choose(state, task, request, runners, now)
+        held = _choose(state, task, request, runners, waited_s, now)
         if held is None:
             return None
         held.apart_for = key
@@ -56,17 +64,29 @@
     ):
         held.apart_for = None
         return None
-    ready = _settled(held, now) or now - held.apart_since >= PATIENCE_S
-    return held if ready else None
+    return held if _settled(held, now) or waited_s >= PATIENCE_S else None
+
+
+def waits_apart(task: TaskState, now: float) -> bool:
+    """Tell whether a suspect that finds no runner for itself goes on waiting for one."""
+    return _waited_s(task, now) < PATIENCE_S
+
+
+def _waited_s(task: TaskState, now: float) -> float:
+    """Return for how long a suspect has been waiting; begins to count with its first look."""
+    if task.apart_from is None:
+        task.apart_from = now
+    return now - task.apart_from
 
 
 def _set_aside(state: Scheduler, key: TaskKey) -> RunnerState | None:
     return next((one for one in state.runners.values() if one.apart_for == key), None)
 
 
-def _all_in_use(state: Scheduler, runners: Sequence[RunnerState]) -> bool:
+def _all_in_use(state: Scheduler, runners: Sequence[RunnerState], waited_s: float) -> bool:
+    each = RUNNERS_EACH if waited_s < MORE_AFTER_S else RUNNERS_EACH_LATER
     in_use = sum(1 for one in state.runners.values() if one.apart_for is not None)
-    return in_use >= max(1, (len(runners) + in_use) // RUNNERS_EACH)
+    return in_use >= max(1, (len(runners) + in_use) // each)
 
 
 def _choose(
@@ -74,10 +94,11 @@
     task: TaskState,
     request: PlacementRequest,
     runners: Sequence[RunnerState],
+    waited_s: float,
     now: float,
 ) -> RunnerState | None:
     """Return the cheapest runner to lose that could take the task now."""
-    if _all_in_use(state, runners):
+    if _all_in_use(state, runners, waited_s):
         return None
     crashed = Counter(mark.address for mark in task.crashes)
     tried = sorted(without_suspects(runners), key=lambda one: _price(one, crashed))
--- a/spoolcrank/binding.py
+++ b/spoolcrank/binding.py
@@ -23,6 +23,7 @@
     if meant is not None:
         meant.promised.pop(key, None)
     task.wanted = NO_RUNNER
+    task.apart_from = None
     recorded = task.preassigned_kept and task.preassigned == runner.id
     task.preassigned, task.preassigned_kept = NO_RUNNER, False
     task.phase = Phase.BOUND
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -30,6 +30,7 @@
     `odd_ends` counts runs that were refused, stood still or failed, `odd_on` names the runners that
     were blamed for that; both of this leader's term.
     `not_before` delays the next start, monotonic seconds. `wanted` is where a move leads.
+    `apart_from` is since when it looks for a runner for itself; None while it does not.
     `preassigned` is the runner that the records give the next run to, once `preassigned_kept`.
     """
 
@@ -43,6 +44,7 @@
     odd_ends: int = 0
     odd_on: tuple[RunnerId, ...] = ()
     not_before: float = 0.0
+    apart_from: float | None = None
     wanted: RunnerId = NO_RUNNER
     wanted_until: float = 0.0
     preassigned: RunnerId = NO_RUNNER
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from spoolcrank.apart import place_apart, without_suspects
+from spoolcrank.apart import place_apart, waits_apart, without_suspects
 from spoolcrank.binding import bind
 from spoolcrank.crash_record import starts_apart
 from spoolcrank.filler_pace import make_way
@@ -284,6 +284,8 @@
         if starts_apart(task.crashes):
             current.left -= len(runners)
             runner = place_apart(state, key, task, request, runners, now)
+            if runner is None and not waits_apart(task, now):
+                runner = _after_a_run(state, task, request, runners, now)
             if runner is None:
                 # That it finds no runner for itself says nothing of the others of its step.
                 held_back = True
--- a/tests/test_crashes_together.py
+++ b/tests/test_crashes_together.py
@@ -50,3 +50,12 @@
     took_s = world.run_until(lambda: _ended(world), limit_s=400.0)
     assert world.broken == []
     assert took_s <= MOST_S, f"{took_s:.1f} s"
+
+
+# Guards against a wait that grows with the number of suspects where no common cause is seen.
+@pytest.mark.parametrize("seed", range(3))
+def test_all_work_ends_soon_after_some_runners_crashed_again_and_again(seed: int) -> None:
+    world = _lose_power(4, seed, share=0.3)
+    took_s = world.run_until(lambda: _ended(world), limit_s=400.0)
+    assert world.broken == []
+    assert took_s <= MOST_S, f"{took_s:.1f} s"
