Take a start without an answer for no proof against its task

What callers saw: a sound job was given up (`runners crash under it`): four runners had crashed under one of its tasks, the last of which was down before its start was sent.

Cause: a start that nobody answered counted as a run that had lived until its runner was missed, 0.6 s, with nothing beside it.

Such a crash still counts towards five, so that a task which brings its runner down before it can answer is found out; it is no proof by itself.

--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -223,12 +223,16 @@
         if _counted_key(state, key) != _counted_key(state, other)
     )
     seen_s = max(0.0, run.reported_at - (run.ordered_at or 0.0))
-    known = not run.inherited and age_s - seen_s <= UNSEEN_S
+    begun = run.moved_at > 0.0 or run.reported_at > 0.0
+    known = begun and not run.inherited and age_s - seen_s <= UNSEEN_S
     lived_ms = max(1, round(age_s * 1000.0)) if known else 0
     if run.inherited:
         # What had a runner for itself was not cleared yet.
         task = _accountable(state, key)
         alone = alone and task is not None and starts_apart(task.crashes)
+    elif not begun:
+        # The runner may have been down before its start was sent.
+        alone = False
     return CrashMark(runner.id, runner.entry.address, lived_ms, alone, proved)
 
 
--- a/tests/test_crashes_together.py
+++ b/tests/test_crashes_together.py
@@ -15,6 +15,7 @@
 WORK_S = 4.0
 FIRST_S = 2.0
 APART_S = 6.5
+SETTLE_S = 30.0
 MOST_S = 15.0
 """From the last loss to the end of all work, s, however many tasks are under suspicion."""
 
@@ -59,3 +60,11 @@
     took_s = world.run_until(lambda: _ended(world), limit_s=400.0)
     assert world.broken == []
     assert took_s <= MOST_S, f"{took_s:.1f} s"
+
+
+# Guards against sound work that is given up for starts that went to runners already down.
+def test_a_start_without_an_answer_proves_nothing_by_itself() -> None:
+    world = _lose_power(4, seed=15, share=0.3)
+    world.run(SETTLE_S)
+    assert _ended(world)
+    assert world.broken == []
