Let runners of the soak start again under their ids in every second seed

The real processes' runners had a new id for each life, as the platform's did. In odd seeds they keep it now and tell their birth; half of their entries stay meanwhile.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -37,11 +37,11 @@
                 opened[task] = (at, run, what)
             elif kind == "end" and task in opened:
                 begin, number, spec = opened.pop(task)
-                spans[task].append(Span(begin, at, what, number, life.id, spec))
+                spans[task].append(Span(begin, at, what, number, life.name, spec))
         ends = life.killed_at if life.killed_at is not None else until
         for task, (begin, number, spec) in opened.items():
             how = "killed" if life.killed_at is not None else "running"
-            spans[task].append(Span(begin, ends, how, number, life.id, spec))
+            spans[task].append(Span(begin, ends, how, number, life.name, spec))
     return {task: sorted(held) for task, held in spans.items()}
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -134,12 +134,15 @@
     """One life of a runner."""
 
     def __init__(self, fleet: "Fleet", place: str, number: int) -> None:
-        self.id = f"i-{place}-{number}"
+        self.name = f"{place}-{number}"
+        self.id = f"i-{place}" if fleet.keeps_ids else f"i-{self.name}"
+        self.born = int(time.time() * 1000)
         self.place = place
-        self.journal = fleet.folder / f"{self.id}.journal"
+        self.journal = fleet.folder / f"{self.name}.journal"
         self.journal.touch()
-        args = ["tests.soak.runner", self.id, str(self.journal), str(MILLICORES), "0.8"]
-        self.program = Program(args, fleet.folder / f"{self.id}.log")
+        journal, room = str(self.journal), str(MILLICORES)
+        args = ["tests.soak.runner", self.id, str(self.born), journal, room, "0.8"]
+        self.program = Program(args, fleet.folder / f"{self.name}.log")
         self.killed_at: float | None = None
         self.by_itself = False
         self.address = fleet.proxy.via("any", place, self.program.listen())
@@ -149,8 +152,14 @@
     """A store, runners and instances, all as processes, with a proxy on every link to them."""
 
     def __init__(
-        self, folder: Path, instances: int = 3, runners: int = 5, mutation: str = ""
+        self,
+        folder: Path,
+        instances: int = 3,
+        runners: int = 5,
+        mutation: str = "",
+        keeps_ids: bool = False,
     ) -> None:
+        self.keeps_ids = keeps_ids
         self.folder = folder
         self.daemon = ["tests.soak.mutant", mutation] if mutation else ["spoolcrank", "serve"]
         self.proxy = Proxy()
@@ -210,7 +219,7 @@
 
     def list_runner(self, life: Life) -> None:
         """Write the entry of a runner."""
-        self.put("servers", life.id, self.entry(life.address))
+        self.put("servers", life.id, self.entry(life.address) | {"born": life.born})
 
     def entry(self, address: str) -> dict[str, Any]:
         """Return an entry as a runner at an address writes it."""
@@ -245,7 +254,7 @@
     def _back(self, life: Life) -> None:
         if self._closing.wait(ENTRY_LASTS_S):
             return
-        self.put("servers", life.id, b"")
+        self._entry_goes(life)
         if not self._closing.wait(BACK_S):
             self.add_runner(life.place)
 
@@ -253,7 +262,14 @@
         """Kill a runner; its entry goes, as the platform's would after three heartbeats."""
         life.program.end()
         life.killed_at = time.monotonic()
-        self.put("servers", life.id, b"")
+        self._entry_goes(life)
+
+    def _entry_goes(self, life: Life) -> None:
+        """Drop the entry of a runner, but of each second that is soon back under its id."""
+        if self.keeps_ids and life.born % 2:
+            return
+        if all(one.id != life.id or one.born <= life.born for one in self.lives):
+            self.put("servers", life.id, b"")
 
     def harm(self, source: str, target: str, rule: Rule) -> None:
         """Set a fault of one link."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -50,7 +50,7 @@
 ) -> Played:
     """Play one seed and check it; every process is ended whatever happens."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(Path(folder), instances, runners, mutation)
+        fleet = Fleet(Path(folder), instances, runners, mutation, keeps_ids=seed % 2 == 1)
         try:
             return _play(fleet, seed, seconds)
         finally:
@@ -145,7 +145,7 @@
     """Return what is wrong with the task that brings each runner down that starts it."""
     if not callers.jobs[CRASHING].accepted:
         return []
-    by_itself = {life.id for life in fleet.lives if life.by_itself}
+    by_itself = {life.name for life in fleet.lives if life.by_itself}
     held = spans.get(f"{CRASHING}.0.0.0", [])
     crashes = sorted(one.end for one in held if one.runner in by_itself)
     after = [one for one in held if len(crashes) >= 3 and one.begin > crashes[2]]
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,6 +1,7 @@
 """One life of a runner as a process; every start and end goes to a journal that outlives it.
 
-`python -m tests.soak.runner ID JOURNAL MILLICORES WORK_S` prints its address. A line of the journal
+`python -m tests.soak.runner ID BORN JOURNAL MILLICORES WORK_S` prints its address. A later life may
+have the ID of an earlier one; BORN, in Unix milliseconds, tells them apart. A line of the journal
 is `[time, kind, task, run, what]` with the host's monotonic clock, which all processes share.
 """
 
@@ -32,8 +33,9 @@
 
 
 class Runner:
-    def __init__(self, life: str, journal: str, millicores: int, work_s: float) -> None:
-        self.id = life
+    def __init__(self, name: str, born: int, journal: str, millicores: int, work_s: float) -> None:
+        self.id = name
+        self.born = born
         self.journal = open(journal, "a", buffering=1)  # noqa: SIM115 -- it lives as long as we do
         self.millicores = millicores
         self.work_s = work_s
@@ -160,15 +162,16 @@
             ]
             for name, task in self.tasks.items()
         ]
-        return 200, {"clockMs": self.clock_ms, "running": running, "ended": self.ended}
+        lists = {"running": running, "ended": self.ended}
+        return 200, {"clockMs": self.clock_ms, "born": self.born} | lists
 
     def _percent(self, task: Task) -> int:
         return 100 if task.lasting else int(99 * task.worked_s / self.work_s)
 
 
 def main() -> None:
-    life, journal, millicores, work_s = sys.argv[1:]
-    runner = Runner(life, journal, int(millicores), float(work_s))
+    name, born, journal, millicores, work_s = sys.argv[1:]
+    runner = Runner(name, int(born), journal, int(millicores), float(work_s))
     server = ThreadingHTTPServer(("127.0.0.1", 0), Answers.by(runner.answer))
     server.daemon_threads = True
     threading.Thread(target=runner.tick, daemon=True).start()
