Count no entry without a runner behind it among those that fell together

Cause: an entry that another writer made names no runner; once told so, it counted as one that had fallen at any time at all, and with three real crashes of other causes it made up a common one, so that what was counted against the task was taken back.

Who never answered and holds nothing has not fallen, and who never answered stood there from when it was met, not from the beginning.

--- a/spoolcrank/common_cause.py
+++ b/spoolcrank/common_cause.py
@@ -27,14 +27,9 @@
         for key, run in runner.runs.items()
         if run.ordered_at is not None and missed_at - run.ordered_at <= SOON_S
     )
-    return Fall(
-        runner.id,
-        max(0.0, runner.answered_at),
-        missed_at,
-        _groups(runner),
-        young,
-        bool(runner.runs),
-    )
+    # What fell before it answered this leader did so after it was met, as far as is known.
+    stood_at = max(runner.met_at, runner.answered_at)
+    return Fall(runner.id, stood_at, missed_at, _groups(runner), young, bool(runner.runs))
 
 
 def fell_with(state: Scheduler, fall: Fall, now: float) -> list[Fall]:
@@ -63,7 +58,7 @@
     known = {one.runner for one in state.crashes.falls}
     yield from state.crashes.falls
     for runner in state.runners.values():
-        silent = runner.silent_since is not None and runner.answered_at >= 0
+        silent = runner.silent_since is not None and (runner.answered_at >= 0 or runner.runs)
         if silent and runner.id not in known:
             yield fall_of(runner, now)
 
@@ -72,12 +67,12 @@
     """Yield the runners that were there before a fall and are still."""
     for runner in state.runners.values():
         stands = runner.adopted and not runner.gone and runner.silent_since is None
-        if stands and runner.met_at <= fall.answered_at:
+        if stands and runner.met_at <= fall.stood_at:
             yield runner
 
 
 def _overlap(one: Fall, other: Fall) -> bool:
-    return one.answered_at <= other.missed_at and other.answered_at <= one.missed_at
+    return one.stood_at <= other.missed_at and other.stood_at <= one.missed_at
 
 
 def _groups(runner: RunnerState) -> frozenset[Hashable]:
--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -71,7 +71,7 @@
     """When and where a runner fell.
 
     Attributes:
-        answered_at: when the last call that it answered was sent, monotonic seconds.
+        stood_at: when the last call that it answered was sent, monotonic seconds.
         missed_at: when the first was missed.
         groups: its service, its zone, its labels.
         young: steps of which a task had begun there shortly before.
@@ -79,7 +79,7 @@
     """
 
     runner: RunnerId
-    answered_at: float
+    stood_at: float
     missed_at: float
     groups: frozenset[Hashable]
     young: frozenset[StepKey]
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -46,7 +46,8 @@
 
 def lose_runner(state: Scheduler, runner: RunnerState, why: str, now: float) -> None:
     """Take note that an incarnation of a runner is over and nothing runs on it."""
-    crashed = not runner.gone and not _planned(runner, now)
+    known = runner.answered_at >= 0.0 or bool(runner.runs)
+    crashed = known and not runner.gone and not _planned(runner, now)
     counted: list[Counted] = []
     fall = fall_of(runner, now)
     if not runner.gone:
--- a/tests/test_crashes_together.py
+++ b/tests/test_crashes_together.py
@@ -6,8 +6,10 @@
 import pytest
 
 from spoolcrank.ids import JobId
-from spoolcrank.workflow import JobPhase, Step
+from spoolcrank.workflow import JobPhase, Step, TaskKey
 from tests.fleet_world import World, small
+from tests.test_crashing_tasks import MOST_STARTS, ONE
+from tests.test_other_writers import entry
 
 RUNNERS = 12
 JOBS = ("0001", "0002", "0003", "0004")
@@ -68,3 +70,16 @@
     world.run(SETTLE_S)
     assert _ended(world)
     assert world.broken == []
+
+
+# Guards against entries of other writers that take back what was counted against a guilty task.
+def test_an_entry_that_names_nobody_is_no_runner_that_fell() -> None:
+    world = small(instances=2, runners=5, seed=2)
+    world.crashing = {"bad0": 0.5}
+    world.instances["entry-0"].submit("bad0", ONE, max_attempts=9)
+    for number in range(120):
+        world.instances["entry-0"].submit(f"{number:04x}", ONE, ONE, max_attempts=9)
+        address = next(one.name for one in world.runners.values() if one.alive)
+        world.store.entries.put(f"i-other-{number}", entry(address=address))
+        world.run(0.25)
+    assert world.starts_after_crashes(TaskKey(JobId("bad0"), 0, 0, 0), 3) <= MOST_STARTS
