Give a task up after five crashes soon after its start, whatever else began beside it

Cause: since a suspect's wait is bounded it starts while something else has just begun beside it, and then its crash is no proof by itself; but also five crashes, all within 14 ms of the start, were asked for two of that kind. The new test failed before.

Five are enough now, beside others too.

--- a/spoolcrank/apart.py
+++ b/spoolcrank/apart.py
@@ -17,8 +17,11 @@
 from spoolcrank.workflow import Phase, TaskKey
 
 PATIENCE_S = 1.5
-"""A suspect waits so long for a runner for itself, and until what began there has settled, s;
-then it starts beside others. A job with nothing at work for 3 s counts as lost."""
+"""A suspect waits so long until what began lately on its runner has settled, s."""
+
+LOOKS_S = 1.0
+"""It looks so long for a runner for itself, s; then it starts beside others. A job with nothing at
+work for 3 s counts as lost."""
 
 MORE_AFTER_S = 0.5
 """Where suspects have waited so long, s, more runners are set aside for them."""
@@ -64,12 +67,13 @@
     ):
         held.apart_for = None
         return None
-    return held if _settled(held, now) or waited_s >= PATIENCE_S else None
+    ready = _settled(held, now) or now - held.apart_since >= PATIENCE_S
+    return held if ready else None
 
 
 def waits_apart(task: TaskState, now: float) -> bool:
     """Tell whether a suspect that finds no runner for itself goes on waiting for one."""
-    return _waited_s(task, now) < PATIENCE_S
+    return _waited_s(task, now) < LOOKS_S
 
 
 def _waited_s(task: TaskState, now: float) -> float:
--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -194,11 +194,11 @@
         marks: of the task.
         crashes_per_s: how often one runner crashes, without the task.
     """
+    if len(marks) >= SURELY_CRASHES and all(one.lived_ms <= SOON_S * 1000.0 for one in marks):
+        return True
     alone = [one for one in marks if one.alone]
     if len(marks) < LEAST_CRASHES or len(alone) < LEAST_ALONE:
         return False
-    if len(marks) >= SURELY_CRASHES and all(one.lived_ms <= SOON_S * 1000.0 for one in marks):
-        return True
     if len({one.address for one in alone}) < LEAST_ALONE:
         # What crashes again and again on one machine may be the machine.
         return False
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -19,7 +19,7 @@
     encode_progress,
 )
 from tests.fleet_world import Instance, Runner, World, small
-from tests.test_crashing_tasks import MOST_STARTS, ONE
+from tests.test_crashing_tasks import MOST_STARTS, ONE, busy
 
 TASK = TaskKey(JobId("bad0"), 0, 0, 0)
 CALM_PER_S = 0.004
@@ -291,15 +291,27 @@
             play(seed)
 
 
-def test_starting_suspects_beside_anything_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    from tests.test_crashing_tasks import (
-        test_a_task_that_crashes_its_runners_is_given_up_and_nothing_else as play,
+APART_SEEDS = 10
+MOST_APART = 10
+"""Starts after the third crash of two guilty tasks in so many plays; each costs a runner."""
+
+
+def _starts_after_the_third() -> int:
+    plays = [busy(seed) for seed in range(APART_SEEDS)]
+    return sum(
+        world.starts_after_crashes(TaskKey(JobId(job), 0, 0, 0), 3)
+        for world, _, bad in plays
+        for job in bad
     )
 
+
+def test_suspects_that_start_apart_cost_few_runners_more() -> None:
+    assert _starts_after_the_third() <= MOST_APART
+
+
+def test_starting_suspects_beside_anything_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(placing, "starts_apart", lambda marks: False)
-    with pytest.raises(AssertionError):
-        for seed in range(10):
-            play(seed)
+    assert _starts_after_the_third() > MOST_APART
 
 
 def test_blaming_all_that_was_on_a_runner_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -309,3 +321,10 @@
     with pytest.raises(AssertionError):
         for seed in range(10):
             play(seed)
+
+
+# Guards against a guilty task that is never given up as something else always began beside it.
+def test_five_crashes_soon_after_the_start_prove_a_task_guilty_beside_others_too() -> None:
+    marks = tuple(_mark(number, alone=False) for number in range(5))
+    assert is_guilty(marks, ROUGH_PER_S)
+    assert not is_guilty(marks[:4], CALM_PER_S)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -37,7 +37,7 @@
 """Starts of a task after the third runner crashed under it; stated by the users."""
 
 
-def _busy(seed: int, kill_every_s: float = 0.0) -> tuple[World, list[str], list[str]]:
+def busy(seed: int, kill_every_s: float = 0.0) -> tuple[World, list[str], list[str]]:
     """Play sound jobs and two that crash their runners; returns the ids of both."""
     world = small(instances=INSTANCES, runners=RUNNERS, seed=seed)
     bad = ["bad0", "bad1"]
@@ -84,12 +84,12 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_task_that_crashes_its_runners_is_given_up_and_nothing_else(seed: int) -> None:
-    _check(*_busy(seed))
+    _check(*busy(seed))
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_what_counts_against_a_task_outlives_its_leader(seed: int) -> None:
-    _check(*_busy(seed, kill_every_s=8.0))
+    _check(*busy(seed, kill_every_s=8.0))
 
 
 @pytest.mark.parametrize("seed", range(4))
