Send runs that a runner lists no more elsewhere

Cause: of all ways by which a run ends without being counted this one left no trace: no pause, no other runner preferred, no blame. Evidence: a runner that drops its runs without a word kept jobs running for good; the new test failed before (jobs not completed 3 s after the last came in).

It counts as an odd end now, as a refusal or a run that stands still does.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -306,11 +306,23 @@
         if (key, run.number) in present or run.in_flight:
             continue
         if run.stage is RunStage.RUNNING and asked_at - run.since >= ABSENT_S:
-            state.release(key, runner, "not listed any more", now)
+            _lost_without_end(state, runner, key, run, now)
         elif run.stage is RunStage.STOPPING and run.tries == 0 and asked_at > run.since:
             state.release(key, runner, "stopped", now)
 
 
+def _lost_without_end(
+    state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float
+) -> None:
+    """Release a run that its runner lists no more and of which it listed no end."""
+    task = _task_of(state, key)
+    if task is not None:
+        task.refused_by = runner.id
+        if blames_runner(task, runner, run, now):
+            runner.distrust(now)
+    state.release(key, runner, "not listed any more", now)
+
+
 def poll_failed(state: Scheduler, poll: Poll, result: OrderResult, now: float) -> None:
     """Take note that a poll got no lists."""
     runner = state.runners.get(poll.target.runner)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -83,6 +83,9 @@
 BACK_SOON_S = (0.1, 1.0)
 """One that is back before its entry goes is so after between so long, s."""
 
+FORGETS_AFTER_S = 0.2
+"""A runner that forgets lists a run no more after so long, s, and no end of it either."""
+
 ORDER_BYTES = 400
 """Of an order without its payload, bytes, headers among them."""
 
@@ -449,6 +452,7 @@
         self.ends = 0
         self.fails = False
         self.hangs = False
+        self.forgets = False
         self.work_s = 0.6
         self.clock_rate = CLOCK_RATE
         self.ended_at: dict[int, float] = {}
@@ -469,7 +473,10 @@
         if self.clock_ms > self.lease_ms:
             self.lapsed_at = self.world.now
         for key, task in list(self.tasks.items()):
-            if self.clock_ms > task.until_ms:
+            if self.forgets and task.worked_s > FORGETS_AFTER_S:
+                self.tasks.pop(key)
+                self.world.on[key].discard(self.id)
+            elif self.clock_ms > task.until_ms:
                 self.end(key, EndKind.LAPSED)
             elif task.stop_at is not None and self.world.now >= task.stop_at:
                 self.end(key, EndKind.STOPPED)
--- a/tests/test_repeated_ends.py
+++ b/tests/test_repeated_ends.py
@@ -23,6 +23,10 @@
 MOST_OUT_OF_USE = 2
 """Runners that one task may have out of use: one may be at fault, a second shows who is."""
 
+SETTLE_S = 3.0
+MOST_STARTS = 3
+"""Of a task that one runner loses: there, once more by chance, and elsewhere."""
+
 MOST_ORDERS = JOBS
 """Starts of it in the 20 s of a play, two a second; a pause of 3 s would count as lost work."""
 
@@ -82,3 +86,19 @@
     world.run(3.0)
     phases = [first.index.phase(JobId(f"{number:04x}")) for number in range(JOBS)]
     assert phases == [JobPhase.COMPLETED] * JOBS
+
+
+# Guards against runs that a runner loses without a word and that are bound there again for good.
+def test_runs_that_a_runner_lists_no_more_go_elsewhere() -> None:
+    world = small(instances=2, runners=3, seed=3)
+    forgetful = next(iter(world.runners.values()))
+    forgetful.forgets = True
+    first = world.instances["entry-0"]
+    jobs = [f"{number:04x}" for number in range(JOBS)]
+    for job in jobs:
+        first.submit(job, ONE)
+        world.run(EVERY_S)
+    world.run(SETTLE_S)
+    assert [first.index.phase(JobId(job)) for job in jobs] == [JobPhase.COMPLETED] * JOBS
+    most = max(len(starts) for starts in world.starts.values())
+    assert most <= MOST_STARTS, f"{most} starts of one task"
