Name what a RunnerId stands for in the field's word; look earlier incarnations up by name

The code said life where the field, and the rest of the code, says incarnation. Each adoption went over all runners for others of its name, twice: 660 times 660 at a takeover of the size to build towards.

--- a/spoolcrank/earlier_lives.py
+++ b/spoolcrank/earlier_incarnations.py
@@ -1,14 +1,14 @@
-"""Settle what is believed to be on a runner once a later life of it answers.
+"""Settle what is believed to be on a runner once a later incarnation of it answers.
 
-Whatever was sent to an earlier life may have reached the later one, or reach it yet. So the later
+Whatever was sent to an earlier one may have reached the later one, or reach it yet. So the later
 one is asked first, under a fence of its own that voids those orders; what it then lists of them
-goes on there, and what it does not list went with the earlier life.
+goes on there, and what it does not list went with the earlier one.
 """
 
 from collections.abc import Iterator
 
 from spoolcrank.orders import Report, Target
-from spoolcrank.runner_life import FENCES_A_TERM, knows_birth, name_of
+from spoolcrank.runner_ids import FENCES_A_TERM, knows_start
 from spoolcrank.runner_loss import lose_runner
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
@@ -16,10 +16,10 @@
 from spoolcrank.workflow import RunnerId, TaskKey
 
 
-def other_life_answers(
+def other_incarnation_answers(
     state: Scheduler, asked: RunnerState, answers: RunnerId, target: Target, now: float
 ) -> None:
-    """Take note that another life of a runner answered than the one that was asked.
+    """Take note that another incarnation of a runner answered than was asked.
 
     Its entry may come later; until then nothing starts there, as its room is not known.
     """
@@ -27,7 +27,7 @@
     later = state.runners.get(answers)
     if later is None or later.gone:
         later = state.meet(asked.entry._replace(id=answers), now, listed=False)
-        state.note("runner-reborn", runner=answers, before=asked.id, runs=len(asked.runs))
+        state.note("runner-restarted", runner=answers, before=asked.id, runs=len(asked.runs))
     # It has seen the fence of this order.
     later.rank = max(later.rank, target.fence - state.term * FENCES_A_TERM)
     if not later.adopted:
@@ -35,12 +35,13 @@
 
 
 def take_over_runs(state: Scheduler, runner: RunnerState, report: Report, now: float) -> None:
-    """Let runs that a life lists, ordered of an earlier one, be its own."""
+    """Let runs that an incarnation lists, ordered of an earlier one, be its own."""
     listed = {(row.task, row.run) for row in report.running}
     listed |= {(row.task, row.run) for row in report.ended}
     for earlier in _earlier(state, runner):
         for key, run in list(earlier.runs.items()):
-            if (key, run.number) in listed:
+            job = state.jobs.get(key.job)
+            if (key, run.number) in listed and job is not None and job.has(key):
                 _take_over(state, key, run, earlier, runner, now)
 
 
@@ -66,21 +67,20 @@
     state.unkept.change(key.job)
 
 
-def lose_earlier_lives(state: Scheduler, runner: RunnerState, now: float) -> None:
-    """Take note that the earlier lives of a runner are over, with what it did not list."""
+def lose_earlier(state: Scheduler, runner: RunnerState, now: float) -> None:
+    """Take note that a runner's earlier incarnations are over, with what it did not list."""
     for earlier in list(_earlier(state, runner)):
-        if not knows_birth(earlier.id):
-            # Stored by those who knew no births: it may be this very life.
+        if not knows_start(earlier.id):
+            # Stored without the time of its start: it may be this very one.
             for key in list(earlier.runs):
                 state.release(key, earlier, "never started there", now)
             del state.runners[earlier.id]
         elif earlier.answered_at >= 0 or earlier.runs:
-            lose_runner(state, earlier, "a later life answers", now)
+            lose_runner(state, earlier, "a later incarnation answers", now)
 
 
 def _earlier(state: Scheduler, runner: RunnerState) -> Iterator[RunnerState]:
-    """Yield other lives of a runner's name; one that is only listed may be yet to come."""
-    name = name_of(runner.id)
-    for other in state.runners.values():
-        if other is not runner and name_of(other.id) == name:
-            yield other
+    """Yield the others of a runner's name; one that is only listed may be yet to come."""
+    for other in state.ranks.others(runner.id):
+        if other in state.runners:
+            yield state.runners[other]
--- a/spoolcrank/platform/documents.py
+++ b/spoolcrank/platform/documents.py
@@ -10,7 +10,7 @@
 from spoolcrank.keyed_log import KeyedLog
 from spoolcrank.reading import Unreadable, reader
 from spoolcrank.routes import Route, RouteTable
-from spoolcrank.runner_life import BORN_MARK, RunnerName, life_of
+from spoolcrank.runner_ids import START_MARK, RunnerName, runner_id
 from spoolcrank.runner_state import RunnerEntry
 from spoolcrank.workflow import Demand, RouteName, Step, Workflow
 
@@ -137,11 +137,11 @@
 
 def runner_of(runner: str, value: bytes) -> RunnerEntry:
     """Read the entry that a runner keeps of itself; raises Unreadable for any other's."""
-    if BORN_MARK in runner:
+    if START_MARK in runner:
         raise Unreadable(f"{runner!r} is no name of a runner")
     raw = _server_of(value)
     return RunnerEntry(
-        life_of(RunnerName(runner), raw.born),
+        runner_id(RunnerName(runner), raw.born),
         Address(raw.address),
         AvailabilityZone(raw.zone),
         ServiceName(raw.service),
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -21,7 +21,7 @@
     Target,
 )
 from spoolcrank.reading import Unreadable, reader
-from spoolcrank.runner_life import answers_for, life_of, name_of
+from spoolcrank.runner_ids import answers_for, name_of, runner_id
 from spoolcrank.runner_port import Polled
 from spoolcrank.workflow import RunnerId, TaskKey
 
@@ -167,8 +167,8 @@
                 got.peer.name = asked if answers_for(answered, asked) else answered
             done(told)
 
-        # Another life may be there by now: it would forget ends that nobody has read, and count its
-        # lease by the clock of the life before it. Over a known connection it cannot be another.
+        # Another incarnation may be there by now: it would forget ends that nobody has read, and
+        # count its lease by the clock of the one before. Over a known connection it is the same.
         self._send(
             order.target,
             "hold",
@@ -198,7 +198,7 @@
             "Content-Type": "application/json",
             "Spoolcrank-Expect-Instance": name_of(target.runner),
         }
-        # Other orders leave the connections that are known to be to a life to the polls of it.
+        # Other orders leave the connections that are known to be to a runner to the polls of it.
         peer = target.runner if to_others is not None else ""
         self._http.send(
             HttpCall(
@@ -281,8 +281,8 @@
 
 
 def _life(asked: RunnerId, born: int | None) -> RunnerId:
-    """Return which life answered; the name is the one that was asked for, as others refuse."""
-    return life_of(name_of(asked), born)
+    """Return which incarnation answered; its name was asked for, as others refuse."""
+    return runner_id(name_of(asked), born)
 
 
 def _rows(
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -52,10 +52,10 @@
 def _fence_is_urgent(runner: RunnerState, now: float) -> bool:
     """Tell whether to ask at once a runner that started again and has not told that it is fenced.
 
-    Until then it carries out orders that were meant for its earlier life.
+    Until then it carries out orders that were meant for it before.
     """
-    reborn = runner.rank > 0 and not runner.adopted and now - runner.met_at <= FENCE_SOON_S
-    return reborn and now - runner.polled_at >= FENCE_AGAIN_S
+    restarted = runner.rank > 0 and not runner.adopted and now - runner.met_at <= FENCE_SOON_S
+    return restarted and now - runner.polled_at >= FENCE_AGAIN_S
 
 
 def _poll_is_due(runner: RunnerState, now: float) -> bool:
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -7,7 +7,7 @@
 """
 
 from spoolcrank.apart import reopen
-from spoolcrank.earlier_lives import lose_earlier_lives, other_life_answers, take_over_runs
+from spoolcrank.earlier_incarnations import lose_earlier, other_incarnation_answers, take_over_runs
 from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.odd_ends import blames_runner
@@ -20,7 +20,7 @@
     Stop,
 )
 from spoolcrank.pacing import filler_use, learn, set_paces
-from spoolcrank.runner_life import answers_for
+from spoolcrank.runner_ids import answers_for
 from spoolcrank.runner_loss import leases_passed, lose_runner, outlives, runner_answers
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
@@ -74,7 +74,7 @@
         return
     runner.polling = False
     if not answers_for(report.runner, runner.id):
-        other_life_answers(state, runner, report.runner, poll.target, now)
+        other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
     was_silent = runner.silent_since
     runner.heard(report.clock_ms, asked_at, now)
@@ -94,7 +94,7 @@
         # What is in neither list may else be among the ends that are still to come.
         if not runner.adopted:
             _adopt(state, runner, present, now)
-            lose_earlier_lives(state, runner, now)
+            lose_earlier(state, runner, now)
         _check_absent(state, runner, present, asked_at, now)
     learn(state, runner, used, now)
     set_paces(state, runner, now)
--- a/spoolcrank/runner_directory.py
+++ b/spoolcrank/runner_directory.py
@@ -5,7 +5,7 @@
 
 from spoolcrank.keyed_log import KeyedLog, KeyedRecord
 from spoolcrank.reading import Unreadable
-from spoolcrank.runner_life import RunnerName
+from spoolcrank.runner_ids import RunnerName
 from spoolcrank.runner_state import RunnerEntry
 from spoolcrank.workflow import RunnerId
 
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -4,7 +4,7 @@
 
 from spoolcrank.ids import Address
 from spoolcrank.runner_directory import Listing
-from spoolcrank.runner_life import name_of
+from spoolcrank.runner_ids import name_of
 from spoolcrank.runner_state import NOBODY, RunnerEntry, RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
@@ -44,9 +44,9 @@
         entry_now = listing.entries.get(runner.id)
         if entry_now is None or not _names(entry_now, runner):
             name = name_of(runner.id)
-            reborn = entry_now is None and name in names
-            doubtful = entry_now is not None or reborn or name in listing.unreadable
-            _unlist(state, runner, doubtful, reborn, store_back_at, now)
+            restarted = entry_now is None and name in names
+            doubtful = entry_now is not None or restarted or name in listing.unreadable
+            _unlist(state, runner, doubtful, restarted, store_back_at, now)
         # Anyone may write an entry at a live runner's address. Whoever answers there tells which
         # incarnation it is, and only that frees the runs of another.
         runner.ask_whether(ids_at.get(runner.entry.address, NOBODY) - {runner.id})
@@ -90,13 +90,13 @@
     state: Scheduler,
     runner: RunnerState,
     doubtful: bool,
-    reborn: bool,
+    restarted: bool,
     store_back_at: float,
     now: float,
 ) -> None:
     if runner.listed:
         runner.listed = False
-        if runner.adopted and runner.silent_since is None and not reborn:
+        if runner.adopted and runner.silent_since is None and not restarted:
             runner.withdrawn_at = now
         runner.gone_from = max(now, (now if doubtful else store_back_at) + RELIST_S)
         state.note(
@@ -104,7 +104,7 @@
             runner=runner.id,
             runs=len(runner.runs),
             written_over=doubtful,
-            reborn=reborn,
+            restarted=restarted,
             store_back_s=round(now - store_back_at, 2),
         )
     if not runner.runs and (runner.silent_since is not None or runner.gone):
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -18,7 +18,7 @@
     with_mark,
 )
 from spoolcrank.job_state import JobState, TaskState
-from spoolcrank.runner_life import name_of
+from spoolcrank.runner_ids import name_of
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run
 from spoolcrank.scheduler import Scheduler
@@ -80,7 +80,7 @@
 def runner_answers(state: Scheduler, runner: RunnerState, now: float) -> None:
     """Settle doubts that an answer settles: it lives, or another one stands in its place.
 
-    Another in its place has its address, or is a later life of the same runner.
+    Another in its place has its address, or is a later incarnation of the same runner.
     """
     if not state.crashes.doubts:
         return
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -19,7 +19,7 @@
 from spoolcrank.objective import objective_s
 from spoolcrank.orders import EndKind, Order, Start, Stop, Target
 from spoolcrank.placing_pass import NoPlace, PlacingPass
-from spoolcrank.runner_life import FENCES_A_TERM, LifeRanks
+from spoolcrank.runner_ids import FENCES_A_TERM, FenceRanks
 from spoolcrank.runner_state import (
     CLOCK_DRIFT,
     LEASE_MS,
@@ -72,7 +72,7 @@
         self.predecessor_wrote_at = predecessor_wrote_at
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
-        self.ranks = LifeRanks()
+        self.ranks = FenceRanks()
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = Contention()
         self.times = StepTimes()
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -33,7 +33,7 @@
     Stop,
 )
 from spoolcrank.platform.documents import runner_of
-from spoolcrank.runner_life import RunnerName, life_of, name_of
+from spoolcrank.runner_ids import RunnerName, name_of, runner_id
 from spoolcrank.runner_port import Polled
 from spoolcrank.runner_state import RunnerEntry
 from spoolcrank.store_port import (
@@ -465,7 +465,7 @@
 
     @property
     def life(self) -> RunnerId:
-        return life_of(RunnerName(self.id), self.born)
+        return runner_id(RunnerName(self.id), self.born)
 
     @property
     def clock_ms(self) -> float:
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -370,7 +370,7 @@
 
 MUTATIONS = {
     "a preassignment counts before it is kept": (preassignment, "preassign", _kept_at_once),
-    "lives of a runner are not told apart": (fleet_world, "life_of", _by_name_alone),
+    "lives of a runner are not told apart": (fleet_world, "runner_id", _by_name_alone),
     "the fence is not raised": (Scheduler, "target", _no_fence),
     "ends are forgotten before they are kept": (run_control, "_take_end", _seen_first),
     "an unknown append counts as refused": (job_intake, "IntakeOutcome", None),
--- a/tests/test_platform_lives.py
+++ b/tests/test_platform_incarnations.py
@@ -13,13 +13,13 @@
 from spoolcrank.platform.documents import runner_of
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.reading import Unreadable
-from spoolcrank.runner_life import RunnerName, life_of
+from spoolcrank.runner_ids import RunnerName, runner_id
 from spoolcrank.runner_port import Polled
 from spoolcrank.workflow import RunnerId
 
 WAIT_S = 30.0
 NAME = RunnerName("i-1")
-FIRST, SECOND = life_of(NAME, 1000), life_of(NAME, 2000)
+FIRST, SECOND = runner_id(NAME, 1000), runner_id(NAME, 2000)
 
 
 class RunnerServer:
--- a/tests/test_lives_of_runners.py
+++ b/tests/test_runner_incarnations.py
@@ -8,7 +8,7 @@
 from spoolcrank import run_control
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
-from spoolcrank.runner_life import LifeRanks
+from spoolcrank.runner_ids import FenceRanks
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests import fleet_world
 from tests.fleet_world import Instance, World, small
@@ -166,7 +166,7 @@
 
 
 def _same_rank(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(LifeRanks, "meet", lambda self, runner: 0)
+    monkeypatch.setattr(FenceRanks, "meet", lambda self, runner: 0)
 
 
 def _runs_not_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -174,7 +174,7 @@
 
 
 def _births_unread(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(fleet_world, "life_of", lambda name, born: RunnerId(name))
+    monkeypatch.setattr(fleet_world, "runner_id", lambda name, born: RunnerId(name))
 
 
 @pytest.mark.parametrize(
