Weigh a crash with a common cause little instead of not at all

Cause: a crash by its own fault that fell together with a loss of power was not counted at all, and five fell for what four would have proved; and any crash of the same moment raised the rate at which runners seem to crash.

A mark of a common cause is kept as shared: it sets nothing apart, pauses nothing, is no proof and does not raise the rate, but counts towards five where the run was there for 1.2 s at most, as few sound ones are. Four fifths of a service, zone or label have to fall, not three. Gangs with a suspect go beside others where no free runner is without one; they waited without bound.

--- a/spoolcrank/common_cause.py
+++ b/spoolcrank/common_cause.py
@@ -12,7 +12,7 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import StepKey
 
-MOST_FALL = 0.6
+MOST_FALL = 0.8
 """Share of such a group that falls at one moment by a common cause. A few tasks that crash their
 runners take fewer: each has one runner at a time, and pauses."""
 
--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -35,6 +35,10 @@
 """A run that lived no longer died soon after its start, s: a runner that falls silent is found out
 up to 1.6 s late."""
 
+SHARED_SOON_S = 1.2
+"""A run that died with many others counts towards these only where it lived no longer, s: few sound
+ones are that young at one loss of power, and hardly any at five."""
+
 LEAST_LIVED_S = 0.05
 """Below it the age of a run says nothing more, s: the way of an order and of its answer."""
 
@@ -165,13 +169,20 @@
 
 def with_mark(marks: Sequence[CrashMark], mark: CrashMark) -> tuple[CrashMark, ...]:
     """Return the marks with one more, one for each runner."""
-    others = [one for one in marks if one.runner != mark.runner]
-    return (*others, mark)[-MOST_MARKS:]
+    kept = [*(one for one in marks if one.runner != mark.runner), mark]
+    while len(kept) > MOST_MARKS:
+        kept.remove(next((one for one in kept if one.shared), kept[0]))
+    return tuple(kept)
+
+
+def own_marks(marks: Sequence[CrashMark]) -> list[CrashMark]:
+    """Return the crashes that had no common cause with others."""
+    return [one for one in marks if not one.shared]
 
 
 def starts_apart(marks: Sequence[CrashMark]) -> bool:
     """Tell whether the next run of a task is to have a runner for itself."""
-    return len(marks) >= APART_AFTER
+    return len(own_marks(marks)) >= APART_AFTER
 
 
 def clears_after_s(marks: Sequence[CrashMark]) -> float:
@@ -186,16 +197,19 @@
         marks: of the task.
         crashes_per_s: how often one runner crashes, without the task.
     """
-    if len(marks) >= SURELY_CRASHES and all(one.lived_ms <= SOON_S * 1000.0 for one in marks):
+    own = own_marks(marks)
+    soon = [one for one in marks if one.shared and 0 < one.lived_ms <= SHARED_SOON_S * 1000.0]
+    all_soon = all(one.lived_ms <= SOON_S * 1000.0 for one in own)
+    if all_soon and own and len(own) + len(soon) >= SURELY_CRASHES:
         return True
-    alone = [one for one in marks if one.alone]
-    if len(marks) < LEAST_CRASHES or len(alone) < LEAST_ALONE:
+    alone = [one for one in own if one.alone]
+    if len(own) < LEAST_CRASHES or len(alone) < LEAST_ALONE:
         return False
     if len({one.address for one in alone}) < LEAST_ALONE:
         # What crashes again and again on one machine may be the machine.
         return False
     # All that are known count: a run is the more often alone the shorter it has lived.
-    lived_s = [max(LEAST_LIVED_S, one.lived_ms / 1000.0) for one in marks if one.lived_ms]
+    lived_s = [max(LEAST_LIVED_S, one.lived_ms / 1000.0) for one in own if one.lived_ms]
     return chance_of(len(lived_s), crashes_per_s * sum(lived_s)) <= UNLIKELY
 
 
--- a/spoolcrank/gangs.py
+++ b/spoolcrank/gangs.py
@@ -2,6 +2,7 @@
 
 from spoolcrank.apart import without_suspects
 from spoolcrank.binding import bind
+from spoolcrank.crash_record import own_marks
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.runner_state import RunnerState
@@ -26,14 +27,16 @@
     if step.spec.same_rack:
         racks = sorted({label for one in runners for label in one.entry.labels}) + racks
     run = max(task.run for task in step.tasks) + 1
-    if step.tasks[0].crashes:
-        if step.tasks[0].not_before > now:
-            return False
-        runners = without_suspects(runners)
-    for rack in racks:
-        if _place_members(state, job, round_number, number, step, runners, rack, run, now):
-            return True
-    return False
+    if step.tasks[0].not_before > now:
+        return False
+    pools = [runners]
+    if own_marks(step.tasks[0].crashes):
+        pools.insert(0, without_suspects(runners))
+    return any(
+        _place_members(state, job, round_number, number, step, pool, rack, run, now)
+        for pool in pools
+        for rack in racks
+    )
 
 
 def _place_members(
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -5,7 +5,7 @@
 
 from spoolcrank.apart import place_apart, waits_apart, without_suspects
 from spoolcrank.binding import bind
-from spoolcrank.crash_record import starts_apart
+from spoolcrank.crash_record import own_marks, starts_apart
 from spoolcrank.filler_pace import make_way
 from spoolcrank.gangs import place_gang
 from spoolcrank.ids import ServiceName
@@ -321,7 +321,7 @@
     now: float,
 ) -> RunnerState | None:
     """Return the runner for a task that ran before; one that is suspect goes where no other is."""
-    if task.crashes:
+    if own_marks(task.crashes):
         found = _wanted(state, task, request, without_suspects(runners), now)
         if found is not None:
             return found
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 
 from spoolcrank.binding import bind, preassign
+from spoolcrank.crash_record import own_marks
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState
 from spoolcrank.objective import work_order
 from spoolcrank.packing import PlacementRequest, choose, could_ever_hold, worst_effect
@@ -134,7 +135,7 @@
             if any(held.steps[earlier].waiting for earlier in spec.after):
                 continue
             for index in step.waiting:
-                if not step.tasks[index].crashes:
+                if not own_marks(step.tasks[index].crashes):
                     # Which runner a suspect may have is decided only as it starts.
                     yield TaskKey(job.id, held.number, number, index), step
 
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -167,7 +167,7 @@
     if run.stage in (RunStage.ORDERED, RunStage.UNSURE):
         run.stage = RunStage.RUNNING
         run.since = now
-    if run.suspect:
+    if run.marked:
         outlives(state, row.task, run, now)
     if row.percent != max(0, run.percent):
         run.moved_at = now
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -8,12 +8,15 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from spoolcrank.common_cause import fall_of, fell_with, only_step
 from spoolcrank.crash_record import (
     Crash,
     Fall,
     clears_after_s,
     is_guilty,
+    own_marks,
     starts_apart,
     with_mark,
 )
@@ -54,7 +57,6 @@
         state.note("runner-gone", runner=runner.id, why=why, runs=len(runner.runs), crashed=crashed)
     if crashed:
         counted = _against_tasks(state, runner, fall, now, proved=True)
-        _add_crash(state, runner, counted, now)
     for key in list(runner.runs):
         state.release(key, runner, "runner gone", now)
     for key, mark in counted:
@@ -73,7 +75,6 @@
     for key, mark in doubted:
         _count(state, key, mark, now)
     if doubted:
-        _add_crash(state, runner, doubted, now)
         state.crashes.doubt(runner.id, runner.entry.address, (key for key, _ in doubted))
 
 
@@ -109,7 +110,7 @@
 
 
 def _proved(mark: CrashMark) -> CrashMark:
-    return CrashMark(mark.runner, mark.address, mark.lived_ms, mark.alone)
+    return msgspec.structs.replace(mark, proved=True)
 
 
 def _clear_doubt(state: Scheduler, runner: RunnerId) -> None:
@@ -125,14 +126,14 @@
     """Clear a task whose run lives well past the moment at which runners crashed under it."""
     task = _accountable(state, key)
     if task is None or not task.crashes:
-        run.suspect = False
+        run.suspect = run.marked = False
         return
     lived_s = 0.0 if run.ordered_at is None else now - run.ordered_at
     if lived_s < clears_after_s(task.crashes):
         return
     state.note("suspect-cleared", task=key, run=run.number, crashes=len(task.crashes))
     task.crashes = ()
-    run.suspect = False
+    run.suspect = run.marked = False
     state.unkept.change(key.job)
     runner = state.runners.get(task.runner)
     if runner is not None and runner.apart_for == key:
@@ -142,37 +143,37 @@
 # Marks
 
 
-def _add_crash(
-    state: Scheduler, runner: RunnerState, counted: Iterable[Counted], now: float
-) -> None:
-    state.crashes.add(Crash(now, runner.id, frozenset(key for key, _ in counted)))
-
-
 def _against_tasks(
     state: Scheduler, runner: RunnerState, fall: Fall, now: float, proved: bool
 ) -> list[Counted]:
-    """Return what counts against each task that was there: nothing where no task was the cause."""
+    """Return what counts against each task that was there: next to nothing by a common cause."""
     state.crashes.fell(fall, now)
     fallen = fell_with(state, fall, now)
     marks = _marks(state, runner, now, proved)
     if not fallen:
+        state.crashes.add(Crash(now, runner.id, frozenset(key for key, _ in marks)))
         return marks
     suspect = only_step(fallen)
     state.note("crashed-together", runner=runner.id, runners=len(fallen), suspect=suspect)
     for other in fallen:
-        _withdraw(state, other.runner, suspect)
-    return [(key, mark) for key, mark in marks if key.of_step == suspect]
+        _share(state, other.runner, suspect)
+    return [(key, mark if key.of_step == suspect else _shared(mark)) for key, mark in marks]
 
 
-def _withdraw(state: Scheduler, runner: RunnerId, suspect: StepKey | None) -> None:
-    """Take back what was counted before others were known to have crashed with a runner."""
+def _share(state: Scheduler, runner: RunnerId, suspect: StepKey | None) -> None:
+    """Weigh less what was counted before others were known to have crashed with a runner."""
     for key in state.crashes.withdraw(runner):
         task = _accountable(state, key)
         if task is not None and key.of_step != suspect:
-            task.crashes = tuple(one for one in task.crashes if one.runner != runner)
+            marks = task.crashes
+            task.crashes = tuple(_shared(one) if one.runner == runner else one for one in marks)
             state.unkept.change(key.job)
 
 
+def _shared(mark: CrashMark) -> CrashMark:
+    return msgspec.structs.replace(mark, shared=True)
+
+
 def _planned(runner: RunnerState, now: float) -> bool:
     """Tell whether it was to end: it said so, or its entry went well before it did."""
     if (
@@ -257,8 +258,9 @@
     if job is None or task is None or job.phase in FINAL or task.phase is Phase.DONE:
         return
     task.crashes = with_mark(task.crashes, mark)
-    crashes = len(task.crashes)
-    task.not_before = max(task.not_before, now + PAUSES_S[min(crashes, len(PAUSES_S)) - 1])
+    crashes = len(own_marks(task.crashes))
+    if not mark.shared:
+        task.not_before = max(task.not_before, now + PAUSES_S[min(crashes, len(PAUSES_S)) - 1])
     state.unkept.change(key.job)
     state.note(
         "crash-counted",
@@ -268,6 +270,7 @@
         lived_ms=mark.lived_ms,
         alone=mark.alone,
         proved=mark.proved,
+        shared=mark.shared,
         crashes=crashes,
     )
     _suspect_present_run(state, key, task)
@@ -281,7 +284,8 @@
     runner = state.runners.get(task.runner)
     run = runner.runs.get(key) if runner is not None else None
     if run is not None:
-        run.suspect = True
+        run.marked = True
+        run.suspect = bool(own_marks(task.crashes))
 
 
 def _give_up(
--- a/spoolcrank/runs.py
+++ b/spoolcrank/runs.py
@@ -43,8 +43,9 @@
         bound_at: when it was bound, or taken over by this leader.
         ordered_at: when its start was first sent, or it was taken over; None before.
         inherited: an earlier leader bound it, so that its age is not known.
-        suspect: a runner crashed under an earlier run of its task, and this one has not outlived
+        marked: a runner crashed under an earlier run of its task, and this one has not outlived
             the moment yet.
+        suspect: so it is, and that crash had no common cause with others.
     """
 
     number: int
@@ -74,6 +75,7 @@
     bound_at: float = 0.0
     ordered_at: float | None = None
     inherited: bool = False
+    marked: bool = False
     suspect: bool = False
 
     def worked_s(self, now: float) -> float:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from spoolcrank.contention import Contention
-from spoolcrank.crash_record import CrashRecord, starts_apart
+from spoolcrank.crash_record import CrashRecord, own_marks, starts_apart
 from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
@@ -155,6 +155,7 @@
         """Return a run of a task as it counts against a runner."""
         step = job.rounds[key.round].steps[key.step]
         spec = step.spec
+        marks = step.accountable(key.number).crashes
         return Run(
             number,
             stage,
@@ -168,7 +169,8 @@
             checkpoints=spec.checkpoints,
             load=step.load,
             bound_at=now,
-            suspect=bool(step.accountable(key.number).crashes),
+            marked=bool(marks),
+            suspect=bool(own_marks(marks)),
         )
 
     def cancel(self, job_id: JobId, now: float) -> None:
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -181,6 +181,7 @@
         lived_ms: for how long the run had been there at most; 0 if that is not known.
         alone: nothing else there is likely to have brought the runner down.
         proved: that incarnation is known to be over.
+        shared: others fell with it by a common cause, so that it says next to nothing.
     """
 
     runner: str
@@ -188,6 +189,7 @@
     lived_ms: int = 0
     alone: bool = False
     proved: bool = True
+    shared: bool = False
 
 
 class TaskMark(msgspec.Struct, array_like=True, omit_defaults=True):
