Take a runner that was silent for long for what it is, and find a common cause once

The leader ended its term by an error of its own (`internal-error`, deque index out of range), as would its successors. The new test failed before.

--- a/spoolcrank/common_cause.py
+++ b/spoolcrank/common_cause.py
@@ -1,13 +1,13 @@
 """Tell crashes that have a cause of their own, such as a loss of power, from those under a task.
 
 Where most runners of a zone, a rack or a whole service fall at one moment, no task did it, and the
-crash says nothing against what ran there. When one fell is known to lie between the last call that
-it answered and the first that it did not.
+crash says next to nothing against what ran there. When one fell is known to lie between the last
+call that it answered and the first that it did not.
 """
 
-from collections.abc import Hashable, Iterable, Iterator
+from collections.abc import Hashable, Iterable, Iterator, Sequence
 
-from spoolcrank.crash_record import SOON_S, Fall
+from spoolcrank.crash_record import SOON_S, CommonCause, Fall
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import StepKey
@@ -33,18 +33,37 @@
     return Fall(runner.id, stood_at, missed_at, _groups(runner), young, bool(runner.runs))
 
 
-def fell_with(state: Scheduler, fall: Fall, now: float) -> list[Fall]:
-    """Return the runners that fell with one by a common cause, itself among them; else none."""
+def find_cause(state: Scheduler, fall: Fall, now: float) -> tuple[CommonCause, list[Fall]] | None:
+    """Return the common cause by which a runner fell, if there is one, and whom it is found with.
+
+    Of those that fall later by a cause that is known already, each is returned by itself.
+    """
+    for known in state.crashes.common_causes:
+        at_once = fall.stood_at <= known.until and known.since <= fall.missed_at
+        if known.group in fall.groups and at_once:
+            return known, [fall]
     together = [one for one in _falls(state, now) if _overlap(one, fall)]
+    if len(together) < LEAST_FALL:
+        return None
+    standing = [_groups(one) for one in _standing(state, fall)]
     for group in fall.groups:
         fallen = [one for one in together if group in one.groups]
-        stand = sum(1 for one in _standing(state, fall) if group in _groups(one))
+        stand = sum(1 for groups in standing if group in groups)
         if len(fallen) >= max(LEAST_FALL, MOST_FALL * (len(fallen) + stand)):
-            return fallen
-    return []
+            since, until = _moment(fallen)
+            cause = CommonCause(group, since, until, _only_step(fallen))
+            state.crashes.common_causes.append(cause)
+            return cause, fallen
+    return None
+
+
+def _moment(fallen: Sequence[Fall]) -> tuple[float, float]:
+    """Return between when and when some runners fell, were it at one moment."""
+    one, other = max(one.stood_at for one in fallen), min(one.missed_at for one in fallen)
+    return min(one, other), max(one, other)
 
 
-def only_step(fallen: Iterable[Fall]) -> StepKey | None:
+def _only_step(fallen: Iterable[Fall]) -> StepKey | None:
     """Return the one step of which a task had just begun on each of some runners, if there is one.
 
     Its tasks may all bring their runners down: that these fell together then says nothing for them.
--- a/spoolcrank/crash_record.py
+++ b/spoolcrank/crash_record.py
@@ -82,6 +82,21 @@
     had_runs: bool
 
 
+class CommonCause(NamedTuple):
+    """What took most runners of a group at one moment.
+
+    Attributes:
+        group: of whom.
+        since, until: between them it came, monotonic seconds.
+        suspect: the one step of which a task had just begun on each of them, if there is one.
+    """
+
+    group: Hashable
+    since: float
+    until: float
+    suspect: StepKey | None
+
+
 class Crash(NamedTuple):
     """A runner that crashed, and what was there."""
 
@@ -103,6 +118,7 @@
     Attributes:
         doubts: runners whose runs were given up before anyone knew what had become of them.
         falls: runners that fell lately.
+        common_causes: found lately.
     """
 
     def __init__(self, now: float) -> None:
@@ -110,12 +126,15 @@
         self._crashes: deque[Crash] = deque()
         self.doubts: dict[RunnerId, Doubt] = {}
         self.falls: deque[Fall] = deque()
+        self.common_causes: deque[CommonCause] = deque()
 
     def fell(self, fall: Fall, now: float) -> None:
         """Take note of a runner that fell."""
         self.falls.append(fall)
-        while now - self.falls[0].missed_at > WINDOW_S:
+        while self.falls and now - self.falls[0].missed_at > WINDOW_S:
             self.falls.popleft()
+        while self.common_causes and now - self.common_causes[0].until > WINDOW_S:
+            self.common_causes.popleft()
 
     def withdraw(self, runner: RunnerId) -> frozenset[TaskKey]:
         """Leave out a crash that had a cause of its own; returns what it was counted against."""
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -266,7 +266,7 @@
     running = tuple(map(_running, answer.running))
     ended = tuple(map(_ended, answer.ended))
     whole = len(ended) < ENDS_AT_ONCE
-    return Report(_life(asked, answer.born), answer.clock, running, ended, whole)
+    return Report(_answerer(asked, answer.born), answer.clock, running, ended, whole)
 
 
 def _report_by_rows(asked: RunnerId, body: bytes) -> Report:
@@ -276,11 +276,11 @@
     ended, no_ends = _rows(_ended_of, answer.ended)
     unread = len(no_runs) + len(no_ends)
     whole = len(answer.ended) < ENDS_AT_ONCE
-    runner = _life(asked, answer.born)
+    runner = _answerer(asked, answer.born)
     return Report(runner, answer.clock, running, ended, whole, unread, _numbers(no_ends))
 
 
-def _life(asked: RunnerId, born: int | None) -> RunnerId:
+def _answerer(asked: RunnerId, born: int | None) -> RunnerId:
     """Return which incarnation answered; its name was asked for, as others refuse."""
     return runner_id(name_of(asked), born)
 
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from spoolcrank.common_cause import fall_of, fell_with, only_step
+from spoolcrank.common_cause import fall_of, find_cause
 from spoolcrank.crash_record import (
     Crash,
     Fall,
@@ -148,16 +148,16 @@
 ) -> list[Counted]:
     """Return what counts against each task that was there: next to nothing by a common cause."""
     state.crashes.fell(fall, now)
-    fallen = fell_with(state, fall, now)
+    found = find_cause(state, fall, now)
     marks = _marks(state, runner, now, proved)
-    if not fallen:
+    if found is None:
         state.crashes.add(Crash(now, runner.id, frozenset(key for key, _ in marks)))
         return marks
-    suspect = only_step(fallen)
-    state.note("crashed-together", runner=runner.id, runners=len(fallen), suspect=suspect)
+    cause, fallen = found
+    state.note("crashed-together", runner=runner.id, runners=len(fallen), suspect=cause.suspect)
     for other in fallen:
-        _share(state, other.runner, suspect)
-    return [(key, mark if key.of_step == suspect else _shared(mark)) for key, mark in marks]
+        _share(state, other.runner, cause.suspect)
+    return [(key, mark if key.of_step == cause.suspect else _shared(mark)) for key, mark in marks]
 
 
 def _share(state: Scheduler, runner: RunnerId, suspect: StepKey | None) -> None:
--- a/tests/test_crashes_together.py
+++ b/tests/test_crashes_together.py
@@ -83,3 +83,17 @@
         world.store.entries.put(f"i-other-{number}", entry(address=address))
         world.run(0.25)
     assert world.starts_after_crashes(TaskKey(JobId("bad0"), 0, 0, 0), 3) <= MOST_STARTS
+
+
+# Guards against a leader that ends its term by an error of its own where one was silent for long.
+def test_a_runner_that_is_back_after_long_silence_is_taken_for_what_it_is() -> None:
+    world = small(instances=2, runners=5, seed=1)
+    world.keeps_ids = 1.0
+    leader = world.leader()
+    assert leader is not None
+    world.instances["entry-0"].submit("0001", STEP, max_attempts=9)
+    world.run(2.0)
+    world.crash(next(iter(world.runners.values())), back_s=40.0)
+    world.run(60.0)
+    assert world.leader() is leader
+    assert world.broken == []
