--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -141,11 +141,15 @@
         self.journal = fleet.folder / f"{self.name}.journal"
         self.journal.touch()
         journal, room = str(self.journal), str(MILLICORES)
-        args = ["tests.soak.runner", self.id, str(self.born), journal, room, "0.8"]
+        port, self.address = fleet.places.get(place, ("0", ""))
+        args = ["tests.soak.runner", self.id, str(self.born), port, journal, room, "0.8"]
         self.program = Program(args, fleet.folder / f"{self.name}.log")
         self.killed_at: float | None = None
         self.by_itself = False
-        self.address = fleet.proxy.via("any", place, self.program.listen())
+        listen = self.program.listen()
+        self.address = self.address or fleet.proxy.via("any", place, listen)
+        if fleet.keeps_ids:
+            fleet.places[place] = (listen.rpartition(":")[2], self.address)
 
 
 class Fleet:
@@ -160,6 +164,7 @@
         keeps_ids: bool = False,
     ) -> None:
         self.keeps_ids = keeps_ids
+        self.places: dict[str, tuple[str, str]] = {}
         self.folder = folder
         self.daemon = ["tests.soak.mutant", mutation] if mutation else ["spoolcrank", "serve"]
         self.proxy = Proxy()
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,8 +1,9 @@
 """One life of a runner as a process; every start and end goes to a journal that outlives it.
 
-`python -m tests.soak.runner ID BORN JOURNAL MILLICORES WORK_S` prints its address. A later life may
-have the ID of an earlier one; BORN, in Unix milliseconds, tells them apart. A line of the journal
-is `[time, kind, task, run, what]` with the host's monotonic clock, which all processes share.
+`python -m tests.soak.runner ID BORN PORT JOURNAL MILLICORES WORK_S` prints its address. A later
+life may have the ID and the PORT of an earlier one; BORN, in Unix milliseconds, tells them apart. A
+line of the journal is `[time, kind, task, run, what]` with the host's monotonic clock, which all
+processes share.
 """
 
 import json
@@ -170,9 +171,9 @@
 
 
 def main() -> None:
-    name, born, journal, millicores, work_s = sys.argv[1:]
+    name, born, port, journal, millicores, work_s = sys.argv[1:]
     runner = Runner(name, int(born), journal, int(millicores), float(work_s))
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Answers.by(runner.answer))
+    server = ThreadingHTTPServer(("127.0.0.1", int(port)), Answers.by(runner.answer))
     server.daemon_threads = True
     threading.Thread(target=runner.tick, daemon=True).start()
     announce(server)
