--- /dev/null
+++ b/tests/fleet_store.py
@@ -0,0 +1,166 @@
+"""The store of a simulated fleet: keyed topics, as one client reaches them, with their faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from spoolcrank.keyed_log import KeyedRecord
+from spoolcrank.store_port import (
+    Append,
+    Appended,
+    AppendOutcome,
+    NewestPage,
+    ReadOutcome,
+    Records,
+)
+from tests.stored_progress import DoneTasks
+
+if TYPE_CHECKING:
+    from tests.fleet_world import Instance, World
+
+ANSWER_S = 0.004
+CALL_S = 0.8
+READ_RECORDS = 6
+ANSWERS_KEPT = 5
+"""The store gives one of the last so many appends of a writer its first answer again."""
+
+
+class Topic:
+    """One keyed topic: all records, the newest of each key, and the writer's fence."""
+
+    def __init__(self, broken: list[str]) -> None:
+        self.records: list[KeyedRecord] = []
+        self._broken = broken
+        self._done = DoneTasks()
+        self.kept_from = 0
+        self.epoch = 0
+        self.sequence = 0
+        self.first_answers: dict[int, int] = {}
+
+    def put(self, key: str, value: bytes) -> None:
+        record = KeyedRecord(key, value, len(self.records))
+        self.records.append(record)
+        self._broken += [f"BACK {one}, offset {record.offset}" for one in self._done.take(record)]
+
+    def append(self, append: Append) -> Appended:
+        if append.fence is not None:
+            refusal = self._check(append)
+            if refusal is not None:
+                return refusal
+        if append.at is not None and append.at != len(self.records):
+            return Appended(AppendOutcome.MOVED)
+        first = len(self.records)
+        for record in append.records:
+            self.put(record.key, record.value)
+        if append.fence is not None:
+            self.epoch, self.sequence = append.fence
+            self.first_answers[self.sequence] = first
+        return Appended(AppendOutcome.KEPT, first)
+
+    def _check(self, append: Append) -> Appended | None:
+        assert append.fence is not None
+        term, sequence = append.fence
+        if term < self.epoch:
+            return Appended(AppendOutcome.FENCED)
+        if term > self.epoch:
+            self.first_answers = {}
+            return None
+        if sequence in self.first_answers and sequence > self.sequence - ANSWERS_KEPT:
+            return Appended(AppendOutcome.KEPT, self.first_answers[sequence])
+        if sequence != self.sequence + 1:
+            return Appended(AppendOutcome.OUT_OF_ORDER)
+        return None
+
+    def newest(self) -> list[KeyedRecord]:
+        newest = {record.key: record for record in self.records}
+        return sorted(record for record in newest.values() if record.value)
+
+
+class Store:
+    """The store as one client sees it, with its faults."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.jobs = Topic(world.broken)
+        self.entries = Topic(world.broken)
+        self.turned_away: set[str] = set()
+        self.answers_lost: set[str] = set()
+        self.slow_reads_s: dict[str, float] = {}
+        self.silent = False
+        self.slow_s = 0.0
+        self.lose_share = 0.0
+        self.late_share = 0.0
+        self.answer_s = ANSWER_S
+
+    def port(self, instance: Instance, topic: Topic) -> StorePort:
+        return StorePort(self, instance, topic)
+
+
+@dataclass
+class StorePort:
+    """One topic of the store as one instance reaches it."""
+
+    store: Store
+    instance: Instance
+    topic: Topic
+
+    def append(self, append: Append, done: Callable[[Appended], None]) -> None:
+        world, store = self.store.world, self.store
+        unknown = Appended(AppendOutcome.UNKNOWN)
+        if self.instance.name in store.turned_away:
+            self._tell(store.answer_s, done, Appended(AppendOutcome.NOT_KEPT))
+        elif store.silent:
+            self._tell(CALL_S, done, unknown)
+        elif world.random.random() < store.late_share:
+            world.at(world.random.uniform(1, 6), lambda: self.topic.append(append))
+            self._tell(CALL_S, done, unknown)
+        else:
+            if append.fence is not None:
+                world.again(lambda: self.topic.append(append))
+            lost = world.random.random() < store.lose_share
+            lost = lost or self.instance.name in store.answers_lost
+
+            def arrive() -> None:
+                got = self.topic.append(append)
+                self._tell(CALL_S if lost else store.answer_s / 2, done, unknown if lost else got)
+
+            world.at(store.answer_s / 2 + store.slow_s, arrive)
+
+    def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
+        if self._away():
+            self._tell(CALL_S / 4, done, Records(ReadOutcome.FAILED))
+            return
+        until = self.store.world.now + wait_ms / 1000
+
+        def poll() -> None:
+            if self._away():
+                self._tell(CALL_S, done, Records(ReadOutcome.FAILED))
+            elif from_offset < self.topic.kept_from:
+                self._tell(self.store.answer_s, done, Records(ReadOutcome.EXPIRED))
+            elif len(self.topic.records) > from_offset or self.store.world.now >= until:
+                got = tuple(self.topic.records[from_offset : from_offset + READ_RECORDS])
+                end = len(self.topic.records)
+                way_s = self.store.answer_s / 2
+                if self.topic is self.store.jobs:
+                    way_s = self.store.slow_reads_s.get(self.instance.name, way_s)
+                self._tell(way_s, done, Records(ReadOutcome.OK, got, end))
+            else:
+                self.store.world.at(0.01, poll)
+
+        self.store.world.at(self.store.answer_s / 2, poll)
+
+    def newest(self, after_key: str, done: Callable[[NewestPage], None]) -> None:
+        if self._away():
+            self._tell(CALL_S / 4, done, NewestPage(False))
+            return
+        page = [one for one in self.topic.newest() if one.key > after_key]
+        got = NewestPage(True, tuple(page[:7]), len(page) > 7, len(self.topic.records))
+        self._tell(self.store.answer_s, done, got)
+
+    def _away(self) -> bool:
+        return self.store.silent or self.instance.name in self.store.turned_away
+
+    def _tell(self, delay_s: float, done: Callable[[Any], None], got: Any) -> None:
+        self.instance.later(delay_s, lambda: done(got))
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,7 +16,8 @@
 from functools import partial
 
 from spoolcrank.workflow import Step
-from tests.fleet_world import ANSWER_S, Instance, World
+from tests.fleet_store import ANSWER_S
+from tests.fleet_world import Instance, World
 
 SEEDS = range(8)
 LARGE, SMALL = 4, 6
--- a/tests/test_succession_faults.py
+++ b/tests/test_succession_faults.py
@@ -10,7 +10,8 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.store_port import Append, Appended, AppendOutcome
 from spoolcrank.workflow import JobRecord, Phase, RouteName, Step, Workflow
-from tests.fleet_world import CALL_S, Instance, StorePort, small
+from tests.fleet_store import CALL_S
+from tests.fleet_world import Instance, StorePort, small
 from tests.test_placing_pass import NOW, SERVICE, _add, _bound, _state
 
 PART_S = 0.124
