--- a/tests/test_platform_incarnations.py
+++ b/tests/test_platform_incarnations.py
@@ -110,7 +110,7 @@
 TO_OTHERS = {"fence": 4, "lastSeen": 0}
 
 
-# Guards against a poll that lets a new life forget ends that nobody has read.
+# Guards against a poll that lets a new incarnation forget ends that nobody has read.
 def test_a_number_of_an_end_goes_only_to_the_life_that_listed_it(
     runner: RunnerServer, leader: Leader
 ) -> None:
--- a/tests/test_runner_incarnations.py
+++ b/tests/test_runner_incarnations.py
@@ -95,7 +95,7 @@
             assert self.most_starts() <= MOST_STARTS
 
 
-# Guards against ends of a new life that were dropped as known, so that done work ran again.
+# Guards against ends that a new incarnation forgot unread, so that done work ran again.
 @pytest.mark.parametrize("seed", range(3))
 def test_runners_reborn_under_their_ids_run_nothing_twice(seed: int) -> None:
     play = Play(seed)
@@ -103,7 +103,7 @@
     play.check()
 
 
-# Guards against a leader that takes the runs of an earlier life for those of the present one.
+# Guards against a leader that takes the runs of an earlier incarnation for the present one's.
 @pytest.mark.parametrize("seed", range(3))
 def test_runners_reborn_under_their_ids_while_leaders_die_run_nothing_twice(seed: int) -> None:
     play = Play(seed)
@@ -121,7 +121,7 @@
     return play
 
 
-# Guards against orders to an earlier life that the present one carries out late.
+# Guards against orders to an earlier incarnation that the present one carries out late.
 @pytest.mark.parametrize("kills", [False, True], ids=["", "leaders-killed"])
 @pytest.mark.parametrize("seed", range(LATE_SEEDS))
 def test_orders_to_an_earlier_life_carried_out_late_run_nothing_twice(
@@ -155,7 +155,7 @@
     return world
 
 
-# Guards against a poll that reaches a new life and lets it forget ends that nobody has read.
+# Guards against a poll that reaches a new incarnation and names the last end of the one before.
 @pytest.mark.parametrize("seed", range(3))
 def test_a_runner_back_at_once_forgets_no_end_unread(seed: int) -> None:
     assert _back_at_once(seed).broken == []
