Let nothing wait for the store once intake has ended, whatever is asked

Callers would see a connection that is held until the process ends and closed without an answer, for a request that the instance read 2.5 s or more after the stop signal: what the record of the incident shows.

Once given up, the API refuses whatever would still wait at the moment it is asked, by whichever way it came.

That the recorded request was for such a queue is not shown.

--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -162,15 +162,24 @@
 
     def waiting(self, route: RouteName, done: Callable[[int | ErrorKind], None]) -> None:
         """Report how many jobs of a queue wait, from a copy no older than `MAX_COUNT_AGE_S`."""
-        if self._ended and not self._follower.is_fresh(MAX_COUNT_AGE_S):
-            done(ErrorKind.LEAVING)
-            return
 
-        def confirmed(ok: bool) -> None:
-            report(self._index.waiting(route) if ok else ErrorKind.LOG_UNAVAILABLE)
+        def confirmed(failure: ErrorKind | None) -> None:
+            done(self._index.waiting(route) if failure is None else failure)
+
+        self.confirm(self._follower, MAX_COUNT_AGE_S, confirmed)
+
+    def confirm(
+        self, follower: LogFollower, age_s: float, done: Callable[[ErrorKind | None], None]
+    ) -> None:
+        """Report why a copy may lack records written up to `age_s` ago; None if it has them all.
 
+        An older copy is refreshed first, but no longer once intake has ended.
+        """
+        if self._ended and not follower.is_fresh(age_s):
+            done(ErrorKind.LEAVING)
+            return
         report = self._with_timeout(done)
-        self._follower.confirm(MAX_COUNT_AGE_S, confirmed)
+        follower.confirm(age_s, lambda ok: report(None if ok else ErrorKind.LOG_UNAVAILABLE))
 
     def _with_timeout(
         self, done: Callable[[Answer | ErrorKind], None]
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -30,7 +30,7 @@
         self,
         intake: JobIntake,
         routes: Callable[[], RouteTable | None],
-        confirm: Callable[[Callable[[bool], None]], None],
+        confirm: Callable[[Callable[[ErrorKind | None], None]], None],
         telemetry: Telemetry,
         metrics: PrometheusMetrics,
     ) -> None:
@@ -39,6 +39,7 @@
         self._routes = routes
         self._confirm = confirm
         self._telemetry = telemetry
+        self._given_up = False
         self.open_requests = OpenRequests()
 
     def answer(self, req: HttpRequest, reply: Reply) -> None:
@@ -51,6 +52,8 @@
             # The web server answers the request with an internal error.
             self.open_requests.end(open_request)
             raise
+        if self._given_up:
+            self._refuse_unfinished()
 
     def _reply(self, open_request: OpenRequest, answer: HttpReply) -> None:
         if not self.open_requests.end(open_request):
@@ -74,18 +77,17 @@
     def _refuse_unknown_route(self, open_request: OpenRequest) -> None:
         """Refuse a request for an unknown queue after checking for a newer configuration."""
 
-        def on_confirmed(ok: bool) -> None:
+        def on_confirmed(failure: ErrorKind | None) -> None:
             table = self._routes()
             route = _route(table, open_request.request) if table is not None else None
             if route is not None:
                 self._on_route(open_request, route)
                 return
             version = table.version if table is not None else 0
-            kind = ErrorKind.NO_SUCH_PATH if ok else ErrorKind.LOG_UNAVAILABLE
-            caveat = "" if ok else ", which may be old"
+            caveat = "" if failure is None else ", which may be old"
             self._refuse(
                 open_request,
-                kind,
+                failure or ErrorKind.NO_SUCH_PATH,
                 f"no queue in version {version}{caveat}",
             )
 
@@ -196,9 +198,13 @@
         self._intake.cancel(job, on_result)
 
     def give_up(self) -> int:
-        """Refuse all requests that still wait for the store, and return their number."""
-        waiting = self.open_requests.oldest_first()
-        for open_request in waiting:
+        """Refuse all that waits for the store, now and from now on; return how much waits now."""
+        self._given_up = True
+        return self._refuse_unfinished()
+
+    def _refuse_unfinished(self) -> int:
+        unfinished = self.open_requests.oldest_first()
+        for open_request in unfinished:
             if open_request.waits is WaitReason.READ:
                 self._refuse(open_request, ErrorKind.LOG_UNAVAILABLE, "the store does not answer")
             else:
@@ -207,7 +213,7 @@
                     ErrorKind.LOG_ANSWER_UNKNOWN,
                     "the store may have it",
                 )
-        return len(waiting)
+        return len(unfinished)
 
     def _refuse(self, open_request: OpenRequest, kind: ErrorKind, detail: str) -> None:
         req = open_request.request
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -98,7 +98,7 @@
         self._api = ClientApi(
             self.intake,
             lambda: self._routes,
-            partial(self._configuration.confirm, MAX_CONFIGURATION_AGE_S),
+            partial(self.intake.confirm, self._configuration, MAX_CONFIGURATION_AGE_S),
             self.telemetry,
             self.metrics,
         )
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -55,7 +55,7 @@
     api = ClientApi(
         instance.intake,
         lambda: table,
-        lambda done: configuration.confirm(AGE_S, done),
+        lambda done: instance.intake.confirm(configuration, AGE_S, done),
         log,
         PrometheusMetrics(),
     )
@@ -151,7 +151,7 @@
 
 
 def stop_beside_an_answer(answered_s: float) -> tuple[float, list[str]]:
-    """Stop while the loop is slow to answer a request; return the time of the end, and the lines."""
+    """Stop beside an answer that takes its time; return the time of the end, and the lines."""
     loop, lines, ends = Loop(), Lines(), list[float]()
     begun_at = loop.now
     untyped: Any = (Web(loop, 4.6, answered_s), NoIntake(), loop, lines)
--- a/tests/test_stop_times.py
+++ b/tests/test_stop_times.py
@@ -251,7 +251,7 @@
     instance = Instance(AppendOutcome.UNKNOWN, 50.0)
     log: Any = Log()
     api = ClientApi(
-        instance.intake, lambda: table, lambda done: done(True), log, PrometheusMetrics()
+        instance.intake, lambda: table, lambda done: done(None), log, PrometheusMetrics()
     )
     replies: list[tuple[str, HttpReply]] = []
     body = json.dumps({"spec": "x", "steps": [{"count": 1}]}).encode()
--- a/tests/test_unknown_queues.py
+++ b/tests/test_unknown_queues.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from spoolcrank._web import HttpReply, HttpRequest
+from spoolcrank.errors import ErrorKind
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import decode_configuration
 from spoolcrank.prometheus_metrics import PrometheusMetrics
 from spoolcrank.routes import RouteTable
 from tests.fleet_world import World, small_world
 
-Done = Callable[[bool], None]
+Done = Callable[[ErrorKind | None], None]
 AGE_S = 1.7
 
 
@@ -48,13 +49,13 @@
 
 def test_a_possibly_outdated_configuration_denies_no_queue() -> None:
     """An instance answered 404 from a configuration that it had last read nine seconds ago."""
-    (answer,) = _ask(lambda done: done(False), [_table(63, "/old/")])
+    (answer,) = _ask(lambda done: done(ErrorKind.LOG_UNAVAILABLE), [_table(63, "/old/")])
     assert answer.status == 503
     assert "Retry-After" in answer.headers
 
 
 def test_a_queue_that_certainly_does_not_exist_is_denied_at_once() -> None:
-    (answer,) = _ask(lambda done: done(True), [_table(63, "/old/")])
+    (answer,) = _ask(lambda done: done(None), [_table(63, "/old/")])
     assert answer.status == 404
 
 
@@ -63,7 +64,7 @@
 
     def confirm(done: Done) -> None:
         tables[0] = _table(86, "/old/", "/new/")
-        done(True)
+        done(None)
 
     (answer,) = _ask(confirm, tables)
     assert answer.status == 200
