Send the answers to what was read before a stop is forced to end

Callers would see a connection closed without an answer to a request that the instance had read: the states of a stop end by the clock alone, so a loop that is slow or stood still has no time left between reading a request and the forced end, one second before the grace period's.

While a connection holds bytes that are not handled, or an answer that the kernel has not taken, the stop now goes on until half a second before the end of the grace period.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -170,6 +170,11 @@
         """Return how many connections are open."""
         return len(self.server.connections)
 
+    @property
+    def connections_with_work(self) -> int:
+        """Return how many open connections hold bytes not handled or answers not sent yet."""
+        return sum(self._has_work(sock) for sock in self.server.connections)
+
     @property
     def partly_received(self) -> int:
         """Return how many connections hold a partly received request."""
--- a/spoolcrank/instance_stop.py
+++ b/spoolcrank/instance_stop.py
@@ -67,7 +67,9 @@
             self._web.close_idle()
         elif self._state is StopState.SENDING:
             self._web.close_unanswerable()
-        remaining = RemainingWork(self._web.connections, self._is_leader())
+        remaining = RemainingWork(
+            self._web.connections, self._is_leader(), self._web.connections_with_work
+        )
         state = next_state(self._state, self._times, since_s, remaining)
         if state is not self._state:
             self._state = state
--- a/spoolcrank/planned_stop.py
+++ b/spoolcrank/planned_stop.py
@@ -9,7 +9,8 @@
   requests on open connections are refused as not run; requests already passed to the store get
   their answers.
 - sending: requests that the store did not answer in time are answered as unknown; nothing more is
-  read, and the remaining answers are sent.
+  read, and the remaining answers are sent. While one of them is not sent yet, the state lasts up to
+  half a second longer.
 - ended: the process ends.
 """
 
@@ -47,6 +48,11 @@
 processes than cores."""
 
 
+MIN_EXIT_MARGIN_S = 0.5
+"""Part of the grace period that is left for the process to exit if answers are still being sent,
+in seconds. A process that is killed after its last answer has cut no request."""
+
+
 class StopState(IntEnum):
     """State of a planned stop, in the order in which the states follow one another."""
 
@@ -64,12 +70,14 @@
         idle_end_s: time from which connections without a request are closed.
         answers_end_s: end of refusing.
         end_s: end of sending.
+        latest_end_s: end of sending while answers to requests that were read are not sent yet.
     """
 
     intake_end_s: float
     idle_end_s: float
     answers_end_s: float
     end_s: float
+    latest_end_s: float
 
 
 class RemainingWork(NamedTuple):
@@ -78,10 +86,13 @@
     Attributes:
         connections: number of open client connections.
         leads: whether the instance has not given up leadership yet.
+        unanswered: number of connections with bytes or requests that were read and whose answers
+            are not sent yet.
     """
 
     connections: int
     leads: bool
+    unanswered: int = 0
 
 
 def stop_times(grace_s: float) -> StopTimes:
@@ -95,7 +106,8 @@
     max_answer_s = MAX_ANSWER_S + LOOP_LAG_ALLOWANCE_S
     intake_end_s = max(0.0, min(INTAKE_END_S, answers_end_s - max_answer_s))
     idle_end_s = min(answers_end_s, intake_end_s + IDLE_CONNECTION_GRACE_S)
-    return StopTimes(intake_end_s, idle_end_s, answers_end_s, end_s)
+    latest_end_s = max(end_s, grace_s - MIN_EXIT_MARGIN_S)
+    return StopTimes(intake_end_s, idle_end_s, answers_end_s, end_s, latest_end_s)
 
 
 def next_state(
@@ -108,4 +120,5 @@
         return StopState.ENDED
     if current is StopState.REFUSING:
         return StopState.SENDING if since_s >= times.answers_end_s else current
-    return StopState.ENDED if since_s >= times.end_s else current
+    end_s = times.latest_end_s if remaining.unanswered else times.end_s
+    return StopState.ENDED if since_s >= end_s else current
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -112,6 +112,10 @@
     def unanswered(self) -> int:
         return int(self._read_at <= self._loop.now < self._answered_at)
 
+    @property
+    def connections_with_work(self) -> int:
+        return self.unanswered
+
     @property
     def connections(self) -> int:
         return int(self._loop.now < self._answered_at)
