Log how late the loop was for the checks of a stop

The lines of a stop could not tell a slow loop from a store that does not answer: both leave requests unanswered. Each line now has the longest time by which a check came late.

--- a/spoolcrank/instance_stop.py
+++ b/spoolcrank/instance_stop.py
@@ -50,6 +50,8 @@
         self._telemetry = telemetry
         self._clock = clock
         self._started_at = clock()
+        self._check_due_at = self._started_at
+        self._longest_delay_s = 0.0
         self._state = StopState.SERVING
 
     def begin(self) -> None:
@@ -62,7 +64,10 @@
         if self._state is not StopState.ENDED:
             # Schedule the next check first, so that an exception in this one does not end them.
             self._timers.after(CHECK_INTERVAL_S, self._check)
-        since_s = self._clock() - self._started_at
+        now = self._clock()
+        self._longest_delay_s = max(self._longest_delay_s, now - self._check_due_at)
+        self._check_due_at = now + CHECK_INTERVAL_S
+        since_s = now - self._started_at
         if self._state is StopState.REFUSING and since_s >= self._times.idle_end_s:
             self._web.close_idle()
         elif self._state is StopState.SENDING:
@@ -103,5 +108,6 @@
             connections=self._web.connections,
             half_sent=self._web.partly_received,
             leads=self._is_leader(),
+            longest_delay_s=round(self._longest_delay_s, 3),
             **fields,
         )
