Keep nothing of a connection that has closed

Seen: none by callers; the process kept the answer to every client that closed before it was sent, and four entries for its socket (buffer, writer, poller target, queue of closes), for ever. Each write searches the list of writers, so an instance slowed down with every such client; and a pipelined request of a closed connection counted as unanswered for ever, so that a later stop would have written false given-up lines.

Cause: events fired before the close are handled after it, and circuits adds entries for a socket that it no longer knows.

Now the events of a closed connection are discarded before any handler sees them, and what was made before the disconnect event is removed with it.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -331,8 +331,8 @@
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
+        self.server.forget(sock)
         self._sending.pop(sock, None)
-        self.server.unhandled.pop(sock, None)
         self._incoming.pop(sock, None)
         self.http._buffers.pop(sock, None)
         self.http._clients.pop(sock, None)
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from circuits import Event, handler
 from circuits.net.events import error, read
 from circuits.net.sockets import TCPServer
 
@@ -37,6 +38,22 @@
         """Return the open connections."""
         return list(self._clients)
 
+    @handler("read", "write", "close", "_read", "_write", priority=100)
+    def _skip_closed(self, event: Event, sock: socket.socket | None = None, *_: object) -> None:
+        """Discard the events of a connection that has closed since they were fired.
+
+        Their handlers would add entries for it that nothing removes any more.
+        """
+        if sock is not None and sock.fileno() < 0:
+            event.stop()
+
+    def forget(self, sock: socket.socket) -> None:
+        """Remove what is left of a connection that has closed."""
+        self.unhandled.pop(sock, None)
+        self._buffers.pop(sock, None)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+
     def mark_handled(self, sock: socket.socket) -> None:
         """Record that the event of one block was taken from the loop's queue."""
         self.unhandled[sock] -= 1
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -62,8 +62,11 @@
         """Answer the last request, once it is one that waits for its answer."""
 
         self.wait(lambda: bool(self.requests) and self.requests[-1][0].path == "/later")
-        reply = self.requests[-1][1]
-        self.do(lambda: reply(HttpReply(200, {}, body)))
+        self.do(lambda: self.answer_now(body))
+
+    def answer_now(self, body: bytes) -> None:
+        """Answer the last request; only for actions in the loop."""
+        self.requests[-1][1](HttpReply(200, {}, body))
 
     def close(self) -> None:
         for conn in self._clients:
