Answer every request of a block that holds more than one

Seen: of requests that a client sends without waiting for the answers, only the first of each block that is read together got an answer; the others were dropped and their connection stayed open, or their bytes were appended to the body of the first. In a stop such a request is one that was read and never answered. Blocks that came while a block of the same connection was still queued could also change places.

Cause: the parser of circuits keeps or discards what follows a complete request, and blocks were passed on to it undivided.

Now blocks are divided by the length that the head states before they are parsed; the rest waits in order behind the request until it is answered. A body in chunks is still passed on undivided.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -18,14 +18,12 @@
 from circuits.web.wrappers import Request, Response
 
 from spoolcrank._timers import Timers
+from spoolcrank._web_incoming import Incoming
 from spoolcrank._web_sockets import AcceptResult, WebSockets
 from spoolcrank.errors import ANSWERS, ErrorKind, Refusal
 
-MAX_BODY_BYTES = 1 << 20
-MAX_HEAD_BYTES = 16 << 10
 PARTIAL_REQUEST_TIMEOUT_S = 10.0
 _PARTIAL_REQUEST_CHECK_S = 1.0
-_MAX_LENGTH_DIGITS = 12
 JSON_TYPE = "application/json"
 
 
@@ -105,27 +103,6 @@
     return json_reply(answer.status, body, merged)
 
 
-class _Incoming:
-    """Data that arrived on a connection since its last answer.
-
-    Attributes:
-        size: number of bytes that arrived.
-        head: request line and headers, as far as they arrived.
-        since: time at which the first bytes were read, in seconds of the monotonic clock.
-        busy: whether a complete request waits for its answer.
-        pipelined: blocks that arrived behind that request.
-    """
-
-    __slots__ = ("busy", "head", "pipelined", "since", "size")
-
-    def __init__(self, now: float) -> None:
-        self.size = 0
-        self.head = b""
-        self.since = now
-        self.busy = False
-        self.pipelined: list[bytes] = []
-
-
 class WebServer(BaseComponent):
     """HTTP server of one address that answers requests by a function."""
 
@@ -138,7 +115,7 @@
         super().__init__(channel=channel)
         self._answer = answer
         self._timers = timers
-        self._incoming: dict[socket.socket, _Incoming] = {}
+        self._incoming: dict[socket.socket, Incoming] = {}
         self._sending: dict[socket.socket, UnsentAnswer] = {}
         self._close_after_answers = False
         self.server: WebSockets = WebSockets(bind, self.channel).register(self)
@@ -206,41 +183,34 @@
 
     def _has_work(self, sock: socket.socket) -> bool:
         incoming = self._incoming.get(sock)
-        busy = incoming is not None and incoming.busy
+        busy = incoming is not None and (incoming.busy or bool(incoming.pipelined))
         return busy or sock in self._sending or sock in self.server.unhandled
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
+        event.stop()
         self.server.mark_handled(sock)
-        incoming = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
-        if incoming.busy:
-            event.stop()
+        incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
+        if incoming.busy or incoming.pipelined:
             incoming.pipelined.append(data)
+        else:
+            self._receive(sock, incoming, data)
+
+    @handler("pipelined")
+    def _on_pipelined(self, sock: socket.socket, incoming: Incoming) -> None:
+        blocks, incoming.pipelined = incoming.pipelined, []
+        if sock in self._incoming:
+            self._receive(sock, incoming, b"".join(blocks))
+
+    def _receive(self, sock: socket.socket, incoming: Incoming, data: bytes) -> None:
+        block = incoming.add(data, time.monotonic())
+        if block.refusal is not None:
+            self._refuse_raw(sock, block.refusal)
             return
-        if incoming.size == 0:
-            incoming.since = time.monotonic()
-        incoming.size += len(data)
-        refusal = self._check(incoming, data)
-        if refusal is not None:
-            event.stop()
-            self._refuse_raw(sock, refusal)
-
-    def _check(self, incoming: _Incoming, data: bytes) -> Refusal | None:
-        if incoming.size > MAX_BODY_BYTES + MAX_HEAD_BYTES:
-            return Refusal(ErrorKind.TOO_LARGE, f"a body may have {MAX_BODY_BYTES} bytes", "body")
-        if b"\r\n\r\n" in incoming.head:
-            return None
-        incoming.head += data
-        end = incoming.head.find(b"\r\n\r\n")
-        if end < 0:
-            if len(incoming.head) > MAX_HEAD_BYTES:
-                return Refusal(
-                    ErrorKind.TOO_LARGE,
-                    f"headers may have {MAX_HEAD_BYTES} bytes",
-                    "headers",
-                )
-            return None
-        return _check_head(incoming.head[:end])
+        if block.rest:
+            incoming.pipelined.append(block.rest)
+        # The parser of circuits discards what follows a complete request.
+        self.http._on_read(sock, block.own)
 
     def _refuse_raw(self, sock: socket.socket, refusal: Refusal) -> None:
         reply = refusal_reply(refusal, {"Connection": "close"})
@@ -256,7 +226,7 @@
     def _on_request(self, event: Event, req: Request, res: Response) -> bool:
         event.stop()
         sock = req.sock
-        incoming = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
+        incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
         incoming.busy = True
         answered = False
 
@@ -292,13 +262,9 @@
         res.body = answer.body
         self._sending[sock] = UnsentAnswer(res.request.method, res.request.path, incoming.since)
         self.fire(response(res))
-        incoming.busy = False
-        incoming.size = 0
-        incoming.head = b""
-        pipelined, incoming.pipelined = incoming.pipelined, []
-        if pipelined:
-            self.server.unhandled[sock] += 1
-            self.fire(Event.create("read", sock, b"".join(pipelined)))
+        incoming.begin_next()
+        if incoming.pipelined:
+            self.fire(Event.create("pipelined", sock, incoming))
 
     @handler("httperror", priority=1)
     def _on_httperror(self, event: Event, req: Request, res: Response, code: int, **_: Any) -> None:
@@ -355,28 +321,3 @@
             ):
                 refusal = Refusal(ErrorKind.BAD_REQUEST, "the request did not arrive whole in time")
                 self._refuse_raw(sock, refusal)
-
-
-def _check_head(head: bytes) -> Refusal | None:
-    lengths = set()
-    chunked = False
-    for line in head.split(b"\r\n")[1:]:
-        name, _, value = line.partition(b":")
-        if name.strip().lower() == b"content-length":
-            lengths.add(value.strip())
-        if name.strip().lower() == b"transfer-encoding":
-            chunked = True
-    if not lengths:
-        return None
-    if len(lengths) > 1 or chunked:
-        return Refusal(ErrorKind.BAD_REQUEST, "the body's length is ambiguous", "content-length")
-    length = lengths.pop()
-    if not length.isdigit() or len(length) > _MAX_LENGTH_DIGITS:
-        return Refusal(ErrorKind.BAD_REQUEST, "the body's length is not a number", "content-length")
-    if int(length) > MAX_BODY_BYTES:
-        return Refusal(
-            ErrorKind.TOO_LARGE,
-            f"a body may have {MAX_BODY_BYTES} bytes",
-            "content-length",
-        )
-    return None
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.test_web_stop import ServerInThread, request
+from tests.test_web_stop import ServerInThread, read_to_end, request
 
 CLIENTS = 100
 
@@ -68,3 +68,54 @@
     time.sleep(0.2)
     after = served.do(lambda: entries_of_connections(served))
     assert after == before | {"readers": before["readers"] - 1, "targets": before["targets"] - 1}
+
+
+def answers_to(served: ServerInThread, *blocks: bytes) -> bytes:
+    """Send blocks over one connection, close it with the last answer, and return all answers."""
+    conn = served.client()
+    for block in blocks:
+        conn.sendall(block)
+        time.sleep(0.05)
+    served.do(served.web.close_after_answers)
+    conn.sendall(request("/last"))
+    served.wait(lambda: bool(served.requests) and served.requests[-1][0].path == "/last")
+    served.do(lambda: served.answer_now(b"last"))
+    return read_to_end(conn)
+
+
+def post(path: str, body: bytes) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@pytest.mark.parametrize("cut", [0, 5, 60, 75, 80])
+def test_requests_that_come_in_one_block_are_all_answered_in_order(
+    served: ServerInThread, cut: int
+) -> None:
+    """All behind the first were dropped with no answer, or became part of its body."""
+    sent = request("/now?1") + post("/now?2", b"body") + post("/now?3", b"") + request("/now?4")
+    answers = answers_to(served, sent[:cut], sent[cut:]) if cut else answers_to(served, sent)
+    assert answers.count(b"HTTP/1.1 200") == 5
+    asked = [(item.raw_query, item.body) for item, _ in served.requests]
+    assert asked == [("1", b""), ("2", b"body"), ("3", b""), ("4", b""), ("", b"")]
+
+
+def test_requests_that_come_together_behind_another_are_all_answered_in_order(
+    served: ServerInThread,
+) -> None:
+    conn = served.client()
+    conn.sendall(request("/later"))
+    served.wait(lambda: len(served.requests) == 1)
+    conn.sendall(request("/now?2") + request("/now?3")[:9])
+    time.sleep(0.05)
+    served.do(served.web.close_after_answers)
+
+    def answer_as_the_rest_comes() -> None:
+        conn.sendall(request("/now?3")[9:])
+        served.web.server._read(served.web.server.connections[0])
+        served.answer_now(b"first")
+
+    served.do(answer_as_the_rest_comes)
+    answers = read_to_end(conn)
+    assert answers.count(b"HTTP/1.1 200") == 3
+    assert [item.raw_query for item, _ in served.requests] == ["", "2", "3"]
