Count a request as unanswered from its last byte on

Seen: a request that a stopping instance read just before it closed the connections whose request can't be completed any more got no answer; its connection was closed, while it was carried out.

Cause: for one round of the loop, between the event of its last block and the event that passes it on, a whole request counted neither as unhandled nor as waiting for its answer.

Evidence: the new test fails on: the connection closes with nothing sent.

Now the division of blocks says when a request is whole, and it counts from then on; refused and unreadable requests no longer count as partly received until their connection closes.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -135,7 +135,7 @@
     @property
     def unanswered(self) -> int:
         """Return how many complete requests have answers not yet passed to the kernel."""
-        return sum(1 for incoming in self._incoming.values() if incoming.busy) + len(self._sending)
+        return sum(item.unanswered for item in self._incoming.values()) + len(self._sending)
 
     @property
     def unsent(self) -> list[UnsentAnswer]:
@@ -150,7 +150,7 @@
     @property
     def partly_received(self) -> int:
         """Return how many connections hold a partly received request."""
-        return sum(1 for incoming in self._incoming.values() if incoming.size and not incoming.busy)
+        return sum(incoming.partly_received for incoming in self._incoming.values())
 
     def close_after_answers(self) -> None:
         """Close each connection with its next answer, so that clients go to other instances."""
@@ -183,15 +183,15 @@
 
     def _has_work(self, sock: socket.socket) -> bool:
         incoming = self._incoming.get(sock)
-        busy = incoming is not None and (incoming.busy or bool(incoming.pipelined))
-        return busy or sock in self._sending or sock in self.server.unhandled
+        waits = incoming is not None and (incoming.unanswered or bool(incoming.pipelined))
+        return waits or sock in self._sending or sock in self.server.unhandled
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
         event.stop()
         self.server.mark_handled(sock)
         incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
-        if incoming.busy or incoming.pipelined:
+        if incoming.unanswered or incoming.pipelined:
             incoming.pipelined.append(data)
         else:
             self._receive(sock, incoming, data)
@@ -217,7 +217,7 @@
         head = [f"HTTP/1.1 {reply.status} refused"]
         head += [f"{name}: {value}" for name, value in reply.headers.items()]
         head.append(f"Content-Length: {len(reply.body)}")
-        self._incoming[sock].size = 0
+        self._incoming[sock].begin_next()
         self._sending[sock] = UnsentAnswer("", "", self._incoming[sock].since)
         self.fire(write(sock, "\r\n".join(head).encode() + b"\r\n\r\n" + reply.body))
         self.fire(close(sock))
@@ -276,7 +276,7 @@
         event.stop()
         incoming = self._incoming.get(req.sock)
         if incoming is not None:
-            incoming.busy = False
+            incoming.begin_next()
             self._sending[req.sock] = UnsentAnswer(req.method or "", req.path or "", incoming.since)
         for name, value in answer.headers.items():
             res.headers[name] = value
--- a/spoolcrank/_web_incoming.py
+++ b/spoolcrank/_web_incoming.py
@@ -33,26 +33,39 @@
         missing: number of bytes of the body that have not arrived; None as long as it is unknown,
             which it stays for a body that is sent in chunks.
         since: time at which the first bytes were read, in seconds of the monotonic clock.
+        whole: whether the request that is being received has arrived completely.
         busy: whether a complete request waits for its answer.
         pipelined: blocks that arrived behind that request.
     """
 
-    __slots__ = ("busy", "head", "missing", "pipelined", "since", "size")
+    __slots__ = ("busy", "head", "missing", "pipelined", "since", "size", "whole")
 
     def __init__(self, now: float) -> None:
         self.size = 0
         self.head = b""
         self.missing: int | None = None
         self.since = now
+        self.whole = False
         self.busy = False
         self.pipelined: list[bytes] = []
 
+    @property
+    def unanswered(self) -> bool:
+        """Return whether a complete request has no answer yet."""
+        return self.whole or self.busy
+
+    @property
+    def partly_received(self) -> bool:
+        """Return whether a request has arrived in part."""
+        return bool(self.size) and not self.unanswered
+
     def add(self, data: bytes, now: float) -> Block:
         """Add a block to the request that is being received, as far as it belongs to it."""
         if self.size == 0:
             self.since = now
         block = self._divide(data)
         self.size += len(block.own)
+        self.whole = self.missing == 0
         if self.size > MAX_BODY_BYTES + MAX_HEAD_BYTES:
             detail = f"a body may have {MAX_BODY_BYTES} bytes"
             return block._replace(refusal=Refusal(ErrorKind.TOO_LARGE, detail, "body"))
@@ -60,6 +73,7 @@
 
     def begin_next(self) -> None:
         """Start with the request behind the one that was answered."""
+        self.whole = False
         self.busy = False
         self.size = 0
         self.head = b""
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -119,3 +119,24 @@
     answers = read_to_end(conn)
     assert answers.count(b"HTTP/1.1 200") == 3
     assert [item.raw_query for item, _ in served.requests] == ["", "2", "3"]
+
+
+def test_a_request_read_as_unanswerable_connections_are_closed_is_answered(
+    served: ServerInThread,
+) -> None:
+    """It had been taken from the loop's queue but not yet passed on, and counted as not there."""
+    conn = served.client()
+    sock = served.web.server.connections[0]
+
+    def close_unanswerable() -> None:
+        served.web.stop_reading()
+        served.web.close_unanswerable()
+
+    def read_and_end() -> None:
+        conn.sendall(request("/now"))
+        served.web.server._read(sock)
+        served.post(close_unanswerable)
+
+    served.do(served.web.close_after_answers)
+    served.do(read_and_end)
+    assert read_to_end(conn).endswith(b"now")
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -45,6 +45,10 @@
         assert done.wait(WAIT_S)
         return results[0]
 
+    def post(self, action: Callable[[], None]) -> None:
+        """Run an action in the loop, behind the events that are already queued."""
+        self._runtime.post(action)
+
     def wait(self, what: Callable[[], bool]) -> None:
         until = time.monotonic() + WAIT_S
         while not self.do(what):
