Read nothing behind the request whose answer closes its connection

Seen: a request that came between the last answer of a connection and its close was read and carried out, a job of it accepted, and its answer never sent. In a stop every answer closes its connection, so each client that sends without waiting could meet this. One whose block was already read when the answer was given was taken for the request before it.

Cause: reading went on until the answer had been passed to the kernel; the close was decided by what waits behind the request, blocks in the loop's queue not counted; and circuits keeps the request of a connection until its answer is rendered.

Now reading ends with the answer that closes the connection, and a block that was read before counts as a request behind it, so that the close comes behind the last.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -191,6 +191,8 @@
         event.stop()
         self.server.mark_handled(sock)
         incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
+        if incoming.closing:
+            return
         if incoming.unanswered or incoming.pipelined:
             incoming.pipelined.append(data)
         else:
@@ -217,7 +219,7 @@
         head = [f"HTTP/1.1 {reply.status} refused"]
         head += [f"{name}: {value}" for name, value in reply.headers.items()]
         head.append(f"Content-Length: {len(reply.body)}")
-        self._incoming[sock].begin_next()
+        self._begin_close(sock, self._incoming[sock])
         self._sending[sock] = UnsentAnswer("", "", self._incoming[sock].since)
         self.fire(write(sock, "\r\n".join(head).encode() + b"\r\n\r\n" + reply.body))
         self.fire(close(sock))
@@ -255,17 +257,29 @@
             return
         res.status = answer.status
         # Requests pipelined behind this one were read too: answer them before closing.
-        if self._close_after_answers and not incoming.pipelined:
+        is_last = not incoming.pipelined and not self.server.unhandled[sock]
+        if self._close_after_answers and is_last:
             res.close = True
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
         self._sending[sock] = UnsentAnswer(res.request.method, res.request.path, incoming.since)
         self.fire(response(res))
+        # Else circuits takes the next request of the connection for this one.
+        self.http._clients.pop(sock, None)
         incoming.begin_next()
-        if incoming.pipelined:
+        if res.close:
+            self._begin_close(sock, incoming)
+        elif incoming.pipelined:
             self.fire(Event.create("pipelined", sock, incoming))
 
+    def _begin_close(self, sock: socket.socket, incoming: Incoming) -> None:
+        """Stop reading from a connection that closes with an answer that has just been given."""
+        incoming.begin_next()
+        incoming.closing = True
+        incoming.pipelined = []
+        self.server.stop_reading_from(sock)
+
     @handler("httperror", priority=1)
     def _on_httperror(self, event: Event, req: Request, res: Response, code: int, **_: Any) -> None:
         if code == 500 and getattr(event, "error", None) is None:
@@ -276,7 +290,7 @@
         event.stop()
         incoming = self._incoming.get(req.sock)
         if incoming is not None:
-            incoming.begin_next()
+            self._begin_close(req.sock, incoming)
             self._sending[req.sock] = UnsentAnswer(req.method or "", req.path or "", incoming.since)
         for name, value in answer.headers.items():
             res.headers[name] = value
--- a/spoolcrank/_web_incoming.py
+++ b/spoolcrank/_web_incoming.py
@@ -36,9 +36,10 @@
         whole: whether the request that is being received has arrived completely.
         busy: whether a complete request waits for its answer.
         pipelined: blocks that arrived behind that request.
+        closing: whether the connection closes with an answer that was already given.
     """
 
-    __slots__ = ("busy", "head", "missing", "pipelined", "since", "size", "whole")
+    __slots__ = ("busy", "closing", "head", "missing", "pipelined", "since", "size", "whole")
 
     def __init__(self, now: float) -> None:
         self.size = 0
@@ -48,6 +49,7 @@
         self.whole = False
         self.busy = False
         self.pipelined: list[bytes] = []
+        self.closing = False
 
     @property
     def unanswered(self) -> bool:
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -32,6 +32,7 @@
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.unhandled: Counter[socket.socket] = Counter()
+        self._no_longer_read: set[socket.socket] = set()
 
     @property
     def connections(self) -> list[socket.socket]:
@@ -50,6 +51,7 @@
     def forget(self, sock: socket.socket) -> None:
         """Remove what is left of a connection that has closed."""
         self.unhandled.pop(sock, None)
+        self._no_longer_read.discard(sock)
         self._buffers.pop(sock, None)
         if sock in self._closeq:
             self._closeq.remove(sock)
@@ -62,7 +64,7 @@
 
     def _read(self, sock: socket.socket) -> None:
         """Read one block and count it; the method of circuits does not track queued blocks."""
-        if sock not in self._clients:
+        if sock not in self._clients or sock in self._no_longer_read:
             return
         try:
             data = sock.recv(self._bufsize)
@@ -103,6 +105,11 @@
         for sock in self._clients:
             self._poller.removeReader(sock)
 
+    def stop_reading_from(self, sock: socket.socket) -> None:
+        """Read nothing more of one connection."""
+        self._no_longer_read.add(sock)
+        self._poller.removeReader(sock)
+
     def has_unsent_bytes(self, sock: socket.socket) -> bool:
         """Return whether bytes of a connection are not yet passed to the kernel."""
         return bool(self._buffers.get(sock))
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -140,3 +140,43 @@
     served.do(served.web.close_after_answers)
     served.do(read_and_end)
     assert read_to_end(conn).endswith(b"now")
+
+
+@pytest.mark.parametrize("closes", ["instance", "client"])
+def test_nothing_is_read_behind_the_request_whose_answer_closes_the_connection(
+    served: ServerInThread, closes: str
+) -> None:
+    """A request that came before the close was carried out, and its answer never sent."""
+    if closes == "instance":
+        served.do(served.web.close_after_answers)
+    header = b"Connection: close\r\n\r\n" if closes == "client" else b"\r\n"
+    conn = served.client()
+    conn.sendall(request("/later")[:-2] + header)
+    served.wait(lambda: len(served.requests) == 1)
+
+    def answer_as_another_comes() -> None:
+        served.answer_now(b"last")
+        conn.sendall(request("/now"))
+
+    served.do(answer_as_another_comes)
+    assert conn.recv(1 << 20).startswith(b"HTTP/1.1 200")
+    served.wait(lambda: not served.web.connections)
+    time.sleep(0.05)
+    assert [item.path for item, _ in served.requests] == ["/later"]
+
+
+def test_a_block_read_before_the_answer_is_answered_before_the_close(
+    served: ServerInThread,
+) -> None:
+    conn = served.client()
+    conn.sendall(request("/later"))
+    served.wait(lambda: len(served.requests) == 1)
+    served.do(served.web.close_after_answers)
+
+    def answer_as_another_is_read() -> None:
+        conn.sendall(request("/now"))
+        served.web.server._read(served.web.server.connections[0])
+        served.answer_now(b"first")
+
+    served.do(answer_as_another_is_read)
+    assert read_to_end(conn).count(b"HTTP/1.1 200") == 2
