Close a connection behind the answer to a HEAD request as behind any other

Seen: with Connection: close, and in a stop, the connection stayed open behind the answer until it was closed as idle; and the next request of a connection that stayed open was answered as the HEAD request before it, without a body, so that its client waited for ever.

Cause: circuits returns early for HEAD, before it closes and before it forgets the request.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -299,6 +299,12 @@
         res.body = answer.body
         self.fire(response(res))
 
+    @handler("response", priority=-1)
+    def _on_response(self, res: Response) -> None:
+        """Close behind an answer to a HEAD request; circuits closes only behind a body."""
+        if res.request.method == "HEAD" and res.close:
+            self.fire(close(res.request.sock))
+
     @handler("_write")
     def _on_written(self, sock: socket.socket) -> None:
         """Record the end of an answer once the kernel has accepted its last bytes.
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -180,3 +180,26 @@
 
     served.do(answer_as_another_is_read)
     assert read_to_end(conn).count(b"HTTP/1.1 200") == 2
+
+
+def test_a_request_behind_one_for_the_head_alone_is_taken_for_what_it_is(
+    served: ServerInThread,
+) -> None:
+    """It was answered as the one before it, without a body, and its client waited for ever."""
+    conn = served.client()
+    conn.sendall(request("/now?1").replace(b"GET", b"HEAD"))
+    served.wait(lambda: len(served.requests) == 1 and not served.web.unanswered)
+    served.do(served.web.close_after_answers)
+    conn.sendall(request("/now?2"))
+    assert read_to_end(conn).endswith(b"\r\n\r\nnow")
+    assert [(item.method, item.raw_query) for item, _ in served.requests] == [
+        ("HEAD", "1"),
+        ("GET", "2"),
+    ]
+
+
+def test_an_answer_without_a_body_closes_its_connection_in_a_stop(served: ServerInThread) -> None:
+    conn = served.client()
+    served.do(served.web.close_after_answers)
+    conn.sendall(request("/now").replace(b"GET", b"HEAD"))
+    assert read_to_end(conn).endswith(b"\r\n\r\n")
