Count what a stop does to connections, and whether it resets any

A client whose next request meets a close sees a reset, and no line said how many connections a stop closed, or with what on them. `WebServer.stop_counts` says it, as far as the server can know: what reaches a connection after its close is not among it.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -70,6 +70,26 @@
     read_at: float
 
 
+class StopCounts(NamedTuple):
+    """What a stop did to connections, as far as the server can know it.
+
+    A request that reaches a connection after its close is not among them: its client sees a reset.
+
+    Attributes:
+        closed_idle: connections without any bytes of a request that the server closed.
+        found_at_close: connections on which bytes were found as they were to be closed as idle.
+        closed_half_sent: connections closed with a partly received request.
+        closed_unread: connections closed with unread bytes, at any time of the process.
+        refused_leaving: requests that were refused because the instance leaves.
+    """
+
+    closed_idle: int
+    found_at_close: int
+    closed_half_sent: int
+    closed_unread: int
+    refused_leaving: int
+
+
 Reply = Callable[[HttpReply], None]
 RequestHandler = Callable[[HttpRequest, Reply], None]
 
@@ -118,6 +138,8 @@
         self._incoming: dict[socket.socket, Incoming] = {}
         self._sending: dict[socket.socket, UnsentAnswer] = {}
         self._close_after_answers = False
+        self._closed_half_sent = 0
+        self._refused_leaving = 0
         self.server: WebSockets = WebSockets(bind, self.channel).register(self)
         self.http = HTTP(self, channel=self.channel).register(self)
         timers.every(_PARTIAL_REQUEST_CHECK_S, self._refuse_stalled_requests)
@@ -152,6 +174,17 @@
         """Return how many connections hold a partly received request."""
         return sum(incoming.partly_received for incoming in self._incoming.values())
 
+    @property
+    def stop_counts(self) -> StopCounts:
+        """Return what was done to connections in a stop so far."""
+        return StopCounts(
+            closed_idle=self.server.closed_idle,
+            found_at_close=self.server.found_at_close,
+            closed_half_sent=self._closed_half_sent,
+            closed_unread=self.server.closed_unread,
+            refused_leaving=self._refused_leaving,
+        )
+
     def close_after_answers(self) -> None:
         """Close each connection with its next answer, so that clients go to other instances."""
         self._close_after_answers = True
@@ -179,6 +212,9 @@
         """
         for sock in self.server.connections:
             if not self._has_work(sock):
+                incoming = self._incoming.get(sock)
+                if incoming is not None and incoming.partly_received:
+                    self._closed_half_sent += 1
                 self.server.close(sock)
 
     def _has_work(self, sock: socket.socket) -> bool:
@@ -255,6 +291,8 @@
         incoming = self._incoming.get(sock)
         if incoming is None:
             return
+        if answer.headers.get("Spoolcrank-Error") == ErrorKind.LEAVING.value:
+            self._refused_leaving += 1
         res.status = answer.status
         # Requests pipelined behind this one were read too: answer them before closing.
         is_last = not incoming.pipelined and not self.server.unhandled[sock]
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -27,11 +27,18 @@
     Attributes:
         unhandled: number of blocks, by connection, that were read and whose events are still in the
             loop's queue.
+        closed_idle: number of connections that the server closed because nothing had arrived.
+        found_at_close: number of connections on which bytes were found instead.
+        closed_unread: number of connections that the server closed with unread bytes, which resets
+            them.
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.unhandled: Counter[socket.socket] = Counter()
+        self.closed_idle = 0
+        self.found_at_close = 0
+        self.closed_unread = 0
         self._no_longer_read: set[socket.socket] = set()
 
     @property
@@ -120,5 +127,20 @@
         Closing a connection that has unread bytes would reset it.
         """
         self._read(sock)
-        if not self.unhandled[sock]:
+        if self.unhandled[sock]:
+            self.found_at_close += 1
+        elif sock in self._clients:
+            self.closed_idle += 1
             self.close(sock)
+
+    def _close(self, sock: socket.socket) -> None:
+        if sock in self._clients and _has_unread_bytes(sock):
+            self.closed_unread += 1
+        super()._close(sock)
+
+
+def _has_unread_bytes(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from spoolcrank._web import HttpReply, StopCounts
 from tests.test_web_stop import ServerInThread, read_to_end, request
 
 CLIENTS = 100
@@ -203,3 +204,41 @@
     served.do(served.web.close_after_answers)
     conn.sendall(request("/now").replace(b"GET", b"HEAD"))
     assert read_to_end(conn).endswith(b"\r\n\r\n")
+
+
+def test_a_stop_counts_the_connections_it_closes_and_what_it_finds_on_them(
+    served: ServerInThread,
+) -> None:
+    """A client whose next request meets a close sees a reset, of which no line told anything."""
+    idle, half, found, leaving, unread = (served.client() for _ in range(5))
+    gone = served.client()
+    half.sendall(request("/now")[:9])
+    unread.sendall(request("/later"))
+    served.wait(lambda: (served.web.partly_received, served.web.unanswered) == (1, 1))
+    served.do(served.web.close_after_answers)
+    leaving.sendall(request("/leaving"))
+    assert read_to_end(leaving).startswith(b"HTTP/1.1 503")
+
+    def send_and_close_idle() -> None:
+        found.sendall(request("/now"))
+        gone.close()
+        served.web.close_idle()
+
+    served.do(send_and_close_idle)
+    assert read_to_end(found).endswith(b"now")
+    assert idle.recv(1) == b""
+
+    def answer_as_another_comes() -> None:
+        unread.sendall(request("/now"))
+        next(reply for item, reply in served.requests if item.path == "/later")(
+            HttpReply(200, {}, b"late")
+        )
+        served.web.stop_reading()
+        served.web.close_unanswerable()
+
+    served.do(answer_as_another_comes)
+    served.wait(lambda: not served.web.connections)
+    counts = served.web.stop_counts
+    assert counts == StopCounts(
+        closed_idle=1, found_at_close=1, closed_half_sent=1, closed_unread=1, refused_leaving=1
+    )
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -9,7 +9,8 @@
 import pytest
 
 from spoolcrank._runtime import Runtime
-from spoolcrank._web import HttpReply, HttpRequest, Reply, WebServer
+from spoolcrank._web import HttpReply, HttpRequest, Reply, WebServer, refusal_reply
+from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.ids import Address
 
 WAIT_S = 30.0
@@ -31,6 +32,8 @@
         self.requests.append((req, reply))
         if req.path == "/now":
             reply(HttpReply(200, {}, b"now"))
+        elif req.path == "/leaving":
+            reply(refusal_reply(Refusal(ErrorKind.LEAVING, "this instance leaves")))
 
     def do(self, action: Callable[[], Any]) -> Any:
         """Run an action in the loop and return its result."""
