--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -18,14 +18,12 @@
 from circuits.web.wrappers import Request, Response
 
 from spoolcrank._timers import Timers
+from spoolcrank._web_incoming import Incoming
 from spoolcrank._web_sockets import AcceptResult, WebSockets
 from spoolcrank.errors import ANSWERS, ErrorKind, Refusal
 
-MAX_BODY_BYTES = 1 << 20
-MAX_HEAD_BYTES = 16 << 10
 PARTIAL_REQUEST_TIMEOUT_S = 10.0
 _PARTIAL_REQUEST_CHECK_S = 1.0
-_MAX_LENGTH_DIGITS = 12
 JSON_TYPE = "application/json"
 
 
@@ -72,6 +70,26 @@
     read_at: float
 
 
+class StopCounts(NamedTuple):
+    """What a stop did to connections, as far as the server can know it.
+
+    A request that reaches a connection after its close is not among them: its client sees a reset.
+
+    Attributes:
+        closed_idle: connections without any bytes of a request that the server closed.
+        found_at_close: connections on which bytes were found as they were to be closed as idle.
+        closed_half_sent: connections closed with a partly received request.
+        closed_unread: connections closed with unread bytes, at any time of the process.
+        refused_leaving: requests that were refused because the instance leaves.
+    """
+
+    closed_idle: int
+    found_at_close: int
+    closed_half_sent: int
+    closed_unread: int
+    refused_leaving: int
+
+
 Reply = Callable[[HttpReply], None]
 RequestHandler = Callable[[HttpRequest, Reply], None]
 
@@ -105,27 +123,6 @@
     return json_reply(answer.status, body, merged)
 
 
-class _Incoming:
-    """Data that arrived on a connection since its last answer.
-
-    Attributes:
-        size: number of bytes that arrived.
-        head: request line and headers, as far as they arrived.
-        since: time at which the first bytes were read, in seconds of the monotonic clock.
-        busy: whether a complete request waits for its answer.
-        pipelined: blocks that arrived behind that request.
-    """
-
-    __slots__ = ("busy", "head", "pipelined", "since", "size")
-
-    def __init__(self, now: float) -> None:
-        self.size = 0
-        self.head = b""
-        self.since = now
-        self.busy = False
-        self.pipelined: list[bytes] = []
-
-
 class WebServer(BaseComponent):
     """HTTP server of one address that answers requests by a function."""
 
@@ -138,9 +135,11 @@
         super().__init__(channel=channel)
         self._answer = answer
         self._timers = timers
-        self._incoming: dict[socket.socket, _Incoming] = {}
+        self._incoming: dict[socket.socket, Incoming] = {}
         self._sending: dict[socket.socket, UnsentAnswer] = {}
         self._close_after_answers = False
+        self._closed_half_sent = 0
+        self._refused_leaving = 0
         self.server: WebSockets = WebSockets(bind, self.channel).register(self)
         self.http = HTTP(self, channel=self.channel).register(self)
         timers.every(_PARTIAL_REQUEST_CHECK_S, self._refuse_stalled_requests)
@@ -158,7 +157,7 @@
     @property
     def unanswered(self) -> int:
         """Return how many complete requests have answers not yet passed to the kernel."""
-        return sum(1 for incoming in self._incoming.values() if incoming.busy) + len(self._sending)
+        return sum(item.unanswered for item in self._incoming.values()) + len(self._sending)
 
     @property
     def unsent(self) -> list[UnsentAnswer]:
@@ -178,7 +177,18 @@
     @property
     def partly_received(self) -> int:
         """Return how many connections hold a partly received request."""
-        return sum(1 for incoming in self._incoming.values() if incoming.size and not incoming.busy)
+        return sum(incoming.partly_received for incoming in self._incoming.values())
+
+    @property
+    def stop_counts(self) -> StopCounts:
+        """Return what was done to connections in a stop so far."""
+        return StopCounts(
+            closed_idle=self.server.closed_idle,
+            found_at_close=self.server.found_at_close,
+            closed_half_sent=self._closed_half_sent,
+            closed_unread=self.server.closed_unread,
+            refused_leaving=self._refused_leaving,
+        )
 
     def close_after_answers(self) -> None:
         """Close each connection with its next answer, so that clients go to other instances."""
@@ -207,52 +217,50 @@
         """
         for sock in self.server.connections:
             if not self._has_work(sock):
+                incoming = self._incoming.get(sock)
+                if incoming is not None and incoming.partly_received:
+                    self._closed_half_sent += 1
                 self.server.close(sock)
 
     def _has_work(self, sock: socket.socket) -> bool:
         incoming = self._incoming.get(sock)
-        busy = incoming is not None and incoming.busy
-        return busy or sock in self._sending or sock in self.server.unhandled
+        waits = incoming is not None and (incoming.unanswered or bool(incoming.pipelined))
+        return waits or sock in self._sending or sock in self.server.unhandled
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
+        event.stop()
         self.server.mark_handled(sock)
-        incoming = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
-        if incoming.busy:
-            event.stop()
+        incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
+        if incoming.closing:
+            return
+        if incoming.unanswered or incoming.pipelined:
             incoming.pipelined.append(data)
+        else:
+            self._receive(sock, incoming, data)
+
+    @handler("pipelined")
+    def _on_pipelined(self, sock: socket.socket, incoming: Incoming) -> None:
+        blocks, incoming.pipelined = incoming.pipelined, []
+        if sock in self._incoming:
+            self._receive(sock, incoming, b"".join(blocks))
+
+    def _receive(self, sock: socket.socket, incoming: Incoming, data: bytes) -> None:
+        block = incoming.add(data, time.monotonic())
+        if block.refusal is not None:
+            self._refuse_raw(sock, block.refusal)
             return
-        if incoming.size == 0:
-            incoming.since = time.monotonic()
-        incoming.size += len(data)
-        refusal = self._check(incoming, data)
-        if refusal is not None:
-            event.stop()
-            self._refuse_raw(sock, refusal)
-
-    def _check(self, incoming: _Incoming, data: bytes) -> Refusal | None:
-        if incoming.size > MAX_BODY_BYTES + MAX_HEAD_BYTES:
-            return Refusal(ErrorKind.TOO_LARGE, f"a body may have {MAX_BODY_BYTES} bytes", "body")
-        if b"\r\n\r\n" in incoming.head:
-            return None
-        incoming.head += data
-        end = incoming.head.find(b"\r\n\r\n")
-        if end < 0:
-            if len(incoming.head) > MAX_HEAD_BYTES:
-                return Refusal(
-                    ErrorKind.TOO_LARGE,
-                    f"headers may have {MAX_HEAD_BYTES} bytes",
-                    "headers",
-                )
-            return None
-        return _check_head(incoming.head[:end])
+        if block.rest:
+            incoming.pipelined.append(block.rest)
+        # The parser of circuits discards what follows a complete request.
+        self.http._on_read(sock, block.own)
 
     def _refuse_raw(self, sock: socket.socket, refusal: Refusal) -> None:
         reply = refusal_reply(refusal, {"Connection": "close"})
         head = [f"HTTP/1.1 {reply.status} refused"]
         head += [f"{name}: {value}" for name, value in reply.headers.items()]
         head.append(f"Content-Length: {len(reply.body)}")
-        self._incoming[sock].size = 0
+        self._begin_close(sock, self._incoming[sock])
         self._sending[sock] = UnsentAnswer("", "", self._incoming[sock].since)
         self.fire(write(sock, "\r\n".join(head).encode() + b"\r\n\r\n" + reply.body))
         self.fire(close(sock))
@@ -261,7 +269,7 @@
     def _on_request(self, event: Event, req: Request, res: Response) -> bool:
         event.stop()
         sock = req.sock
-        incoming = self._incoming.setdefault(sock, _Incoming(time.monotonic()))
+        incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
         incoming.busy = True
         answered = False
 
@@ -288,22 +296,32 @@
         incoming = self._incoming.get(sock)
         if incoming is None:
             return
+        if answer.headers.get("Spoolcrank-Error") == ErrorKind.LEAVING.value:
+            self._refused_leaving += 1
         res.status = answer.status
         # Requests pipelined behind this one were read too: answer them before closing.
-        if self._close_after_answers and not incoming.pipelined:
+        is_last = not incoming.pipelined and not self.server.unhandled[sock]
+        if self._close_after_answers and is_last:
             res.close = True
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
         self._sending[sock] = UnsentAnswer(res.request.method, res.request.path, incoming.since)
         self.fire(response(res))
-        incoming.busy = False
-        incoming.size = 0
-        incoming.head = b""
-        pipelined, incoming.pipelined = incoming.pipelined, []
-        if pipelined:
-            self.server.unhandled[sock] += 1
-            self.fire(Event.create("read", sock, b"".join(pipelined)))
+        # Else circuits takes the next request of the connection for this one.
+        self.http._clients.pop(sock, None)
+        incoming.begin_next()
+        if res.close:
+            self._begin_close(sock, incoming)
+        elif incoming.pipelined:
+            self.fire(Event.create("pipelined", sock, incoming))
+
+    def _begin_close(self, sock: socket.socket, incoming: Incoming) -> None:
+        """Stop reading from a connection that closes with an answer that has just been given."""
+        incoming.begin_next()
+        incoming.closing = True
+        incoming.pipelined = []
+        self.server.stop_reading_from(sock)
 
     @handler("httperror", priority=1)
     def _on_httperror(self, event: Event, req: Request, res: Response, code: int, **_: Any) -> None:
@@ -315,7 +333,7 @@
         event.stop()
         incoming = self._incoming.get(req.sock)
         if incoming is not None:
-            incoming.busy = False
+            self._begin_close(req.sock, incoming)
             self._sending[req.sock] = UnsentAnswer(req.method or "", req.path or "", incoming.since)
         for name, value in answer.headers.items():
             res.headers[name] = value
@@ -324,6 +342,12 @@
         res.body = answer.body
         self.fire(response(res))
 
+    @handler("response", priority=-1)
+    def _on_response(self, res: Response) -> None:
+        """Close behind an answer to a HEAD request; circuits closes only behind a body."""
+        if res.request.method == "HEAD" and res.close:
+            self.fire(close(res.request.sock))
+
     @handler("_write")
     def _on_written(self, sock: socket.socket) -> None:
         """Record the end of an answer once the kernel has accepted its last bytes.
@@ -336,8 +360,8 @@
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
+        self.server.forget(sock)
         self._sending.pop(sock, None)
-        self.server.unhandled.pop(sock, None)
         self._incoming.pop(sock, None)
         self.http._buffers.pop(sock, None)
         self.http._clients.pop(sock, None)
@@ -360,28 +384,3 @@
             ):
                 refusal = Refusal(ErrorKind.BAD_REQUEST, "the request did not arrive whole in time")
                 self._refuse_raw(sock, refusal)
-
-
-def _check_head(head: bytes) -> Refusal | None:
-    lengths = set()
-    chunked = False
-    for line in head.split(b"\r\n")[1:]:
-        name, _, value = line.partition(b":")
-        if name.strip().lower() == b"content-length":
-            lengths.add(value.strip())
-        if name.strip().lower() == b"transfer-encoding":
-            chunked = True
-    if not lengths:
-        return None
-    if len(lengths) > 1 or chunked:
-        return Refusal(ErrorKind.BAD_REQUEST, "the body's length is ambiguous", "content-length")
-    length = lengths.pop()
-    if not length.isdigit() or len(length) > _MAX_LENGTH_DIGITS:
-        return Refusal(ErrorKind.BAD_REQUEST, "the body's length is not a number", "content-length")
-    if int(length) > MAX_BODY_BYTES:
-        return Refusal(
-            ErrorKind.TOO_LARGE,
-            f"a body may have {MAX_BODY_BYTES} bytes",
-            "content-length",
-        )
-    return None
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from circuits import Event, handler
 from circuits.net.events import error, read
 from circuits.net.sockets import TCPServer
 
@@ -26,17 +27,42 @@
     Attributes:
         unhandled: number of blocks, by connection, that were read and whose events are still in the
             loop's queue.
+        closed_idle: number of connections that the server closed because nothing had arrived.
+        found_at_close: number of connections on which bytes were found instead.
+        closed_unread: number of connections that the server closed with unread bytes, which resets
+            them.
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.unhandled: Counter[socket.socket] = Counter()
+        self.closed_idle = 0
+        self.found_at_close = 0
+        self.closed_unread = 0
+        self._no_longer_read: set[socket.socket] = set()
 
     @property
     def connections(self) -> list[socket.socket]:
         """Return the open connections."""
         return list(self._clients)
 
+    @handler("read", "write", "close", "_read", "_write", priority=100)
+    def _skip_closed(self, event: Event, sock: socket.socket | None = None, *_: object) -> None:
+        """Discard the events of a connection that has closed since they were fired.
+
+        Their handlers would add entries for it that nothing removes any more.
+        """
+        if sock is not None and sock.fileno() < 0:
+            event.stop()
+
+    def forget(self, sock: socket.socket) -> None:
+        """Remove what is left of a connection that has closed."""
+        self.unhandled.pop(sock, None)
+        self._no_longer_read.discard(sock)
+        self._buffers.pop(sock, None)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+
     def mark_handled(self, sock: socket.socket) -> None:
         """Record that the event of one block was taken from the loop's queue."""
         self.unhandled[sock] -= 1
@@ -45,7 +71,7 @@
 
     def _read(self, sock: socket.socket) -> None:
         """Read one block and count it; the method of circuits does not track queued blocks."""
-        if sock not in self._clients:
+        if sock not in self._clients or sock in self._no_longer_read:
             return
         try:
             data = sock.recv(self._bufsize)
@@ -86,6 +112,11 @@
         for sock in self._clients:
             self._poller.removeReader(sock)
 
+    def stop_reading_from(self, sock: socket.socket) -> None:
+        """Read nothing more of one connection."""
+        self._no_longer_read.add(sock)
+        self._poller.removeReader(sock)
+
     def has_unsent_bytes(self, sock: socket.socket) -> bool:
         """Return whether bytes of a connection are not yet passed to the kernel."""
         return bool(self._buffers.get(sock))
@@ -96,5 +127,20 @@
         Closing a connection that has unread bytes would reset it.
         """
         self._read(sock)
-        if not self.unhandled[sock]:
+        if self.unhandled[sock]:
+            self.found_at_close += 1
+        elif sock in self._clients:
+            self.closed_idle += 1
             self.close(sock)
+
+    def _close(self, sock: socket.socket) -> None:
+        if sock in self._clients and _has_unread_bytes(sock):
+            self.closed_unread += 1
+        super()._close(sock)
+
+
+def _has_unread_bytes(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -9,7 +9,8 @@
 import pytest
 
 from spoolcrank._runtime import Runtime
-from spoolcrank._web import HttpReply, HttpRequest, Reply, WebServer
+from spoolcrank._web import HttpReply, HttpRequest, Reply, WebServer, refusal_reply
+from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.ids import Address
 
 WAIT_S = 30.0
@@ -31,6 +32,8 @@
         self.requests.append((req, reply))
         if req.path == "/now":
             reply(HttpReply(200, {}, b"now"))
+        elif req.path == "/leaving":
+            reply(refusal_reply(Refusal(ErrorKind.LEAVING, "this instance leaves")))
 
     def do(self, action: Callable[[], Any]) -> Any:
         """Run an action in the loop and return its result."""
@@ -45,6 +48,10 @@
         assert done.wait(WAIT_S)
         return results[0]
 
+    def post(self, action: Callable[[], None]) -> None:
+        """Run an action in the loop, behind the events that are already queued."""
+        self._runtime.post(action)
+
     def wait(self, what: Callable[[], bool]) -> None:
         until = time.monotonic() + WAIT_S
         while not self.do(what):
@@ -62,8 +69,11 @@
         """Answer the last request, once it is one that waits for its answer."""
 
         self.wait(lambda: bool(self.requests) and self.requests[-1][0].path == "/later")
-        reply = self.requests[-1][1]
-        self.do(lambda: reply(HttpReply(200, {}, body)))
+        self.do(lambda: self.answer_now(body))
+
+    def answer_now(self, body: bytes) -> None:
+        """Answer the last request; only for actions in the loop."""
+        self.requests[-1][1](HttpReply(200, {}, body))
 
     def close(self) -> None:
         for conn in self._clients:
