--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,7 @@
 import threading
 import time
 import urllib.request
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -189,19 +190,23 @@
         self.instances = [Instance(self, f"entry-{n}", zone) for n, zone in enumerate(zones)]
         threading.Thread(target=self.reap_exited_runners, daemon=True).start()
 
-    def configure(self, version: int) -> None:
-        """Publish a configuration with one queue."""
-        route = {
-            "name": "q",
-            "host": HOST,
-            "pathPrefix": PREFIX,
-            "service": "work",
-            "sloMs": 250,
-            "maxAttempts": 20,
-            "stretch": 1.5,
-        }
+    def configure(self, version: int, queues: Sequence[str] = ()) -> None:
+        """Publish a configuration with the queue `q`, and others whose names are their prefixes."""
+        prefixes = {"q": PREFIX} | {name: f"/{name}/" for name in queues}
+        routes = [
+            {
+                "name": name,
+                "host": HOST,
+                "pathPrefix": prefix,
+                "service": "work",
+                "sloMs": 250,
+                "maxAttempts": 20,
+                "stretch": 1.5,
+            }
+            for name, prefix in prefixes.items()
+        ]
         self.put(
-            "op", "config", {"version": version, "routes": [route], "services": [{"name": "work"}]}
+            "op", "config", {"version": version, "routes": routes, "services": [{"name": "work"}]}
         )
 
     def put(self, topic: str, key: str, value: Any) -> None:
