--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 from spoolcrank import job_intake, run_control
+from spoolcrank._web import WebServer
+from spoolcrank._web_sockets import AcceptResult
 from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.orders import Target
+from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.daemon import run
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
@@ -54,11 +57,28 @@
     _replace(RunnerState, "surely_ended", lambda self, now: True)
 
 
+def _end_of_reading() -> None:
+    _replace(WebServer, "stop_reading", lambda self: None)
+
+
+def _end_of_intake() -> None:
+    """Serve as usual until the end of the stop, with the listener open."""
+    _replace(job_intake.JobIntake, "end", lambda self: None)
+    _replace(WebServer, "stop_listening", lambda self: AcceptResult(0))
+
+
+def _answers_before_the_end() -> None:
+    _replace(ClientApi, "give_up", lambda self: 0)
+
+
 MUTATIONS: dict[str, Callable[[], None]] = {
     "fence": _fence,
     "record-before-forgetting": _record_before_forgetting,
     "unknown-append": _unknown_append,
     "leases": _leases,
+    "end-of-reading": _end_of_reading,
+    "end-of-intake": _end_of_intake,
+    "answers-before-the-end": _answers_before_the_end,
 }
 
 
--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -276,8 +276,13 @@
         """Open a connection before the signal, and send over it after the signal."""
         conn = self._connect()
         self._wait_until(chance.uniform(0.0, 6.0))
-        while conn is not None and self._ask(conn, "idle", self._question(chance)) is not None:
-            time.sleep(chance.uniform(0.0, 0.3))
+        way = "idle"
+        while conn is not None:
+            answer = self._ask(conn, way, self._question(chance))
+            if answer is None:
+                return
+            way = "after-close" if answer.closes else way
+            time.sleep(chance.choice([0.0, chance.uniform(0.0, 0.3)]))
 
     def _parts(self, chance: random.Random) -> None:
         """Send the head of a request, or a part of it, and the rest later."""
--- a/tests/soak/stop_checks.py
+++ b/tests/soak/stop_checks.py
@@ -177,7 +177,7 @@
         stood_s = stop.processor.stood_s(sent.last_at, sent.ended_at)
         waited_s = sent.ended_at - sent.last_at - stood_s
         if sent.outcome is Outcome.ANSWERED and waited_s > REJECT_S:
-            yield f"SLOW {waited_s:.3f} s {_text(stop, sent)}"
+            yield f"SLOW {_text(stop, sent)}, waited {waited_s:.3f} s"
 
 
 def _denied_queues(stop: Stop, queues: Queues) -> Iterator[str]:
--- a/tests/soak/stop_scenarios.py
+++ b/tests/soak/stop_scenarios.py
@@ -68,8 +68,71 @@
     freezes: list[Span]
 
 
+class StopPlan(NamedTuple):
+    """One stop of a round.
+
+    Attributes:
+        target: number of the instance.
+        delay_s: time from the begin of the round, in seconds.
+        seed: of its clients.
+    """
+
+    target: int
+    delay_s: float
+    script: StopScript
+    seed: int
+
+
+class Round(NamedTuple):
+    """One round; the seed is that of the changes around the stops."""
+
+    scenario: Scenario
+    seed: int
+    stops: list[StopPlan]
+
+    def text(self) -> str:
+        """Return the round in one line."""
+        freezes = [
+            f"{span.begin:.2f} to {span.end:.2f}"
+            for plan in self.stops
+            for span in plan.script.freezes
+        ]
+        return f"{self.scenario.text()}, frozen {freezes}"
+
+
+class Fixed(NamedTuple):
+    """What is not drawn by the seed."""
+
+    kind: StopKind | None = None
+    store: StoreKind | None = None
+    freeze: Span | None = None
+
+
+NOTHING_FIXED = Fixed()
+
+
+def draw_round(chance: random.Random, instances: int, fixed: Fixed) -> Round:
+    """Draw the next round with this number of instances."""
+    scenario = draw_scenario(chance)
+    scenario = scenario._replace(
+        kind=fixed.kind or scenario.kind, store=fixed.store or scenario.store
+    )
+    targets = chance.sample(range(instances), instances)
+    if scenario.kind is not StopKind.SERIES:
+        targets = targets[:1]
+    stops = []
+    delay_s = 0.0
+    for target in targets:
+        script = draw_script(scenario, chance)
+        if fixed.freeze is not None:
+            script = script._replace(freezes=[fixed.freeze])
+        stops.append(StopPlan(target, delay_s, script, chance.getrandbits(32)))
+        delay_s += chance.uniform(0.2, 1.5)
+    return Round(scenario, chance.getrandbits(32), stops)
+
+
 def draw_scenario(chance: random.Random) -> Scenario:
-    """Draw the next round."""
+    """Draw what happens around the stops of a round."""
     begin = chance.choice([chance.uniform(-0.4, 3.0), chance.uniform(2.0, 3.2)])
     return Scenario(
         chance.choice(list(StopKind)),
@@ -94,7 +157,7 @@
     if chance.random() < 0.4:
         # Over the time at which a stopping process reads no more.
         freezes.append(Span(chance.uniform(2.3, 4.69), chance.uniform(4.71, 5.2)))
-    at = freezes[-1].end if freezes else chance.uniform(-0.2, 5.0)
+    at = freezes[-1].end + 0.1 if freezes else chance.uniform(-0.2, 5.0)
     while at < 5.2 and len(freezes) < 3 and chance.random() < 0.6:
         freezes.append(Span(at, at + chance.choice([0.1, 0.3, chance.uniform(0.1, 2.5)])))
         at = freezes[-1].end + chance.uniform(0.1, 3.0)
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -1,6 +1,6 @@
 """Run seeds of planned stops: clients that go on sending until the process is gone, and faults.
 
-`python -m tests.soak.stops FIRST LAST [--seconds S] [--instances N] [--runners N]` runs a range of
+`python -m tests.soak.stops FIRST LAST [--rounds N] [--instances N] [--runners N]` runs a range of
 seeds and prints a line for each round, and one for each violation. `--kind`, `--store` and
 `--freeze BEGIN END` fix what the seed would draw, `--no-pipelines` leaves out clients that send
 before the answer, and `--mutation NAME` removes a mechanism, which the checks must detect.
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from bench.proxy import Fault, Rule
+from tests.leaving_callers import Outcome
 from tests.soak import stop_checks
 from tests.soak.fleet import HOST, PREFIX, STOP_GRACE_S, Fleet, Instance
 from tests.soak.mutant import MUTATIONS
@@ -29,16 +30,19 @@
 from tests.soak.stop_checks import Stop
 from tests.soak.stop_queues import Queues
 from tests.soak.stop_scenarios import (
+    NOTHING_FIXED,
+    Fixed,
+    Round,
     Scenario,
     Span,
     StopKind,
+    StopPlan,
     StopScript,
     StoreKind,
-    draw_scenario,
-    draw_script,
+    draw_round,
 )
 
-DEFAULT_DURATION_S = 20.0
+DEFAULT_ROUNDS = 2
 WARM_UP_TIMEOUT_S = 60.0
 BEFORE_SIGNAL_S = 0.7
 """Time from the start of the clients until the signal, in seconds."""
@@ -59,17 +63,19 @@
     excused: int
     violations: list[str]
 
+    @property
+    def answered(self) -> int:
+        """Return the number of answered requests."""
+        answered = Outcome.ANSWERED.value
+        return sum(n for text, n in self.outcomes.items() if text.startswith(answered))
+
 
 class _Play:
     """The processes of one seed and what is known of them."""
 
-    def __init__(
-        self, fleet: Fleet, chance: random.Random, pipelines: bool, freeze: Span | None
-    ) -> None:
-        self.pipelines = pipelines
-        self.freeze = freeze
+    def __init__(self, fleet: Fleet, pipelines: bool) -> None:
         self.fleet = fleet
-        self.chance = chance
+        self.pipelines = pipelines
         self.queues = Queues(fleet)
         self.stops: list[Stop] = []
         self.log_begins = {instance.name: 0 for instance in fleet.instances}
@@ -78,32 +84,23 @@
 
 def run_seed(
     seed: int,
-    seconds: float = DEFAULT_DURATION_S,
+    rounds: int = DEFAULT_ROUNDS,
     instances: int = 3,
     runners: int = 2,
     mutation: str = "",
-    kind: str = "",
-    store: str = "",
     pipelines: bool = True,
-    freeze: Span | None = None,
+    fixed: Fixed = NOTHING_FIXED,
 ) -> SeedResult:
     """Run one seed and check the invariants; all processes are ended even after an error."""
     chance = random.Random(seed)
-    rounds: list[str] = []
+    plans = [draw_round(chance, instances, fixed) for _ in range(rounds)]
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), instances, runners, mutation)
         try:
             _wait_until_ready(fleet)
-            play = _Play(fleet, chance, pipelines, freeze)
-            began_at = time.monotonic()
-            while time.monotonic() - began_at < seconds:
-                scenario = draw_scenario(chance)
-                if kind:
-                    scenario = scenario._replace(kind=StopKind(kind))
-                if store:
-                    scenario = scenario._replace(store=StoreKind(store))
-                _run_round(play, scenario)
-                rounds.append(scenario.text())
+            play = _Play(fleet, pipelines)
+            for plan in plans:
+                _run_round(play, plan)
                 _wait_until_ready(fleet)
             violations = stop_checks.all_violations(fleet, play.queues, play.stops)
         finally:
@@ -114,33 +111,23 @@
         for sent in stop.sent
     )
     excused = stop_checks.count_excused(play.stops)
-    return SeedResult(seed, rounds, outcomes, excused, violations)
+    return SeedResult(seed, [plan.text() for plan in plans], outcomes, excused, violations)
 
 
-def _run_round(play: _Play, scenario: Scenario) -> None:
+def _run_round(play: _Play, plan: Round) -> None:
     """Stop one process, or one after the other, and start them again."""
-    fleet, chance = play.fleet, play.chance
-    targets = list(fleet.instances)
-    chance.shuffle(targets)
-    if scenario.kind is not StopKind.SERIES:
-        targets = targets[:1]
+    fleet, scenario = play.fleet, plan.scenario
+    first = fleet.instances[plan.stops[0].target]
+    chance = random.Random(plan.seed)
     ended = threading.Event()
     others = [
         threading.Thread(target=_change_queues, args=(play, scenario, chance.random(), ended)),
-        threading.Thread(target=_disturb_store, args=(play, scenario, targets[0].name, ended)),
+        threading.Thread(target=_disturb_store, args=(play, scenario, first.name, ended)),
     ]
-    neighbours = _start_neighbours(scenario, targets[0])
     if scenario.crashes_runner:
         others.append(threading.Thread(target=_crash_runner, args=(fleet, chance.random())))
-    delay_s = 0.0
-    stops = []
-    for target in targets:
-        script, seed = draw_script(scenario, chance), chance.getrandbits(32)
-        if play.freeze is not None:
-            script = script._replace(freezes=[play.freeze])
-        args = (play, scenario, target, script, delay_s, seed)
-        stops.append(threading.Thread(target=_stop, args=args))
-        delay_s += chance.uniform(0.2, 1.5)
+    neighbours = _start_neighbours(scenario, first)
+    stops = [threading.Thread(target=_stop, args=(play, scenario, stop)) for stop in plan.stops]
     for thread in [*others, *stops]:
         thread.start()
     for thread in stops:
@@ -204,17 +191,11 @@
 # One stop
 
 
-def _stop(
-    play: _Play,
-    scenario: Scenario,
-    target: Instance,
-    script: StopScript,
-    delay_s: float,
-    seed: int,
-) -> None:
+def _stop(play: _Play, scenario: Scenario, plan: StopPlan) -> None:
     """Stop one process while clients send, wait for its end and start it again."""
-    time.sleep(delay_s)
-    chance = random.Random(seed)
+    target = play.fleet.instances[plan.target]
+    time.sleep(plan.delay_s)
+    chance = random.Random(plan.seed)
     before_signal_s = BEFORE_SIGNAL_S
     if scenario.kind is StopKind.EARLY:
         target.kill()
@@ -225,8 +206,9 @@
     callers = StopCallers(target.front, play.queues, signal_at, seed, play.pipelines)
     callers.start(scenario.connections)
     time.sleep(max(0.0, callers.signal_at - time.monotonic() - 0.45))
-    signal_at, told = _follow_script(target, script, callers.signal_at)
+    signal_at, told = _follow_script(target, plan.script, callers.signal_at)
     ended_at = _wait_for_end(target, signal_at, processor)
+    callers.process_is_gone()
     if ended_at is None:
         target.kill()
     code = target.program.popen.returncode
@@ -268,10 +250,12 @@
         steps.append((span.begin, "SIGSTOP", lambda: program.signal(signal.SIGSTOP)))
         steps.append((span.end, "SIGCONT", lambda: program.signal(signal.SIGCONT)))
     signal_at = planned_at
-    told = []
+    told: list[str] = []
     for at, name, act in sorted(steps, key=lambda step: step[0]):
-        time.sleep(max(0.0, planned_at + at - time.monotonic()))
-        now = time.monotonic()
+        while (now := time.monotonic()) < planned_at + at:
+            if program.popen.poll() is not None and told:
+                return signal_at, told
+            time.sleep(min(POLL_INTERVAL_S, planned_at + at - now))
         act()
         if name == "SIGTERM" and not any(step.startswith("SIGTERM") for step in told):
             signal_at = now
@@ -316,26 +300,25 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
-    parser.add_argument("--seconds", type=float, default=DEFAULT_DURATION_S)
+    parser.add_argument("--rounds", type=int, default=DEFAULT_ROUNDS)
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--runners", type=int, default=2)
     parser.add_argument("--mutation", default="", choices=["", *sorted(MUTATIONS)])
-    parser.add_argument("--kind", default="", choices=["", *(kind.value for kind in StopKind)])
-    parser.add_argument("--store", default="", choices=["", *(kind.value for kind in StoreKind)])
     parser.add_argument("--no-pipelines", action="store_true")
+    parser.add_argument("--kind", default=None, type=StopKind)
+    parser.add_argument("--store", default=None, type=StoreKind)
     parser.add_argument("--freeze", type=float, nargs=2)
     args = parser.parse_args()
+    fixed = Fixed(args.kind, args.store, Span(*args.freeze) if args.freeze else None)
     for seed in range(args.first, args.last + 1):
         result = run_seed(
             seed,
-            args.seconds,
+            args.rounds,
             args.instances,
             args.runners,
             args.mutation,
-            args.kind,
-            args.store,
             not args.no_pipelines,
-            Span(*args.freeze) if args.freeze else None,
+            fixed,
         )
         sys.stdout.write("".join(f"{seed}: {line}\n" for line in result.rounds))
         sys.stdout.write("".join(f"{seed}: {line}\n" for line in result.violations))
