Say in a stop's last line what it did to connections

A client whose next request meets the close of an idle connection sees a reset, and no line told how many connections a stop closed or with what on them.

--- a/spoolcrank/instance_stop.py
+++ b/spoolcrank/instance_stop.py
@@ -95,7 +95,7 @@
         now = self._clock()
         requests = abandoned_requests(self._open_requests, self._web.unsent)
         log_given_up(requests, self._started_at, now, self._telemetry.log)
-        self._log("stop")
+        self._log("stop", **self._web.stop_counts._asdict())
         self._telemetry.flush()
         self._finish()
 
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from spoolcrank._web import HttpReply, HttpRequest, UnsentAnswer
+from spoolcrank._web import HttpReply, HttpRequest, StopCounts, UnsentAnswer
 from spoolcrank._web_sockets import AcceptResult
 from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.log_follower import LogFollower
@@ -101,6 +101,7 @@
     """A client's address with one connection, whose request is read and answered at given times."""
 
     unsent: tuple[UnsentAnswer, ...] = ()
+    stop_counts = StopCounts(0, 0, 0, 0, 0)
     partly_received = 0
 
     def __init__(self, loop: Loop, read_s: float, answered_s: float) -> None:
