Refuse what would wait for the log once intake of an entry instance has ended

Seen: a stopping entry instance refused requests of services once its listener was closed, but took jobs, commands and configurations, and looked up unknown jobs again, until its process ended 20 s later; what it read last got no answer, and it got new work all the while.

Cause: the state that refuses was kept by the callers of services alone.

Evidence: the four new tests fail on (a job, a command and a configuration half sent before the listener closed and finished 2 s after were accepted with 202 and 200).

Now all three handlers refuse with 503, not run, what they can't answer from their own copy at once.

--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -35,6 +35,7 @@
     ToPeer,
     ToRunner,
 )
+from spoolcrank.routing_stop import LEAVING
 from spoolcrank.runner_answers import classify_result, public_id, result_of_error
 from spoolcrank.state import can_act
 
@@ -137,7 +138,7 @@
     ) -> Request | Refusal:
         now = time.monotonic()
         if self.closing:
-            return Refusal(ErrorKind.LEAVING, "this instance is leaving", retry_after_s=0.1)
+            return LEAVING
         if not self._controller.ready and not self._core.stopping:
             reason = f"this instance {self._controller.not_ready_reason()}"
             return Refusal(ErrorKind.NOT_READY, reason, retry_after_s=1.0)
--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -114,6 +114,7 @@
     def _drain(self, finish: Callable[[], None]) -> None:
         self.web.stop_listening()
         self.callers.closing = True
+        self.jobs.closing = True
         drain_started_at = time.monotonic()
 
         def check_drained() -> None:
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -17,6 +17,7 @@
 from spoolcrank.logs import log
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import AnyRecord, JobAccepted, JobsCancelled
+from spoolcrank.routing_stop import LEAVING
 
 CONFIRM_TIMEOUT_S = 5.0
 """Time limit for an appended record to be applied, in seconds; then its request is refused."""
@@ -28,12 +29,17 @@
 
 
 class JobsApi:
-    """Handler of job requests; changes become log records, answers come from the ledger."""
+    """Handler of job requests; changes become log records, answers come from the ledger.
+
+    Attributes:
+        closing: whether requests that can't be answered at once are refused, operators' included.
+    """
 
     def __init__(self, controller: Controller, timers: Timers, metrics: Metrics) -> None:
         self._controller = controller
         self._timers = timers
         self._metrics = metrics
+        self.closing = False
 
     @property
     def _ledger(self) -> Ledger:
@@ -87,6 +93,9 @@
 
         If that fails, the refusal says whether the record may still take effect.
         """
+        if self.closing:
+            self.refuse(LEAVING, reply)
+            return
         if not self._controller.core.log_status(time.monotonic()).log_ok:
             self.refuse(Refusal(ErrorKind.LOG_UNAVAILABLE, "the log is down", "", 1.0), reply)
             return
@@ -123,6 +132,9 @@
         if known is not None:
             on_found(known)
             return
+        if self.closing:
+            self.refuse(LEAVING, reply)
+            return
 
         def look_up_again() -> None:
             known_later = self._ledger.jobs.get(job)
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -39,6 +39,7 @@
     Drained,
     JobsCancelled,
 )
+from spoolcrank.routing_stop import LEAVING
 from spoolcrank.state import Core
 
 QUERY_WHY = "why"
@@ -196,6 +197,9 @@
 
         The answer is sent once all live peers have answered, or after _PEER_ANSWER_TIMEOUT_S.
         """
+        if self._jobs.closing:
+            self._jobs.refuse(LEAVING, reply)
+            return
         peers = [
             peer.heartbeat.sender
             for peer in self._core.members.peers.values()
@@ -338,6 +342,9 @@
     def _publish(self, record: ConfigRecord, reply: Reply) -> None:
         """Append a configuration and reply once it has been read back as accepted or rejected."""
         if self._find_change(record.command) is None:
+            if self._jobs.closing:
+                self._jobs.refuse(LEAVING, reply)
+                return
             if not self._core.log_status(time.monotonic()).log_ok:
                 refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, "the log is unavailable", "", 1.0)
                 self._jobs.refuse(refusal, reply)
--- /dev/null
+++ b/tests/test_entry_stop.py
@@ -0,0 +1,156 @@
+"""A planned stop of an entry instance whose only runner has stopped answering.
+
+The tests guard against requests that the instance reads and never answers: it ended 20 s after its
+listener, whatever was unanswered then, and took jobs and commands until its end.
+"""
+
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import pytest
+
+from bench.processes import BackendPlan, Fleet
+from tests.leaving_callers import Connection, Outcome, SentRequest, render
+
+END_TIMEOUT_S = 40.0
+DEADLINE_MS = 60_000
+"""Deadline of the requests to the runner, in milliseconds: later than the end of the process."""
+
+IN_THE_DRAIN_S = 4.0
+"""Time after the signal at which the listener has closed and nothing else has ended, in seconds."""
+
+JOB = b'{"name": "late"}'
+COMMAND = b'{"text": "drain backend-a1"}'
+
+
+class Stop(NamedTuple):
+    """What callers saw of one stop.
+
+    Attributes:
+        answers: answers by the name of the request, with status and outcome header.
+        repeated: every request of the client that sends one after the other without a pause.
+        exit_code: of the process.
+        took_s: time from the signal to the end of the process, in seconds.
+    """
+
+    answers: dict[str, bytes]
+    repeated: list[SentRequest]
+    exit_code: int
+    took_s: float
+
+
+def ask(address: str, raw: bytes) -> Callable[[], bytes]:
+    """Send a request over a connection of its own; return a function that waits for the answer."""
+    conn = Connection(address)
+    conn._sock.settimeout(END_TIMEOUT_S)
+    conn.send(raw)
+    received: list[bytes] = []
+
+    def read() -> None:
+        try:
+            while block := conn._sock.recv(65536):
+                received.append(block)
+        except OSError:
+            return
+
+    thread = threading.Thread(target=read, daemon=True)
+    thread.start()
+
+    def answer() -> bytes:
+        thread.join(END_TIMEOUT_S)
+        return b"".join(received)
+
+    return answer
+
+
+def finish_later(address: str, raw: bytes, at: float) -> Callable[[], bytes]:
+    """Send all but the end of a request now, and its end at a time of the monotonic clock."""
+    conn = Connection(address)
+    conn._sock.settimeout(END_TIMEOUT_S)
+    conn.send(raw[:-1])
+
+    def answer() -> bytes:
+        time.sleep(max(0.0, at - time.monotonic()))
+        conn.send(raw[-1:])
+        received = b""
+        try:
+            while block := conn._sock.recv(65536):
+                received += block
+        except OSError:
+            return received
+        return received
+
+    return answer
+
+
+def service_request(path: str) -> bytes:
+    head = f"POST /services/quotes/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+    headers = f"Spoolcrank-Deadline-Ms: {DEADLINE_MS}\r\nSpoolcrank-Repeatable: no\r\n\r\n"
+    return (head + headers).encode()
+
+
+def send_on_and_on(address: str, sent: list[SentRequest]) -> threading.Thread:
+    """Send requests over one connection, each with the begin of the next behind it."""
+    conn = Connection(address)
+    raw = render("GET", "a", "/jobs/none")
+
+    def work() -> None:
+        begun = 0
+        while conn.send(raw[begun:] + raw[:9]):
+            begun = 9
+            sent.append(conn.read(raw, time.monotonic()))
+            if sent[-1].outcome is not Outcome.ANSWERED or sent[-1].closes:
+                return
+
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
+@pytest.fixture(scope="module")
+def stop() -> Iterator[Stop]:
+    plan = BackendPlan("backend-a1", "a", service="quotes", slots=1)
+    with Fleet(1, [plan], zones=("a",)).wait_ready() as fleet:
+        entry = fleet.entries["entry-a1"]
+        fleet.backends["backend-a1"].signal(signal.SIGSTOP)
+        running = ask(entry.listen, service_request("running"))
+        time.sleep(0.2)
+        queued = ask(entry.listen, service_request("queued"))
+        time.sleep(0.2)
+        begun_at = time.monotonic()
+        entry.signal(signal.SIGTERM)
+        time.sleep(1.0)
+        late_at = begun_at + IN_THE_DRAIN_S
+        late = {
+            "job": finish_later(entry.listen, render("POST", "a", "/jobs", JOB), late_at),
+            "command": finish_later(
+                entry.listen, render("POST", "a", "/commands", COMMAND), late_at
+            ),
+            "config": finish_later(entry.listen, render("POST", "a", "/config", b" "), late_at),
+            "unknown": finish_later(entry.listen, render("DELETE", "a", "/jobs/none"), late_at),
+        }
+        repeated: list[SentRequest] = []
+        sender = send_on_and_on(entry.listen, repeated)
+        answers = {name: answer() for name, answer in late.items()}
+        exit_code = entry.popen.wait(END_TIMEOUT_S)
+        took_s = time.monotonic() - begun_at
+        sender.join(END_TIMEOUT_S)
+        answers |= {"running": running(), "queued": queued()}
+        yield Stop(answers, repeated, exit_code, took_s)
+
+
+def outcome_of(answer: bytes) -> tuple[bytes, bool, bool]:
+    """Return the error of an answer, whether it says not run, and whether it says to retry."""
+    headers = dict(line.partition(b": ")[::2] for line in answer.split(b"\r\n"))
+    not_run = headers.get(b"Spoolcrank-Outcome") == b"not-run"
+    return headers.get(b"Spoolcrank-Error", answer[:20]), not_run, b"Retry-After" in headers
+
+
+@pytest.mark.parametrize("name", ["job", "command", "config", "unknown"])
+def test_what_would_wait_for_the_log_is_refused_once_intake_has_ended(
+    stop: Stop, name: str
+) -> None:
+    assert outcome_of(stop.answers[name]) == (b"leaving", True, True)
