Answer what an entry instance has read before its stop ends

Seen: a request whose deadline is later than the end of a planned stop, 20 s after the listener closed, got no answer: its connection was closed. So did the last request of a client that sends one behind the other: its connection is not closed as long as something is behind each request.

Cause: the stop ended by time; nothing answered what waited then, and reading went on to the end.

Evidence: three new tests fail on: a request at a runner that is silent and one that waits for a slot got no byte, and the client that sends on and on lost its last request.

Now, 1 s before the end, reading ends and every request gets an answer: unknown if a runner may have run it, else not run; forwarded ones and repeats of a key too. Forwards of peers are refused from the end of intake on, so that nothing comes behind that. Line stop.done says what was left.

--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -10,7 +10,7 @@
 from spoolcrank._timers import Timers
 from spoolcrank._web import HttpReply, HttpRequest, Reply, refusal_reply
 from spoolcrank._wire import Forward, Forwarded, Frame
-from spoolcrank.caller_request import HOP_HEADERS, RequestContext, forwarded_headers, parse_headers
+from spoolcrank.caller_request import RequestContext, forwarded_headers, parse_headers
 from spoolcrank.controller import Controller
 from spoolcrank.decisions import Decision, DecisionHistory
 from spoolcrank.errors import ANSWERS, ErrorKind, Outcome, Refusal
@@ -35,8 +35,14 @@
     ToPeer,
     ToRunner,
 )
-from spoolcrank.routing_stop import LEAVING
-from spoolcrank.runner_answers import classify_result, public_id, result_of_error
+from spoolcrank.routing_stop import LEAVING, give_up
+from spoolcrank.runner_answers import (
+    classify_result,
+    forwarded_message,
+    public_id,
+    reply_of,
+    result_of_error,
+)
 from spoolcrank.state import can_act
 
 TICK_S = 0.02
@@ -81,6 +87,11 @@
         """Return how many requests have no answer yet, repeats of a key included."""
         return len(self._contexts) + self._keyed.waiting
 
+    def give_up(self) -> None:
+        """Answer every request now; `closing` must be set, so that no more are taken."""
+        self._perform(give_up(self.router))
+        self._keyed.give_up()
+
     def _free_slots(self, server: InstanceId) -> int:
         now = time.monotonic()
         if not can_act(self._core, now):
@@ -228,14 +239,7 @@
     def _on_runner_answer(self, action: ToRunner, result: HttpResult) -> None:
         outcome = classify_result(action.request, result)
         if outcome in (Result.ANSWERED, Result.SERVICE_ERROR):
-            headers = {
-                name: value
-                for name, value in result.headers.items()
-                if name not in HOP_HEADERS and name != "date"
-            }
-            if "content-type" in headers:
-                headers["Content-Type"] = headers.pop("content-type")
-            self._answers[action.attempt] = HttpReply(result.status, headers, result.body)
+            self._answers[action.attempt] = reply_of(result)
         elif outcome is not Result.NOT_SENT:
             self._metrics.incr(f"runner.{outcome.value}")
         now = time.monotonic()
@@ -309,6 +313,10 @@
         )
 
     def _on_forward(self, sender: InstanceId, forward: Forward) -> None:
+        if self.closing:
+            refused = forwarded_message(forward.request, None, LEAVING)
+            self._controller.peers.send(sender, refused)
+            return
         now = time.monotonic()
         request = Request(
             id=forward.request,
@@ -358,7 +366,7 @@
         if answer is None and refusal is None:
             refusal = Refusal(ErrorKind.INTERNAL, "this instance lost the answer")
         if context.origin is not None:
-            self._finish_forward(request, context.origin, answer, refusal)
+            self._controller.peers.send(context.origin, forwarded_message(request, answer, refusal))
         if context.reply is None:
             return
         if context.key:
@@ -371,25 +379,6 @@
             headers = {**answer.headers, REQUEST_ID_HEADER: request}
             context.reply(HttpReply(answer.status, headers, answer.body))
 
-    def _finish_forward(
-        self,
-        request: RequestId,
-        origin: InstanceId,
-        answer: HttpReply | None,
-        refusal: Refusal | None,
-    ) -> None:
-        message = Forwarded(
-            request=request,
-            error=refusal.kind if refusal else None,
-            detail=refusal.detail if refusal else "",
-            status=answer.status if answer else 0,
-            headers=dict(answer.headers) if answer else {},
-            body=answer.body if answer else b"",
-            server=InstanceId(""),
-            retry_after_s=refusal.retry_after_s if refusal else 0.0,
-        )
-        self._controller.peers.send(origin, message)
-
     def _refuse(self, request: RequestId, refusal: Refusal, reply: Reply) -> None:
         self._metrics.incr(f"refused.{refusal.kind.value}")
         version = self._controller.config.version
--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -2,6 +2,8 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
 
 from spoolcrank import logs
 from spoolcrank._runtime import Runtime, address_of_url, print_ready, split_address
@@ -24,8 +26,23 @@
 
 _METRICS_FLUSH_INTERVAL_S = 1.0
 _DRAIN_CHECK_INTERVAL_S = 0.05
-_LAST_REQUESTS_GRACE_S = 0.5
-_MAX_DRAIN_S = 20.0
+
+
+class DrainTimes(NamedTuple):
+    """Latest times of what follows the end of intake, in seconds after it.
+
+    Attributes:
+        idle_end_s: time from which connections without a request are closed.
+        answers_end_s: time at which requests without an answer get one, and reading ends.
+        end_s: end of the process.
+    """
+
+    idle_end_s: float
+    answers_end_s: float
+    end_s: float
+
+
+DRAIN_TIMES = DrainTimes(idle_end_s=0.5, answers_end_s=19.0, end_s=20.0)
 
 
 class Entry:
@@ -104,7 +121,9 @@
     def stop(self, finish: Callable[[], None]) -> None:
         """Report not ready, hand over the owned servers, finish requests in flight, call `finish`.
 
-        Connections are accepted for `linger_s` more, each closed with its next answer.
+        Connections are accepted for `linger_s` more, each closed with its next answer. Then intake
+        ends: what can't be answered at once is refused, and what was read before is answered within
+        `DRAIN_TIMES`.
         """
         logs.log("stop.begun", instance=self._settings.instance_id)
         self.controller.hand_over_all()
@@ -112,22 +131,46 @@
         self._runtime.timers.after(self._settings.linger_s, lambda: self._drain(finish))
 
     def _drain(self, finish: Callable[[], None]) -> None:
-        self.web.stop_listening()
+        began_at = time.monotonic()
+        check = partial(self._check_drained, began_at, finish)
         self.callers.closing = True
         self.jobs.closing = True
-        drain_started_at = time.monotonic()
+        self.web.stop_listening()
+        self._runtime.timers.after(DRAIN_TIMES.idle_end_s, check)
 
-        def check_drained() -> None:
+    def _check_drained(self, began_at: float, finish: Callable[[], None]) -> None:
+        since_s = time.monotonic() - began_at
+        if since_s >= DRAIN_TIMES.end_s:
+            self._end(finish)
+            return
+        # Schedule the next check first, so that an exception in this one does not end them.
+        check = partial(self._check_drained, began_at, finish)
+        timer = self._runtime.timers.after(_DRAIN_CHECK_INTERVAL_S, check)
+        if since_s >= DRAIN_TIMES.answers_end_s:
+            self.web.stop_reading()
+            self.callers.give_up()
+            self.web.close_unanswerable()
+        else:
             # A request that arrived on an idle connection since the last check would be lost.
             self.web.close_idle()
-            busy = self.callers.unanswered or self.log_link.pending_count or self.web.connections
-            if busy and time.monotonic() - drain_started_at < _MAX_DRAIN_S:
-                self._runtime.timers.after(_DRAIN_CHECK_INTERVAL_S, check_drained)
-                return
-            logs.log("stop.done", instance=self._settings.instance_id, busy=bool(busy))
-            finish()
-
-        self._runtime.timers.after(_LAST_REQUESTS_GRACE_S, check_drained)
+        if not self._busy:
+            timer.cancel()
+            self._end(finish)
+
+    @property
+    def _busy(self) -> bool:
+        waiting = self.callers.unanswered or self.log_link.pending_count
+        return bool(waiting or self.web.connections)
+
+    def _end(self, finish: Callable[[], None]) -> None:
+        logs.log(
+            "stop.done",
+            instance=self._settings.instance_id,
+            busy=self._busy,
+            unanswered=self.web.unanswered,
+            **self.web.stop_counts._asdict(),
+        )
+        finish()
 
 
 def run(settings: EntrySettings) -> None:
--- a/spoolcrank/keyed_requests.py
+++ b/spoolcrank/keyed_requests.py
@@ -14,6 +14,7 @@
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import KeyDone, KeyTaken
 from spoolcrank.route_state import Request
+from spoolcrank.routing_stop import LEAVING
 
 MAX_STORED_BODY_BYTES = 16 << 10
 """Maximum body size of an answer stored for repeats, in bytes.
@@ -179,6 +180,18 @@
                     request, Refusal(ErrorKind.LOG_UNAVAILABLE, detail, "", 1.0), context.reply
                 )
 
+    def give_up(self) -> None:
+        """Refuse the requests that wait for their key to be stored, and the repeats that wait."""
+        for request, context in list(self._contexts.items()):
+            if context.key and context.reply is not None and not self._is_routed(request):
+                del self._contexts[request]
+                self._refuse(request, LEAVING, context.reply)
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            detail = "the first request with this key has not ended"
+            refusal = Refusal(ErrorKind.KEY_IN_PROGRESS, detail)
+            self._refuse(waiter.request, refusal, waiter.reply)
+
     def tick(self, now: float) -> None:
         """Answer repeats whose first request has ended, and refuse requests past their deadline."""
         for waiter in list(self._waiters):
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -13,6 +13,8 @@
 import pytest
 
 from bench.processes import BackendPlan, Fleet
+from spoolcrank.entry import DRAIN_TIMES
+from spoolcrank.jobs_api import CONFIRM_TIMEOUT_S
 from tests.leaving_callers import Connection, Outcome, SentRequest, render
 
 END_TIMEOUT_S = 40.0
@@ -149,8 +151,31 @@
     return headers.get(b"Spoolcrank-Error", answer[:20]), not_run, b"Retry-After" in headers
 
 
+def test_a_request_that_its_runner_may_have_run_is_answered_as_unknown(stop: Stop) -> None:
+    assert outcome_of(stop.answers["running"]) == (b"runner-silent", False, False)
+
+
+def test_a_request_that_still_waits_for_a_slot_is_answered_as_not_run(stop: Stop) -> None:
+    assert outcome_of(stop.answers["queued"]) == (b"leaving", True, True)
+
+
 @pytest.mark.parametrize("name", ["job", "command", "config", "unknown"])
 def test_what_would_wait_for_the_log_is_refused_once_intake_has_ended(
     stop: Stop, name: str
 ) -> None:
     assert outcome_of(stop.answers[name]) == (b"leaving", True, True)
+
+
+def test_a_client_that_sends_on_and_on_gets_an_answer_to_each_request_read(stop: Stop) -> None:
+    assert len(stop.repeated) > 1
+    dropped = [item for item in stop.repeated if item.outcome is Outcome.DROPPED]
+    assert dropped == []
+
+
+def test_the_process_ends_though_clients_and_a_runner_hold_it_up(stop: Stop) -> None:
+    assert stop.exit_code == 0
+    assert stop.took_s < 2.0 + DRAIN_TIMES.end_s + 2.0
+
+
+def test_what_waits_for_the_log_is_answered_long_before_the_answers_end() -> None:
+    assert DRAIN_TIMES.answers_end_s > CONFIRM_TIMEOUT_S
