Close the listener of a stop though a pending connection cannot be added

Seen: none by callers so far. An error of the poller while a stop accepts what is pending ended the stop's step half way: the listener stayed open until the process ended, and the connection stayed open with nobody to read it.

Evidence: the new test, with a poller that fails once, fails on the code before (the step raises).

Now such a connection is closed, in a stop and else, the next is accepted, and the listener closes.

--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -101,12 +101,24 @@
             except OSError as exc:
                 failure = str(exc)
                 break
-            self._on_accept_done(client)
-            count += 1
+            try:
+                self._on_accept_done(client)
+                count += 1
+            except OSError as exc:
+                failure = str(exc)
         self._poller.discard(self._sock)
         self._sock.close()
         return AcceptResult(count, failure)
 
+    def _on_accept_done(self, sock: socket.socket, fire_connect_event: bool = True) -> None:
+        """Add a connection; close it if that fails, so that its client does not wait."""
+        try:
+            super()._on_accept_done(sock, fire_connect_event)
+        except OSError:
+            self._poller.discard(sock)
+            sock.close()
+            raise
+
     def stop_reading(self) -> None:
         """Stop reading; bytes already read are still handled, and answers are still sent."""
         for sock in self._clients:
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -3,6 +3,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -242,3 +243,34 @@
     assert counts == StopCounts(
         closed_idle=1, found_at_close=1, closed_half_sent=1, closed_unread=1, refused_leaving=1
     )
+
+
+def test_the_listener_closes_though_a_pending_connection_cannot_be_taken(
+    served: ServerInThread, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The exception left the listener open: clients went on connecting, and nobody answered."""
+    poller = served.web.server._poller
+    add_reader = poller.addReader
+    failures = [OSError("no space in the poller")]
+
+    def add_reader_that_fails_once(source: object, sock: socket.socket) -> None:
+        add_reader(source, sock)
+        if failures:
+            raise failures.pop()
+
+    def connect_and_stop_listening() -> tuple[list[socket.socket], Any]:
+        made = [socket.create_connection(("127.0.0.1", port)) for _ in range(2)]
+        monkeypatch.setattr(poller, "addReader", add_reader_that_fails_once)
+        return made, served.web.stop_listening()
+
+    port = served.web.port
+    (refused, taken), accepted = served.do(connect_and_stop_listening)
+    assert accepted == (1, "no space in the poller")
+    refused.settimeout(1)
+    assert refused.recv(1) == b""
+    taken.sendall(request("/now"))
+    assert taken.recv(1 << 16).startswith(b"HTTP/1.1 200")
+    taken.close()
+    refused.close()
+    with pytest.raises(OSError):
+        socket.create_connection(("127.0.0.1", port), timeout=1)
