Go on with the stop of an entry instance though one of its steps fails

Seen: none by callers so far. An exception in the handover of the servers, or as the listener closes, ended the stop: the process stayed, not ready, until it was killed.

Cause: each step scheduled the next one last. Evidence: the new test fails on the code before (the process has not ended after 10 s).

Tests of keys whose record waits for the log, and of repeats that wait, are added to those of the answers at the end.

--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -126,24 +126,24 @@
         `DRAIN_TIMES`.
         """
         logs.log("stop.begun", instance=self._settings.instance_id)
-        self.controller.hand_over_all()
-        self.web.close_after_answers()
+        # Schedule the next step of a stop first, so that an exception in this one does not end it.
         self._runtime.timers.after(self._settings.linger_s, lambda: self._drain(finish))
+        self.web.close_after_answers()
+        self.controller.hand_over_all()
 
     def _drain(self, finish: Callable[[], None]) -> None:
         began_at = time.monotonic()
         check = partial(self._check_drained, began_at, finish)
+        self._runtime.timers.after(DRAIN_TIMES.idle_end_s, check)
         self.callers.closing = True
         self.jobs.closing = True
         self.web.stop_listening()
-        self._runtime.timers.after(DRAIN_TIMES.idle_end_s, check)
 
     def _check_drained(self, began_at: float, finish: Callable[[], None]) -> None:
         since_s = time.monotonic() - began_at
         if since_s >= DRAIN_TIMES.end_s:
             self._end(finish)
             return
-        # Schedule the next check first, so that an exception in this one does not end them.
         check = partial(self._check_drained, began_at, finish)
         timer = self._runtime.timers.after(_DRAIN_CHECK_INTERVAL_S, check)
         if since_s >= DRAIN_TIMES.answers_end_s:
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -13,8 +13,10 @@
 import pytest
 
 from bench.processes import BackendPlan, Fleet
-from spoolcrank.entry import DRAIN_TIMES
+from spoolcrank._runtime import Runtime
+from spoolcrank.entry import DRAIN_TIMES, Entry
 from spoolcrank.jobs_api import CONFIRM_TIMEOUT_S
+from spoolcrank.settings import check_entry
 from tests.leaving_callers import Connection, Outcome, SentRequest, render
 
 END_TIMEOUT_S = 40.0
@@ -88,8 +90,9 @@
     return answer
 
 
-def service_request(path: str) -> bytes:
+def service_request(path: str, key: str = "") -> bytes:
     head = f"POST /services/quotes/{path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+    head += f"Idempotency-Key: {key}\r\n" if key else ""
     headers = f"Spoolcrank-Deadline-Ms: {DEADLINE_MS}\r\nSpoolcrank-Repeatable: no\r\n\r\n"
     return (head + headers).encode()
 
@@ -118,10 +121,14 @@
     with Fleet(1, [plan], zones=("a",)).wait_ready() as fleet:
         entry = fleet.entries["entry-a1"]
         fleet.backends["backend-a1"].signal(signal.SIGSTOP)
-        running = ask(entry.listen, service_request("running"))
-        time.sleep(0.2)
+        running = ask(entry.listen, service_request("running", "key-1"))
+        time.sleep(0.5)
+        repeat = ask(entry.listen, service_request("running", "key-1"))
         queued = ask(entry.listen, service_request("queued"))
         time.sleep(0.2)
+        fleet.log.signal(signal.SIGSTOP)
+        keyed = ask(entry.listen, service_request("keyed", "key-2"))
+        time.sleep(0.2)
         begun_at = time.monotonic()
         entry.signal(signal.SIGTERM)
         time.sleep(1.0)
@@ -141,6 +148,7 @@
         took_s = time.monotonic() - begun_at
         sender.join(END_TIMEOUT_S)
         answers |= {"running": running(), "queued": queued()}
+        answers |= {"repeat": repeat(), "keyed": keyed()}
         yield Stop(answers, repeated, exit_code, took_s)
 
 
@@ -159,6 +167,14 @@
     assert outcome_of(stop.answers["queued"]) == (b"leaving", True, True)
 
 
+def test_a_request_whose_key_is_not_stored_is_answered_as_not_run(stop: Stop) -> None:
+    assert outcome_of(stop.answers["keyed"]) == (b"leaving", True, True)
+
+
+def test_a_repeat_that_waits_for_the_first_request_is_answered_as_unknown(stop: Stop) -> None:
+    assert outcome_of(stop.answers["repeat"]) == (b"key-in-progress", False, False)
+
+
 @pytest.mark.parametrize("name", ["job", "command", "config", "unknown"])
 def test_what_would_wait_for_the_log_is_refused_once_intake_has_ended(
     stop: Stop, name: str
@@ -179,3 +195,28 @@
 
 def test_what_waits_for_the_log_is_answered_long_before_the_answers_end() -> None:
     assert DRAIN_TIMES.answers_end_s > CONFIRM_TIMEOUT_S
+
+
+def test_a_stop_goes_on_though_its_first_step_fails() -> None:
+    """The exception ended the stop: the process stayed, not ready, until it was killed."""
+    runtime = Runtime()
+    settings = check_entry(
+        instance_id="entry-a1",
+        availability_zone="a",
+        listen="127.0.0.1:0",
+        peer_listen="127.0.0.1:0",
+        log="http://127.0.0.1:9",
+        instances="http://127.0.0.1:9",
+        linger_s=0.1,
+    )
+    entry = Entry(runtime, settings)
+
+    def fail() -> None:
+        raise OSError("no handover")
+
+    entry.controller.hand_over_all = fail  # type: ignore[method-assign]
+    runtime.run_in_thread()
+    runtime.post(runtime.begin_stop)
+    ended = runtime._ended.wait(10.0)
+    runtime.stop()
+    assert ended
