Bound what is read behind a request that waits for its answer

All that a client sent while its request waited was read and kept, without limit; at the end of a stop all of it would have to be answered within the time for sending.

Evidence: the new test fails on the code before: 10,486,860 bytes kept of a client that sent 10 MB.

Now reading of a connection pauses once 16 KiB wait behind a request, and goes on behind its answer.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -231,6 +231,8 @@
             return
         if incoming.unanswered or incoming.pipelined:
             incoming.pipelined.append(data)
+            if incoming.is_full:
+                self.server.stop_reading_from(sock)
         else:
             self._receive(sock, incoming, data)
 
@@ -239,6 +241,8 @@
         blocks, incoming.pipelined = incoming.pipelined, []
         if sock in self._incoming:
             self._receive(sock, incoming, b"".join(blocks))
+            if not incoming.closing and not incoming.is_full:
+                self.server.resume_reading_from(sock)
 
     def _receive(self, sock: socket.socket, incoming: Incoming, data: bytes) -> None:
         block = incoming.add(data, time.monotonic())
--- a/spoolcrank/_web_incoming.py
+++ b/spoolcrank/_web_incoming.py
@@ -6,6 +6,9 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEAD_BYTES = 16 << 10
+MAX_PIPELINED_BYTES = 16 << 10
+"""Number of bytes behind a request that waits for its answer, after which no more are read."""
+
 _MAX_LENGTH_DIGITS = 12
 _HEAD_END = b"\r\n\r\n"
 
@@ -73,6 +76,11 @@
             return block._replace(refusal=Refusal(ErrorKind.TOO_LARGE, detail, "body"))
         return block
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether so much arrived behind the request that no more should be read."""
+        return sum(map(len, self.pipelined)) > MAX_PIPELINED_BYTES
+
     def begin_next(self) -> None:
         """Start with the request behind the one that was answered."""
         self.whole = False
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -39,7 +39,8 @@
         self.closed_idle = 0
         self.found_at_close = 0
         self.closed_unread = 0
-        self._no_longer_read: set[socket.socket] = set()
+        self._not_read: set[socket.socket] = set()
+        self._reads = True
 
     @property
     def connections(self) -> list[socket.socket]:
@@ -58,7 +59,7 @@
     def forget(self, sock: socket.socket) -> None:
         """Remove what is left of a connection that has closed."""
         self.unhandled.pop(sock, None)
-        self._no_longer_read.discard(sock)
+        self._not_read.discard(sock)
         self._buffers.pop(sock, None)
         if sock in self._closeq:
             self._closeq.remove(sock)
@@ -71,7 +72,7 @@
 
     def _read(self, sock: socket.socket) -> None:
         """Read one block and count it; the method of circuits does not track queued blocks."""
-        if sock not in self._clients or sock in self._no_longer_read:
+        if sock not in self._clients or sock in self._not_read:
             return
         try:
             data = sock.recv(self._bufsize)
@@ -121,14 +122,22 @@
 
     def stop_reading(self) -> None:
         """Stop reading; bytes already read are still handled, and answers are still sent."""
+        self._reads = False
         for sock in self._clients:
             self._poller.removeReader(sock)
 
     def stop_reading_from(self, sock: socket.socket) -> None:
         """Read nothing more of one connection."""
-        self._no_longer_read.add(sock)
+        self._not_read.add(sock)
         self._poller.removeReader(sock)
 
+    def resume_reading_from(self, sock: socket.socket) -> None:
+        """Read a connection again after `stop_reading_from`, unless all reading has ended."""
+        if sock not in self._not_read or not self._reads or sock not in self._clients:
+            return
+        self._not_read.remove(sock)
+        self._poller.addReader(self, sock)
+
     def has_unsent_bytes(self, sock: socket.socket) -> bool:
         """Return whether bytes of a connection are not yet passed to the kernel."""
         return bool(self._buffers.get(sock))
--- a/tests/test_web_connections.py
+++ b/tests/test_web_connections.py
@@ -1,6 +1,7 @@
 """The HTTP server and its connections: what is kept for each, and which requests are answered."""
 
 import socket
+import threading
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -8,6 +9,7 @@
 import pytest
 
 from spoolcrank._web import HttpReply, StopCounts
+from spoolcrank._web_incoming import MAX_PIPELINED_BYTES
 from tests.test_web_stop import ServerInThread, read_to_end, request
 
 CLIENTS = 100
@@ -274,3 +276,21 @@
     refused.close()
     with pytest.raises(OSError):
         socket.create_connection(("127.0.0.1", port), timeout=1)
+
+
+def test_what_is_read_behind_a_request_that_waits_is_bounded(served: ServerInThread) -> None:
+    """A client that sends on and on while its request waits filled the memory."""
+    conn = served.client()
+    conn.sendall(request("/later"))
+    served.wait(lambda: len(served.requests) == 1)
+    sock = served.web.server.connections[0]
+    body = b"x" * (1 << 19)
+    sender = threading.Thread(target=lambda: conn.sendall(post("/now", body) * 20), daemon=True)
+    sender.start()
+    time.sleep(0.5)
+    waiting = served.do(lambda: sum(map(len, served.web._incoming[sock].pipelined)))
+    assert 0 < waiting <= 2 * MAX_PIPELINED_BYTES
+    served.do(lambda: served.answer_now(b"first"))
+    served.wait(lambda: len(served.requests) == 21)
+    assert all(item.body == body for item, _ in served.requests[1:])
+    sender.join()
