Give each soaked instance different ports

An instance of a soak did not start: address already in use, as the kernel had offered one port twice (tests.soak.stops 272, once in five plays). All ports of an instance are held until the last is chosen.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,6 +14,7 @@
 import time
 import urllib.request
 from collections.abc import Sequence
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -32,10 +33,13 @@
 """Time from the removal of an exited runner's entry until the runner restarts, in seconds."""
 
 
-def free_port(ip: str) -> int:
-    with socket.socket() as listener:
-        listener.bind((ip, 0))
-        return int(listener.getsockname()[1])
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return different free ports; one by one, the kernel may offer the same port twice."""
+    with ExitStack() as stack:
+        listeners = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for listener in listeners:
+            listener.bind((ip, 0))
+        return [int(listener.getsockname()[1]) for listener in listeners]
 
 
 def own_ip(number: int) -> str:
@@ -86,10 +90,10 @@
         self.fleet = fleet
         self.name = name
         ip = own_ip(int(name.rpartition("-")[2]))
-        self.front = f"{ip}:{free_port(ip)}"
-        ready = f"{ip}:{free_port(ip)}"
+        front_port, ready_port, self.metrics_port = free_ports(ip, 3)
+        self.front = f"{ip}:{front_port}"
+        ready = f"{ip}:{ready_port}"
         store = fleet.proxy.via(name, "store", fleet.store_address)
-        self.metrics_port = free_port(ip)
         self.settings = fleet.folder / f"{name}.json"
         listen = {"front": self.front, "ready": ready}
         text = {
