Read nothing that arrives after the end of reading, also after a standstill

Clients would see connections closed without an answer to requests that a stopping instance had read: after its loop stood still past the end of reading, it read all that had arrived meanwhile before the check that ends reading, and the forced end came one or two checks later.

The socket layer now knows the time from which nothing more is read. What arrived later is closed unread; its client knows that it was not taken.

The new test fails on the code before (AttributeError, as the interface is new; with the check alone taken out the request is read).

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -205,6 +205,10 @@
             if not self._has_work(sock) and (incoming is None or not incoming.size):
                 self.server.close_if_nothing_arrived(sock)
 
+    def read_until(self, at: float) -> None:
+        """Read nothing from a time of the monotonic clock on, also if `stop_reading` comes late."""
+        self.server.read_until = at
+
     def stop_reading(self) -> None:
         """Stop reading; requests that were read completely are still answered."""
         self.server.stop_reading()
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -1,6 +1,8 @@
 """Provide the sockets of an HTTP server and keep track of bytes that are not handled yet."""
 
+import math
 import socket
+import time
 from collections import Counter
 from typing import NamedTuple
 
@@ -31,6 +33,7 @@
         found_at_close: number of connections on which bytes were found instead.
         closed_unread: number of connections that the server closed with unread bytes, which resets
             them.
+        read_until: time from which nothing more is read, in seconds of the monotonic clock.
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
@@ -39,6 +42,7 @@
         self.closed_idle = 0
         self.found_at_close = 0
         self.closed_unread = 0
+        self.read_until = math.inf
         self._not_read: set[socket.socket] = set()
         self._reads = True
 
@@ -74,6 +78,8 @@
         """Read one block and count it; the method of circuits does not track queued blocks."""
         if sock not in self._clients or sock in self._not_read:
             return
+        if time.monotonic() >= self.read_until:
+            return
         try:
             data = sock.recv(self._bufsize)
         except BlockingIOError:
--- a/spoolcrank/instance_stop.py
+++ b/spoolcrank/instance_stop.py
@@ -57,6 +57,8 @@
     def begin(self) -> None:
         """Start the stop: close each connection with its next answer and check states regularly."""
         self._web.close_after_answers()
+        # A loop that stood still reads what arrived meanwhile before its next check.
+        self._web.read_until(self._started_at + self._times.answers_end_s)
         self._log("stopping")
         self._check()
 
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -124,6 +124,9 @@
     def stop_listening(self) -> AcceptResult:
         return AcceptResult(0)
 
+    def read_until(self, at: float) -> None:
+        """Read what comes before."""
+
     def close_after_answers(self) -> None:
         """Close the connection with its answer."""
 
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -233,3 +233,22 @@
     assert read_to_end(conn).startswith(b"HTTP/1.1 500")
     served.answer(b"too late")
     served.wait(lambda: served.web.unanswered == 0)
+
+
+def test_what_arrives_after_the_end_of_reading_is_not_read_by_a_loop_that_stood_still(
+    served: ServerInThread,
+) -> None:
+    """Guard against reading, before the late check of a stop, what can't be answered any more."""
+    conn = served.client()
+
+    def stand_still() -> None:
+        served.web.read_until(time.monotonic() + 0.05)
+        time.sleep(0.1)
+        conn.sendall(request("/now"))
+
+    served.do(stand_still)
+    time.sleep(0.2)
+    assert served.requests == []
+    served.do(served.web.stop_reading)
+    served.do(served.web.close_unanswerable)
+    assert served.do(lambda: served.web.stop_counts.closed_unread) == 1
