--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -250,17 +250,21 @@
         steps.append((span.begin, "SIGSTOP", lambda: program.signal(signal.SIGSTOP)))
         steps.append((span.end, "SIGCONT", lambda: program.signal(signal.SIGCONT)))
     signal_at = planned_at
-    told: list[str] = []
+    done: list[tuple[str, float]] = []
     for at, name, act in sorted(steps, key=lambda step: step[0]):
         while (now := time.monotonic()) < planned_at + at:
-            if program.popen.poll() is not None and told:
-                return signal_at, told
+            if program.popen.poll() is not None and done:
+                return signal_at, _relative(done, signal_at)
             time.sleep(min(POLL_INTERVAL_S, planned_at + at - now))
         act()
-        if name == "SIGTERM" and not any(step.startswith("SIGTERM") for step in told):
+        if name == "SIGTERM" and not any(other == "SIGTERM" for other, _ in done):
             signal_at = now
-        told.append(f"{name} {now - planned_at:.3f}")
-    return signal_at, told
+        done.append((name, now))
+    return signal_at, _relative(done, signal_at)
+
+
+def _relative(done: list[tuple[str, float]], signal_at: float) -> list[str]:
+    return [f"{name} {at - signal_at:.3f}" for name, at in done]
 
 
 def _wait_for_end(target: Instance, signal_at: float, processor: ProcessorTime) -> float | None:
