Hold back no filler for one that could not use its place

Cause: a refused filler stopped the tries of all fillers of its service and image that want as many processors, and kept their next place for its job if that had the better prospect. Its memory, its label or its limit for each instance were not looked at. The first in the order of work was refused in each pass, so the others were never tried.

Evidence: tests/test_held_back_fillers.py, six of its seven cases, fails on the code before with the later filler not started on an empty runner (the seventh asks for the new form of a refusal).

Mend: a refusal covers only steps that need at least as much of everything, and one under the limit for each instance covers none. A place is kept only for a filler that fits on some runner by all but processors and its effect on serving tasks. What overload needs is kept: equal fillers are not tried again.

--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -128,6 +128,12 @@
     return _score(request, runner, contention, now)
 
 
+def has_room(step: Step, tasks_per_runner: dict[RunnerId, int], runner: RunnerState) -> bool:
+    """Return whether a runner has the capacity for one more task of a step and may take it."""
+    request = PlacementRequest(step, tasks_per_runner, RunnerId(""))
+    return runner.fits(step.demand) and _allowed(request, runner)
+
+
 def fits_when_empty(step: Step, runner: RunnerState) -> bool:
     """Return whether an empty runner has the capacity and the label for one task of the step."""
     capacity, demand = runner.entry.room, step.demand
@@ -217,8 +223,7 @@
 
 def slows_nothing(step: Step, runner: RunnerState, contention: ContentionModel, now: float) -> bool:
     """Return whether a filler could start on a runner without slowing its serving tasks."""
-    request = PlacementRequest(step, {}, RunnerId(""))
-    if not runner.fits(step.demand) or not _allowed(request, runner):
+    if not has_room(step, {}, runner):
         return False
     effect = _filler_effect(step, runner, contention, now)
     return not isinstance(effect, Obstacle) and effect <= NEGLIGIBLE_EFFECT
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -6,6 +6,7 @@
 from spoolcrank.binding import bind
 from spoolcrank.crash_history import independent_crashes, needs_isolation
 from spoolcrank.filler_pace import slow_fillers_for
+from spoolcrank.filler_refusals import keep_place, record_refusal, was_refused
 from spoolcrank.gangs import place_gang
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
@@ -15,8 +16,6 @@
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
-    FillerRefusal,
-    Kind,
     PlacingPass,
     PlacingResult,
 )
@@ -33,11 +32,6 @@
 """Time for which a new lasting job waits so that jobs arriving together are placed by image,
 seconds. Lasting jobs run for minutes, so this wait costs them little."""
 
-FILLER_RETRY_S = 0.1
-"""Delay before fillers of an image that found no runner are tried again, seconds. Under overload
-every task end triggers a placing pass, and with 176 runners and 200 waiting jobs one pass over all
-of them took 160 ms."""
-
 FORECAST_INTERVAL_S = 0.5
 """Interval between samples of the demand of short tasks, seconds; about one task duration."""
 
@@ -226,8 +220,8 @@
             if skip_kind or current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
-            if step.spec.fills and _was_refused(state, kind, step, now):
-                _claim(state, current.claimed, kind, prospect)
+            if step.spec.fills and was_refused(state, kind, step, now):
+                keep_place(state, current, kind, prospect, step, runners)
                 still_waits = True
                 continue
             # Leave the next place of this kind to the job of better prospect that waits for it.
@@ -248,27 +242,12 @@
             current.tried[step_key] = now
             current.misses[kind] = current.misses.get(kind, 0) + 1
             if step.spec.fills:
-                _claim(state, current.claimed, kind, prospect)
-                retry_at = now + FILLER_RETRY_S
-                state.filler_refusals[kind] = FillerRefusal(step.spec.millicores, retry_at)
+                keep_place(state, current, kind, prospect, step, runners)
+                record_refusal(state, kind, step, now)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
-def _claim(state: Scheduler, claimed: dict[Kind, Prospect], kind: Kind, prospect: Prospect) -> None:
-    """Leave the next place of a kind to jobs of this prospect or a better one."""
-    if state.uses(Mechanism.CLAIMS):
-        claimed.setdefault(kind, prospect)
-
-
-def _was_refused(state: Scheduler, kind: Kind, step: StepState, now: float) -> bool:
-    """Return whether a filler of this kind and at most this size was refused moments ago."""
-    refusal = state.filler_refusals.get(kind)
-    return (
-        refusal is not None and now < refusal.until and step.spec.millicores >= refusal.millicores
-    )
-
-
 def _place_step(
     state: Scheduler,
     job: JobState,
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -7,7 +7,7 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.objective import Prospect
-from spoolcrank.workflow import StepKey
+from spoolcrank.workflow import Step, StepKey
 
 Kind = tuple[ServiceName, str]
 """A service and an image: tasks of one kind compete for the same capacity."""
@@ -43,16 +43,26 @@
 
 
 class FillerRefusal(NamedTuple):
-    """Smallest filler of one kind that was refused, and when fillers that large are tried again.
+    """Filler of one kind that was refused, and when fillers that need as much are tried again.
 
     Attributes:
-        millicores: processors that the refused filler wanted.
+        step: step of the refused filler.
         until: time from which such fillers are tried again, monotonic seconds.
     """
 
-    millicores: int
+    step: Step
     until: float
 
+    def covers(self, step: Step) -> bool:
+        """Return whether each runner that refused this filler refuses one of another step too."""
+        refused = self.step
+        return (
+            step.millicores >= refused.millicores
+            and step.memory_mb >= refused.memory_mb
+            and step.accelerators >= refused.accelerators
+            and refused.label in ("", step.label)
+        )
+
 
 @dataclass
 class PlacingPass:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -19,7 +19,7 @@
 from spoolcrank.objective import objective_s
 from spoolcrank.orders import Order, Start, Stop, Target
 from spoolcrank.pending_writes import PendingWrites
-from spoolcrank.placing_pass import FillerRefusal, PlacingPass
+from spoolcrank.placing_pass import FillerRefusal, Kind, PlacingPass
 from spoolcrank.runner_ids import FENCES_PER_TERM, FenceRanks
 from spoolcrank.runner_state import (
     ASSUMED_PACE_PERCENT,
@@ -99,7 +99,7 @@
         self.log_events: list[LogEvent] = []
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
-        self.filler_refusals: dict[tuple[ServiceName, str], FillerRefusal] = {}
+        self.filler_refusals: dict[Kind, list[FillerRefusal]] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
--- /dev/null
+++ b/tests/test_held_back_fillers.py
@@ -0,0 +1,52 @@
+"""Fillers are held back for others of their image only where those could use the same place."""
+
+import msgspec
+import pytest
+
+from spoolcrank.filler_refusals import FILLER_RETRY_S
+from spoolcrank.ids import JobId
+from spoolcrank.placing import place
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import JobRecord, RouteName, Step, TaskKey, Workflow
+from tests.test_packing import NOW, QUIET, SERVICE, leader, runner
+
+ROUTE = RouteName("q")
+LABELLED = msgspec.structs.replace(QUIET, label="elsewhere")
+LARGE = msgspec.structs.replace(QUIET, memory_mb=65_000)
+SPREAD = msgspec.structs.replace(QUIET, count=2, max_per_instance=1)
+
+
+def add(state: Scheduler, name: str, step: Step, priority: int) -> TaskKey:
+    record = JobRecord(ROUTE, SERVICE, priority, 3, 60_000, 2.0, Workflow("", (step,)))
+    state.add_job(JobId(name), record, priority, None, False, NOW, 0.0)
+    return TaskKey(JobId(name), 0, 0, 0)
+
+
+def place_several_times(state: Scheduler) -> None:
+    for number in range(4):
+        place(state, NOW + number * FILLER_RETRY_S, 0.0)
+
+
+# Guards against fillers that wait beside free processors for one that cannot use them.
+@pytest.mark.parametrize("first", [LABELLED, LARGE, SPREAD], ids=["label", "memory", "spread"])
+@pytest.mark.parametrize("same_priority", [False, True], ids=["later", "same"])
+def test_a_filler_that_fits_nowhere_holds_no_other_back(first: Step, same_priority: bool) -> None:
+    there: RunnerState = runner("i-1")
+    state = leader(there)
+    add(state, "ee", first, 0)
+    state.jobs[JobId("ee")].begun = True
+    second = add(state, "ff", QUIET, 0 if same_priority else 1)
+    place_several_times(state)
+    assert second in there.runs
+
+
+def test_fillers_that_need_as_much_as_a_refused_one_are_not_tried() -> None:
+    """Guards against passes over all waiting fillers under overload."""
+    there: RunnerState = runner("i-1", 2000)
+    state = leader(there)
+    add(state, "ee", QUIET, 0)
+    add(state, "ff", LARGE, 1)
+    place(state, NOW, 0.0)
+    refusals = list(state.filler_refusals.values())
+    assert [[refusal.step for refusal in kind] for kind in refusals] == [[QUIET]]
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -8,6 +8,7 @@
 from spoolcrank.binding import bind, move
 from spoolcrank.contention import ContentionModel, StepLoad
 from spoolcrank.filler_pace import slow_fillers_for
+from spoolcrank.filler_refusals import FILLER_RETRY_S
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState
 from spoolcrank.learned_state import LearnedState, decode_learned_state, encode_learned_state
@@ -15,7 +16,6 @@
 from spoolcrank.orders import EndedRow, EndKind, Pace, Poll, Report, RunningRow
 from spoolcrank.pacing import filler_use, learn, set_paces
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
-from spoolcrank.placing import FILLER_RETRY_S
 from spoolcrank.placing import place as place_waiting
 from spoolcrank.regrouping import Move, Regrouping
 from spoolcrank.run_control import ASSUMED_OVER_TARGET_S, poll_answered
