Keep leading when a run outlives the closed round of its gang

Cause: the end of one task of a gang finishes all of it, and its round is closed once its steps are done. The runs of the other tasks stay at their runners until those list their ends. Where such a run's start had not been answered, the start was sent again, and where it showed no progress, its task was looked up as one that hangs; the task was gone in both cases.

Evidence: test_a_gang_ends_while_one_member_is_not_known_to_run, both cases, on the code before: KeyError in order_start and in _check_hung, from the periodic work.

Mend: a run whose task's round is closed is never started again; without an answer, or without progress, it is stopped. Simulated links can now lose the answers of single runners.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -75,7 +75,9 @@
         return
     if run.stage is not RunStage.RECORDED:
         return
-    why = _reason_not_to_start(runner, now)
+    job = state.jobs.get(bound.task.job)
+    is_open = job is not None and job.has(bound.task)
+    why = _reason_not_to_start(runner, now) if is_open else "its task is finished"
     if why:
         # The reason arose while the start waited. No order was sent: the task may go elsewhere.
         state.release(bound.task, runner, why, now)
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -324,7 +324,8 @@
     if run.in_flight or not runner.adopted:
         return
     if run.stage is RunStage.UNCONFIRMED and now - run.since >= ORDER_RETRY_INTERVAL_S:
-        if run.tries < MAX_START_TRIES and key.job in state.jobs:
+        # The end of another member of its gang may have finished the task and closed its round.
+        if run.tries < MAX_START_TRIES and _task_of(state, key) is not None:
             state.order_start(key, runner, run, now)
         else:
             state.stop_run(key, runner.id, now)
@@ -356,7 +357,9 @@
         state.log_event(
             "task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent
         )
-        if record_abnormal_end(job.task(key), runner, run, now):
-            runner.quarantine(now)
-        job.task(key).refused_by = runner.id
+        task = _task_of(state, key)
+        if task is not None:
+            task.refused_by = runner.id
+            if record_abnormal_end(task, runner, run, now):
+                runner.quarantine(now)
         state.stop_run(key, runner.id, now)
--- a/tests/fleet_runners.py
+++ b/tests/fleet_runners.py
@@ -137,11 +137,15 @@
             return OrderResult.DONE
         if current_task is not None or order.run <= self.highest_run.get(key, 0):
             return OrderResult.SUPERSEDED
-        if (len(self.tasks) + 1) * 1000 > self.millicores:
+        if not self.has_room(key):
             return OrderResult.NO_ROOM
         self._begin(key, order)
         return OrderResult.DONE
 
+    def has_room(self, key: TaskKey) -> bool:
+        """Return whether one more task fits; a task counts as one core."""
+        return (len(self.tasks) + 1) * 1000 <= self.millicores
+
     def _begin(self, key: TaskKey, order: Start) -> None:
         world = self.world
         if world.running_on[key]:
@@ -305,7 +309,8 @@
             world.at(world.random.uniform(2, 12), lambda: world.carry_out_late(runner, act))
             instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
             return
-        if world.random.random() < world.lost_answer_share:
+        lost_answer_share = world.lossy_links.get(runner.name, world.lost_answer_share)
+        if world.random.random() < lost_answer_share:
             world.at(0.001, lambda: runner.alive and act(runner))
             instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
             return
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -66,6 +66,7 @@
         self.late_order_share = 0.0
         self.repeated_call_share = 0.0
         self.lost_answer_share = 0.0
+        self.lossy_links: dict[str, float] = {}
         self.max_transit_s = 0.0
         self.link_bytes_per_s = math.inf
         self.max_ends_per_answer = 500
--- a/tests/test_late_ends.py
+++ b/tests/test_late_ends.py
@@ -2,6 +2,7 @@
 
 import os
 
+import msgspec
 import pytest
 
 from spoolcrank.ids import JobId
@@ -187,3 +188,24 @@
     for number in numbers:
         world.instances[ENTRY].submit(f"{number:04x}", FOUR)
         world.run(every_s)
+
+
+@pytest.mark.parametrize("hangs", [False, True], ids=["unanswered", "hangs"])
+def test_a_gang_ends_while_one_member_is_not_known_to_run(hangs: bool) -> None:
+    """Guards against an error that ends the term when a run outlives its closed round."""
+    world = small_world(runners=3)
+    late = next(iter(world.runners.values()))
+    late.hangs = hangs
+    if not hangs:
+        world.lossy_links[late.name] = 1.0
+    for runner in world.runners.values():
+        runner.work_s = 0.3
+    term = _scheduler(world).term
+    world.instances["entry-0"].submit("ab", msgspec.structs.replace(GANG, max_per_instance=1))
+    world.run(6.0)
+    assert _scheduler(world).term == term
+    assert _scheduler(world).jobs[JobId("ab")].phase is JobPhase.COMPLETED
+    world.lossy_links.clear()
+    world.run(AFTER_PARTITION_S)
+    assert not any(runner.tasks for runner in world.runners.values())
+    assert not any(runner.runs for runner in _scheduler(world).runners.values())
