Use quarantined runners for a job that waits beside idle capacity

Cause: quarantine looks at one runner at a time, and nothing bounds how many of those that a step may use are in it at once. Only a lasting task that ran before took a quarantined runner rather than none.

Mend: a job that has got no start for 2 s, while under half of its service's processors are in use, tries the quarantined runners too, after the others. While more is in use the quarantine holds as before: a faulty runner takes nothing from a long queue.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -8,6 +8,7 @@
 from spoolcrank.filler_pace import slow_fillers_for
 from spoolcrank.filler_refusals import keep_place, record_refusal, was_refused
 from spoolcrank.gangs import place_gang
+from spoolcrank.idle_capacity import waits_beside_idle_capacity
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
@@ -196,6 +197,9 @@
         state.ready[job.id] = None
 
 
+_NOT_PLACED = (PlacingResult.NO_PLACE, PlacingResult.HELD_BACK)
+
+
 def _place_job(
     state: Scheduler,
     job: JobState,
@@ -231,6 +235,14 @@
             result = _place_step(
                 state, job, round_state.number, step_number, step, runners, current, now
             )
+            if result in _NOT_PLACED and waits_beside_idle_capacity(
+                state, current, job, service, now
+            ):
+                # A runner that may be faulty is better than none.
+                more = [*runners, *state.quarantined(service, now)]
+                result = _place_step(
+                    state, job, round_state.number, step_number, step, more, current, now
+                )
             if result is PlacingResult.ALL:
                 continue
             still_waits = True
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -76,6 +76,8 @@
             earlier part do not predict the result for a job that arrived since.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
+        mostly_idle: by service, whether less than half of its processors were in use at the
+            beginning of the current part, as far as that was needed.
         tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
             steps again, so that each part gets further than the previous one.
     """
@@ -84,6 +86,7 @@
     bytes_left: float = math.inf
     misses: dict[Kind, int] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
+    mostly_idle: dict[ServiceName, bool] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
 
     def begin_part(self, bytes_left: float = math.inf) -> None:
@@ -91,6 +94,7 @@
         self.pairs_left = MAX_PAIRS_PER_PART
         self.bytes_left = bytes_left
         self.misses.clear()
+        self.mostly_idle.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
         """Return whether to skip a step that found no runner in this pass.
