Keep no reserve against a lasting job beside idle capacity

Cause: a lasting task that never ran leaves a reserve for short tasks on its runner, unless twice its processors are free there. The reserve is at least 2.5 cores for as long as the mean demand of short tasks is above one thousandth of a core; that mean falls with a time constant of 8 s, so that it lasts for some 90 s after the last short task. Whether most of the service is idle was not asked. Whether the users count room on two runners as "capacity twice over" is not known; by either reading no capacity is missing here.

Evidence: test_a_lasting_job_takes_the_reserve_rather_than_wait_for_long, with the reserve kept at the second try: not started.

Mend: the second try of a job that has got no start for 2 s, while under half of its service's processors are in use, keeps no reserve.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -17,6 +17,7 @@
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
+    Candidates,
     PlacingPass,
     PlacingResult,
 )
@@ -232,14 +233,15 @@
             if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
+            usual = Candidates(runners, state.reserve)
             result = _place_step(
-                state, job, round_state.number, step_number, step, runners, current, now
+                state, job, round_state.number, step_number, step, usual, current, now
             )
             if result in _NOT_PLACED and waits_beside_idle_capacity(
                 state, current, job, service, now
             ):
-                # A runner that may be faulty is better than none.
-                more = [*runners, *state.quarantined(service, now)]
+                # A runner that may be faulty, or the reserve, is better than none.
+                more = Candidates([*runners, *state.quarantined(service, now)], reserve=0)
                 result = _place_step(
                     state, job, round_state.number, step_number, step, more, current, now
                 )
@@ -266,10 +268,11 @@
     round_number: int,
     step_number: int,
     step: StepState,
-    runners: list[RunnerState],
+    candidates: Candidates,
     current: PlacingPass,
     now: float,
 ) -> PlacingResult:
+    runners = candidates.runners
     if step.spec.gang:
         current.pairs_left -= len(runners) * len(step.tasks)
         gang_placed = place_gang(state, job, round_number, step_number, step, runners, now)
@@ -293,7 +296,7 @@
             step.spec,
             tasks_per_runner,
             task.refused_by,
-            reserve=0 if task.run else state.reserve,
+            reserve=0 if task.run else candidates.reserve,
             task=key,
             service=state.service_of(job),
         )
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -7,6 +7,7 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.objective import Prospect
+from spoolcrank.runner_state import RunnerState
 from spoolcrank.workflow import Step, StepKey
 
 Kind = tuple[ServiceName, str]
@@ -42,6 +43,13 @@
     PART_SPENT = "part-spent"
 
 
+class Candidates(NamedTuple):
+    """Runners for a waiting step, and the millicores to reserve on each for short tasks."""
+
+    runners: list[RunnerState]
+    reserve: int
+
+
 class FillerRefusal(NamedTuple):
     """Filler of one kind that was refused, and when fillers that need as much are tried again.
 
--- a/tests/test_idle_waits.py
+++ b/tests/test_idle_waits.py
@@ -53,3 +53,19 @@
     key = add(state, LABELLED, waited_s=10.0)
     place(state, NOW, 0.0)
     assert key not in faulty.runs
+
+
+# Guards against a lasting job that waits beside idle runners for as long as the demand of short
+# tasks is remembered.
+def test_a_lasting_job_takes_the_reserve_rather_than_wait_for_long() -> None:
+    first, second = runner("i-1", 8000), runner("i-2", 8000)
+    for each in (first, second):
+        put(each, msgspec.structs.replace(SHORT, millicores=3000))
+    state = leader(first, second)
+    state.reserve = 2500
+    lasting = msgspec.structs.replace(SHORT, millicores=4000, lasting=True)
+    key = add(state, lasting, waited_s=MAX_IDLE_WAIT_S - 0.1)
+    place(state, NOW, 0.0)
+    assert key not in first.runs and key not in second.runs
+    place(state, NOW + 0.2, 0.0)
+    assert key in first.runs or key in second.runs
