Count inherited leases once over several handovers

Cause: a run bound to a runner that nobody has reached waits until every lease that an earlier leader may have granted has passed, 9.5 s after that leader's last record. After a handover the earlier leader is the one that resigned, and the 9.5 s begin anew, though it never reached the runner and granted nothing there. After a loss of power small instances often lead first.

Mend: a resignation names the runners with runs that the leader never reached, with the age of the write from which leases may run there; the leader of the next term counts from that, and hands it on in turn. From the moment the resignation is composed its leader reaches no further runner, so that it stays true.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -25,7 +25,7 @@
     kind_of,
 )
 from spoolcrank.leader_writer import AppendTiming, LeaderWriter, PendingAppend
-from spoolcrank.leadership import NO_SUCCESSOR, SELF_FENCE_S, Leadership, decode_claim
+from spoolcrank.leadership import NO_SUCCESSOR, SELF_FENCE_S, Claim, Leadership, decode_claim
 from spoolcrank.leadership_monitor import (
     LeadershipMonitor,
     PlacingBlock,
@@ -58,6 +58,7 @@
     restore_state,
 )
 from spoolcrank.telemetry import Telemetry
+from spoolcrank.unreached_runners import begin_term, resignation
 from spoolcrank.workflow import RouteName, encode
 
 TICK_S = 0.1
@@ -217,9 +218,8 @@
         self._regrouping = Regrouping()
         self._monitor = LeadershipMonitor(now)
         self._successor = NO_SUCCESSOR
-        scheduler = Scheduler(term, now, self.leadership.predecessor_wrote_at, self._lease_ms)
+        scheduler = begin_term(self.leadership, now, self._lease_ms, self._without)
         scheduler.routes = dict(self._routes)
-        scheduler.without = self._without
         scheduler.evacuate_zones(self._evacuated_zones)
         self.scheduler = scheduler
         # Count the claim from when it was sent: successors count from when it was stored, and this
@@ -310,7 +310,8 @@
         if self._leaving or self._successor:
             # Nothing is lost: starts whose records are pending were not ordered, and runners keep
             # reporting ends that are not stored.
-            self._write_claim(writer, resigned=True)
+            resigned = resignation(self.leadership, scheduler, self._successor, now)
+            self._write_claim(writer, resigned)
             return
         batch = take_batch(scheduler)
         if batch is not None:
@@ -323,15 +324,13 @@
             writer.write(PendingAppend(append, lambda timing: self._on_append_stored(timing, then)))
         elif self.leadership.due_actions(now).heartbeat:
             self.leadership.wrote_at = now
-            self._write_claim(writer, resigned=False)
+            self._write_claim(writer, self.leadership.own_claim())
 
     def _write_claim(
-        self, writer: LeaderWriter, resigned: bool, then: Callable[[], None] | None = None
+        self, writer: LeaderWriter, claim: Claim, then: Callable[[], None] | None = None
     ) -> None:
-        claim = self.leadership.own_claim(resigned, self._successor)
-
         def on_stored(timing: AppendTiming) -> None:
-            if resigned:
+            if claim.resigned:
                 self._step_down("handed over")
             else:
                 self._on_append_stored(timing, then)
@@ -353,7 +352,7 @@
         elif timing.repeated:
             # Others may have read the record after the first attempt and count this leader's leases
             # from then. Show by a new claim that it still leads before extending any lease.
-            self._write_claim(writer, resigned=False, then=then)
+            self._write_claim(writer, self.leadership.own_claim(), then=then)
         else:
             self._record_confirmed_write(scheduler, timing.sent_at)
             if then is not None:
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -90,6 +90,8 @@
         resigned: the leader resigned, and other instances need not wait for its timeout.
         processors: its instance's capacity, in cores of the fleet's usual speed.
         successor: the incarnation that a resigned leader hands over to; empty for any.
+        unreached_ms: the runners with runs that a resigned leader never reached, each with the time
+            from which the leases of earlier leaders there may run, as its age in ms.
     """
 
     term: int = 0
@@ -98,6 +100,7 @@
     resigned: bool = False
     processors: float = 0.0
     successor: Incarnation = NO_SUCCESSOR
+    unreached_ms: dict[str, int] = {}
 
 
 decode_claim = raises_unreadable(msgspec.json.Decoder(Claim).decode)
@@ -139,6 +142,8 @@
         self._claimed_term = 0
         self.claimed_at = -1.0
         self._unread_claims = 0
+        self._unreached_term = 0
+        self._unreached_since: dict[str, float] = {}
 
     @property
     def leads(self) -> bool:
@@ -152,6 +157,11 @@
         self._unread_claims = 0
         if claim.term == self._resigned_term and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
+        if claim.resigned:
+            self._unreached_term = claim.term
+            self._unreached_since = {
+                runner: now - age_ms / 1000.0 for runner, age_ms in claim.unreached_ms.items()
+            }
         changed = claim != self.claim
         self._largest_processors = max(self._largest_processors, claim.processors)
         if claim.term != self.claim.term:
@@ -216,6 +226,14 @@
         """
         return max(self.leader_wrote_at, self.confirmed_at)
 
+    def unreached_since(self, term: int) -> dict[str, float]:
+        """Return the runners that the leader before a term never reached.
+
+        Each has the time from which leases of earlier leaders may run there, in monotonic seconds.
+        Only the leader of the term right before is known to have reached none of them.
+        """
+        return self._unreached_since if term == self._unreached_term + 1 else {}
+
     @property
     def extends_until(self) -> float:
         """Return the time until which this leader may extend leases, in monotonic seconds."""
@@ -263,7 +281,7 @@
         if self.claim.term == term and self.claim.incarnation == self.incarnation:
             self.claim = self.own_claim(resigned=True, successor=successor)
 
-    def own_claim(self, resigned: bool, successor: Incarnation = NO_SUCCESSOR) -> Claim:
+    def own_claim(self, resigned: bool = False, successor: Incarnation = NO_SUCCESSOR) -> Claim:
         """Return the current claim as the leader writes it again."""
         return Claim(
             self.claim.term, self.instance, self.incarnation, resigned, self.processors, successor
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -88,6 +88,9 @@
     if runner is None or runner.gone:
         return
     runner.polling = False
+    if state.resigned and not runner.adopted:
+        # The resignation tells the successor that no lease was granted there.
+        return
     if not answers_for(report.runner, runner.id):
         other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
@@ -312,7 +315,7 @@
 
 
 def _check_leases(state: Scheduler, runner: RunnerState, now: float) -> None:
-    inherited_leases_expired = now - state.predecessor_wrote_at > MAX_INHERITED_RUN_S
+    inherited_leases_expired = now - state.leases_run_from(runner.id) > MAX_INHERITED_RUN_S
     never_reached = not runner.adopted and inherited_leases_expired
     if not never_reached and not runner.surely_ended(now):
         return
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -64,6 +64,8 @@
         without: mechanisms that are switched off.
         predecessor_wrote_at: time from which leases of an earlier leader may run, monotonic
             seconds.
+        inherited_since: the same time for runners that the leader before never reached.
+        resigned: whether this leader's resignation is being written.
         contention: model of how fillers slow serving tasks.
         times: model of the run times of tasks.
         extends_until: time until which leases may be extended, monotonic seconds.
@@ -84,6 +86,8 @@
         self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
         self.predecessor_wrote_at = predecessor_wrote_at
+        self.inherited_since: dict[RunnerId, float] = {}
+        self.resigned = False
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
         self.ranks = FenceRanks()
@@ -253,6 +257,10 @@
         for runner in self.runners.values():
             runner.evacuated = runner.entry.availability_zone in zones
 
+    def leases_run_from(self, runner: RunnerId) -> float:
+        """Return the time from which leases of earlier leaders may run on a runner."""
+        return self.inherited_since.get(runner, self.predecessor_wrote_at)
+
     def target(self, runner: RunnerState) -> Target:
         """Return the address and fence for orders to a runner."""
         fence = self.term * FENCES_PER_TERM + runner.rank
