Count one run of a gang as one crash

Cause: a gang is accountable as a whole, and counted a crash for each of its runners that went. With three members, two spells made five or six crashes soon after the start, which proves guilt at any rate of ordinary crashes, although the gang had been under way only twice.

Mend: the evidence of a crash carries the number of the run, and keeps one entry for each run, the strongest. For a task by itself nothing changes, as each of its runs has one runner. A gang with one guilty member, and one whose members are all guilty, are still given up in time (tests for both). Evidence stored by the version before has no number and counts as before.

--- a/spoolcrank/crash_history.py
+++ b/spoolcrank/crash_history.py
@@ -210,8 +210,16 @@
 def with_evidence(
     entries: Sequence[CrashEvidence], evidence: CrashEvidence
 ) -> tuple[CrashEvidence, ...]:
-    """Return the crash evidence with one more entry, at most one for each runner."""
-    newest = [*(entry for entry in entries if entry.runner != evidence.runner), evidence]
+    """Return the crash evidence with one more entry, at most one for each runner and for each run.
+
+    One run of a gang may end with several runners, which is no more evidence than one crash.
+    """
+    newest = [entry for entry in entries if entry.runner != evidence.runner]
+    same_run = next((entry for entry in newest if entry.run and entry.run == evidence.run), None)
+    if same_run is not None:
+        newest.remove(same_run)
+        evidence = max(same_run, evidence, key=lambda entry: (not entry.shared, entry.proved))
+    newest.append(evidence)
     while len(newest) > MAX_CRASHES_PER_TASK:
         newest.remove(next((entry for entry in newest if entry.shared), newest[0]))
     return tuple(newest)
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -257,7 +257,8 @@
     elif not begun:
         # The runner may have been down before the start was sent.
         alone = False
-    return CrashEvidence(runner.id, runner.entry.address, lived_ms, alone, proved)
+    address = runner.entry.address
+    return CrashEvidence(runner.id, address, lived_ms, alone, proved, run=run.number)
 
 
 def _accountable_key(state: Scheduler, key: TaskKey) -> TaskKey:
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -185,6 +185,7 @@
         proved: whether the incarnation is known to have ended.
         shared: whether other runners failed with it from a common cause, which makes the crash
             almost no evidence against the task.
+        run: number of the run; 0 if unknown.
     """
 
     runner: str
@@ -193,6 +194,7 @@
     alone: bool = False
     proved: bool = True
     shared: bool = False
+    run: int = 0
 
 
 class StoredTask(msgspec.Struct, array_like=True, omit_defaults=True):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -10,6 +10,7 @@
 from spoolcrank.ids import JobId
 from spoolcrank.job_state import JobState
 from spoolcrank.workflow import (
+    FINAL,
     CrashEvidence,
     JobPhase,
     Progress,
@@ -68,6 +69,19 @@
     assert causes_crashes(entries, LOW_RATE_PER_S)
 
 
+def test_one_run_of_a_gang_counts_as_one_crash() -> None:
+    """Guards against a sound gang that is given up after two losses of some of its runners."""
+    first, second = (
+        msgspec.structs.replace(_evidence(number), run=1, proved=number > 1) for number in (1, 2)
+    )
+    assert with_evidence((first,), second) == (second,)
+    assert with_evidence((second,), first) == (second,)
+    shared = msgspec.structs.replace(first, proved=True, shared=True)
+    assert with_evidence((shared,), first) == (first,)
+    entries = with_evidence((second,), msgspec.structs.replace(_evidence(3), run=2))
+    assert len(entries) == 2
+
+
 def test_a_crash_counts_once_for_each_runner() -> None:
     entries = with_evidence(with_evidence((), _evidence(1, proved=False)), _evidence(1))
     assert entries == (_evidence(1),)
@@ -267,6 +281,32 @@
     assert max(world.starts_after_crashes(key, 3) for key in crash_causing) <= MAX_STARTS
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_gang_whose_tasks_all_crash_their_runners_is_given_up(seed: int) -> None:
+    """Guards against starts without limit where one run ends with several runners."""
+    world = _simulate(GANG, {"bad0": 0.5}, seed, SOON)
+    crash_causing = [TASK._replace(number=number) for number in range(GANG.count)]
+    assert max(world.starts_after_crashes(key, 3) for key in crash_causing) <= MAX_STARTS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_sound_gang_survives_two_losses_of_its_runners(seed: int) -> None:
+    world = small_world(runners=12, seed=seed)
+    world.gang_jobs = {"ab"}
+    for runner in world.runners.values():
+        runner.work_s = 2.0
+    instance = world.instances["entry-0"]
+    gang = msgspec.structs.replace(GANG, estimate_ms=2000, max_per_instance=1)
+    instance.submit("ab", gang, max_attempts=9)
+    for _ in range(2):
+        world.run_until(lambda: sum(map(len, world.running_on.values())) == gang.count)
+        world.run(1.0)
+        for runner in [each for each in world.runners.values() if each.tasks]:
+            world.crash(runner)
+    world.run_until(lambda: instance.index.phase(JobId("ab")) in FINAL)
+    assert instance.index.phase(JobId("ab")) is JobPhase.COMPLETED
+
+
 # Mutations
 
 
