--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -6,7 +6,9 @@
 from spoolcrank.binding import bind
 from spoolcrank.crash_history import independent_crashes, needs_isolation
 from spoolcrank.filler_pace import slow_fillers_for
+from spoolcrank.filler_refusals import keep_place, record_refusal, was_refused
 from spoolcrank.gangs import place_gang
+from spoolcrank.idle_capacity import waits_beside_idle_capacity
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
@@ -15,8 +17,7 @@
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
-    FillerRefusal,
-    Kind,
+    Candidates,
     PlacingPass,
     PlacingResult,
 )
@@ -33,11 +34,6 @@
 """Time for which a new lasting job waits so that jobs arriving together are placed by image,
 seconds. Lasting jobs run for minutes, so this wait costs them little."""
 
-FILLER_RETRY_S = 0.1
-"""Delay before fillers of an image that found no runner are tried again, seconds. Under overload
-every task end triggers a placing pass, and with 176 runners and 200 waiting jobs one pass over all
-of them took 160 ms."""
-
 FORECAST_INTERVAL_S = 0.5
 """Interval between samples of the demand of short tasks, seconds; about one task duration."""
 
@@ -202,6 +198,9 @@
         state.ready[job.id] = None
 
 
+_NOT_PLACED = (PlacingResult.NO_PLACE, PlacingResult.HELD_BACK)
+
+
 def _place_job(
     state: Scheduler,
     job: JobState,
@@ -226,17 +225,26 @@
             if skip_kind or current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
-            if step.spec.fills and _was_refused(state, kind, step, now):
-                _claim(state, current.claimed, kind, prospect)
+            if step.spec.fills and was_refused(state, kind, step, now):
+                keep_place(state, current, kind, prospect, step, runners)
                 still_waits = True
                 continue
             # Leave the next place of this kind to the job of better prospect that waits for it.
             if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
+            usual = Candidates(runners, state.reserve)
             result = _place_step(
-                state, job, round_state.number, step_number, step, runners, current, now
+                state, job, round_state.number, step_number, step, usual, current, now
             )
+            if result in _NOT_PLACED and waits_beside_idle_capacity(
+                state, current, job, service, now
+            ):
+                # A runner that may be faulty, or the reserve, is better than none.
+                more = Candidates([*runners, *state.quarantined(service, now)], reserve=0)
+                result = _place_step(
+                    state, job, round_state.number, step_number, step, more, current, now
+                )
             if result is PlacingResult.ALL:
                 continue
             still_waits = True
@@ -248,37 +256,23 @@
             current.tried[step_key] = now
             current.misses[kind] = current.misses.get(kind, 0) + 1
             if step.spec.fills:
-                _claim(state, current.claimed, kind, prospect)
-                retry_at = now + FILLER_RETRY_S
-                state.filler_refusals[kind] = FillerRefusal(step.spec.millicores, retry_at)
+                keep_place(state, current, kind, prospect, step, runners)
+                record_refusal(state, kind, step, now)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
-def _claim(state: Scheduler, claimed: dict[Kind, Prospect], kind: Kind, prospect: Prospect) -> None:
-    """Leave the next place of a kind to jobs of this prospect or a better one."""
-    if state.uses(Mechanism.CLAIMS):
-        claimed.setdefault(kind, prospect)
-
-
-def _was_refused(state: Scheduler, kind: Kind, step: StepState, now: float) -> bool:
-    """Return whether a filler of this kind and at most this size was refused moments ago."""
-    refusal = state.filler_refusals.get(kind)
-    return (
-        refusal is not None and now < refusal.until and step.spec.millicores >= refusal.millicores
-    )
-
-
 def _place_step(
     state: Scheduler,
     job: JobState,
     round_number: int,
     step_number: int,
     step: StepState,
-    runners: list[RunnerState],
+    candidates: Candidates,
     current: PlacingPass,
     now: float,
 ) -> PlacingResult:
+    runners = candidates.runners
     if step.spec.gang:
         current.pairs_left -= len(runners) * len(step.tasks)
         gang_placed = place_gang(state, job, round_number, step_number, step, runners, now)
@@ -302,7 +296,7 @@
             step.spec,
             tasks_per_runner,
             task.refused_by,
-            reserve=0 if task.run else state.reserve,
+            reserve=0 if task.run else candidates.reserve,
             task=key,
             service=state.service_of(job),
         )
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -7,7 +7,8 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.objective import Prospect
-from spoolcrank.workflow import StepKey
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.workflow import Step, StepKey
 
 Kind = tuple[ServiceName, str]
 """A service and an image: tasks of one kind compete for the same capacity."""
@@ -42,17 +43,34 @@
     PART_SPENT = "part-spent"
 
 
+class Candidates(NamedTuple):
+    """Runners for a waiting step, and the millicores to reserve on each for short tasks."""
+
+    runners: list[RunnerState]
+    reserve: int
+
+
 class FillerRefusal(NamedTuple):
-    """Smallest filler of one kind that was refused, and when fillers that large are tried again.
+    """Filler of one kind that was refused, and when fillers that need as much are tried again.
 
     Attributes:
-        millicores: processors that the refused filler wanted.
+        step: step of the refused filler.
         until: time from which such fillers are tried again, monotonic seconds.
     """
 
-    millicores: int
+    step: Step
     until: float
 
+    def covers(self, step: Step) -> bool:
+        """Return whether each runner that refused this filler refuses one of another step too."""
+        refused = self.step
+        return (
+            step.millicores >= refused.millicores
+            and step.memory_mb >= refused.memory_mb
+            and step.accelerators >= refused.accelerators
+            and refused.label in ("", step.label)
+        )
+
 
 @dataclass
 class PlacingPass:
@@ -66,6 +84,8 @@
             earlier part do not predict the result for a job that arrived since.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
+        mostly_idle: by service, whether less than half of its processors were in use at the
+            beginning of the current part, as far as that was needed.
         tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
             steps again, so that each part gets further than the previous one.
     """
@@ -74,6 +94,7 @@
     bytes_left: float = math.inf
     misses: dict[Kind, int] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
+    mostly_idle: dict[ServiceName, bool] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
 
     def begin_part(self, bytes_left: float = math.inf) -> None:
@@ -81,6 +102,7 @@
         self.pairs_left = MAX_PAIRS_PER_PART
         self.bytes_left = bytes_left
         self.misses.clear()
+        self.mostly_idle.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
         """Return whether to skip a step that found no runner in this pass.
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -88,6 +88,9 @@
     if runner is None or runner.gone:
         return
     runner.polling = False
+    if state.resigned and not runner.adopted:
+        # The resignation tells the successor that no lease was granted there.
+        return
     if not answers_for(report.runner, runner.id):
         other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
@@ -312,7 +315,7 @@
 
 
 def _check_leases(state: Scheduler, runner: RunnerState, now: float) -> None:
-    inherited_leases_expired = now - state.predecessor_wrote_at > MAX_INHERITED_RUN_S
+    inherited_leases_expired = now - state.leases_run_from(runner.id) > MAX_INHERITED_RUN_S
     never_reached = not runner.adopted and inherited_leases_expired
     if not never_reached and not runner.surely_ended(now):
         return
@@ -324,7 +327,8 @@
     if run.in_flight or not runner.adopted:
         return
     if run.stage is RunStage.UNCONFIRMED and now - run.since >= ORDER_RETRY_INTERVAL_S:
-        if run.tries < MAX_START_TRIES and key.job in state.jobs:
+        # The end of another member of its gang may have finished the task and closed its round.
+        if run.tries < MAX_START_TRIES and _task_of(state, key) is not None:
             state.order_start(key, runner, run, now)
         else:
             state.stop_run(key, runner.id, now)
@@ -356,7 +360,9 @@
         state.log_event(
             "task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent
         )
-        if record_abnormal_end(job.task(key), runner, run, now):
-            runner.quarantine(now)
-        job.task(key).refused_by = runner.id
+        task = _task_of(state, key)
+        if task is not None:
+            task.refused_by = runner.id
+            if record_abnormal_end(task, runner, run, now):
+                runner.quarantine(now)
         state.stop_run(key, runner.id, now)
