--- a/spoolcrank/periodic_work.py
+++ b/spoolcrank/periodic_work.py
@@ -3,8 +3,8 @@
 from spoolcrank.backlog import log_backlog_periodically
 from spoolcrank.batching import drop_ended_jobs, store_learned
 from spoolcrank.binding import move
+from spoolcrank.demand_forecast import forecast
 from spoolcrank.mechanisms import Mechanism
-from spoolcrank.placing import forecast
 from spoolcrank.preassignment import Preassignments
 from spoolcrank.regrouping import Regrouping
 from spoolcrank.run_control import tick
