Skip a waiting step only where a miss shows that it fits nowhere

Callers saw accepted jobs stay pending for good beside empty runners: once three steps of a service and image had found no runner in a part of a pass, all others of that image were skipped there, and the order is the same in each pass. Three old jobs that fit no runner any more (runners came back smaller, no runner has their label, antiAffinity is used up, a gang that is not whole) held all later ones. Fillers were held for 0.1 s at a time, again and again, by a refused one of fewer processors but too much memory.

Cause: a miss counted against everything of its image, though it says something only of tasks at least as large under the same constraints.

Now a miss stands for steps of at least its size in every part, of the same service and label, and for fillers of the same image; not at all if the limit per instance, a gang or a lasting task's reserve may be the reason. For others the pass sums up once what each runner can still take (`openings`), and skips what fits in none of it. Tasks with a move's destination or an exclusive runner are never skipped, as that capacity is no opening for others.

--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -215,6 +215,33 @@
     return effect
 
 
+def largest_by_idle(runner: RunnerState) -> int:
+    """Return the processors of the largest filler that idle processors allow, millicores.
+
+    The result is negative if they allow none.
+    """
+    return math.ceil(runner.idle_millicores / MIN_IDLE_SHARE)
+
+
+def largest_filler(image: str, runner: RunnerState, contention: ContentionModel, now: float) -> int:
+    """Return the processors of the largest filler of an image that may start, millicores.
+
+    The result is negative if none may. It is rounded up: no filler that may start is larger.
+    """
+    headroom = _filler_headroom(runner, contention, now)
+    if headroom.over:
+        return -1
+    largest = float(largest_by_idle(runner))
+    for serving, allowed in headroom.left:
+        if contention.harmless(serving, image) >= HARMLESS_LIKELIHOOD:
+            continue
+        if allowed < 0:
+            return -1
+        effect = contention.weight(serving, image) * runner.share(1.0)
+        largest = min(largest, allowed / effect) if effect > 0 else largest
+    return math.ceil(largest)
+
+
 def slows_nothing(step: Step, runner: RunnerState, contention: ContentionModel, now: float) -> bool:
     """Return whether a filler could start on a runner without slowing its serving tasks."""
     request = PlacementRequest(step, {}, RunnerId(""))
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -11,6 +11,7 @@
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.objective import Prospect, work_order
+from spoolcrank.openings import Scope, Shortage, fits_nowhere, scope_of, size_of
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
@@ -24,10 +25,6 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId, StepKey, TaskKey
 
-MAX_MISSES_PER_KIND = 3
-"""Number of steps of one kind that may find no runner before this part of the pass skips the others
-of that kind. Trying all of a long queue costs more than finding a runner one pass later."""
-
 LASTING_BATCH_S = 0.25
 """Time for which a new lasting job waits so that jobs arriving together are placed by image,
 seconds. Lasting jobs run for minutes, so this wait costs them little."""
@@ -145,16 +142,15 @@
     still_waits = False
     for round_state in list(job.rounds.values()):
         for step_number, step in list(round_state.ready()):
-            kind = (service, step.spec.image)
-            step_key = StepKey(job.id, round_state.number, step_number)
-            # Lasting tasks are few, and none may wait while there is free capacity for it.
-            skip_kind = current.misses.get(kind, 0) >= MAX_MISSES_PER_KIND and not step.spec.lasting
-            resumes = step.spec.lasting and job.begun
-            if skip_kind or current.should_skip(step_key, resumes, now):
+            kind, scope = (service, step.spec.image), scope_of(service, step.spec)
+            if _is_hopeless(state, current, scope, step, runners, now):
+                if step.spec.fills:
+                    _claim(state, current.claimed, kind, prospect)
                 still_waits = True
                 continue
-            if step.spec.fills and _was_refused(state, kind, step, now):
-                _claim(state, current.claimed, kind, prospect)
+            step_key = StepKey(job.id, round_state.number, step_number)
+            resumes = step.spec.lasting and job.begun
+            if current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
             # Leave the next place of this kind to the job of better prospect that waits for it.
@@ -173,11 +169,9 @@
                 # The step does not wait for capacity: record neither a try nor a miss.
                 continue
             current.tried[step_key] = now
-            current.misses[kind] = current.misses.get(kind, 0) + 1
+            _record_miss(state, current, scope, step, now)
             if step.spec.fills:
                 _claim(state, current.claimed, kind, prospect)
-                retry_at = now + FILLER_RETRY_S
-                state.filler_refusals[kind] = FillerRefusal(step.spec.millicores, retry_at)
     if not still_waits:
         state.ready.pop(job.id, None)
 
@@ -188,12 +182,57 @@
         claimed.setdefault(kind, prospect)
 
 
-def _was_refused(state: Scheduler, kind: Kind, step: StepState, now: float) -> bool:
-    """Return whether a filler of this kind and at most this size was refused moments ago."""
-    refusal = state.filler_refusals.get(kind)
-    return (
-        refusal is not None and now < refusal.until and step.spec.millicores >= refusal.millicores
-    )
+def _record_miss(
+    state: Scheduler, current: PlacingPass, scope: Scope, step: StepState, now: float
+) -> None:
+    """Record what it shows of others that a step found no runner."""
+    if step.spec.lasting:
+        # The reserve that it has to leave may be the reason.
+        return
+    limited = step.spec.max_per_instance and step.per_runner()
+    missed = None if step.spec.gang or limited else size_of(step.spec)
+    known = _shortage(state, current, scope, now)
+    if known is not None and missed is None:
+        return
+    shortage = Shortage(missed)
+    if scope.fills:
+        state.filler_refusals[scope] = FillerRefusal(shortage, now + FILLER_RETRY_S)
+    else:
+        current.shortages[scope] = shortage
+
+
+def _shortage(state: Scheduler, current: PlacingPass, scope: Scope, now: float) -> Shortage | None:
+    if not scope.fills:
+        return current.shortages.get(scope)
+    refusal = state.filler_refusals.get(scope)
+    return refusal.shortage if refusal is not None and now < refusal.until else None
+
+
+def _is_hopeless(
+    state: Scheduler,
+    current: PlacingPass,
+    scope: Scope,
+    step: StepState,
+    runners: list[RunnerState],
+    now: float,
+) -> bool:
+    """Return whether a miss before shows that no task of a step can find a runner."""
+    # Lasting tasks are few, and those that resume may use quarantined runners as well.
+    shortage = None if step.spec.lasting else _shortage(state, current, scope, now)
+    if shortage is None:
+        return False
+    first_look = shortage.openings is None
+    hopeless = fits_nowhere(step.spec, scope, shortage, runners, state.contention, now)
+    if first_look and shortage.openings is not None:
+        current.pairs_left -= len(runners)
+    return hopeless and not any(_has_own_place(step.tasks[index]) for index in step.waiting)
+
+
+def _has_own_place(task: TaskState) -> bool:
+    """Return whether capacity may be kept for a task that counts as taken for all others."""
+    if not task.run:
+        return False
+    return task.move_destination != NO_RUNNER or needs_isolation(task.crashes)
 
 
 def _place_step(
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -7,6 +7,7 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.objective import Prospect
+from spoolcrank.openings import Scope, Shortage
 from spoolcrank.workflow import StepKey
 
 Kind = tuple[ServiceName, str]
@@ -43,14 +44,14 @@
 
 
 class FillerRefusal(NamedTuple):
-    """Smallest filler of one kind that was refused, and when fillers that large are tried again.
+    """Shortage found when a filler was refused, and when such fillers are tried again.
 
     Attributes:
-        millicores: processors that the refused filler wanted.
-        until: time from which such fillers are tried again, monotonic seconds.
+        shortage: what the refusal shows of other fillers of its scope.
+        until: time from which all are tried again, monotonic seconds.
     """
 
-    millicores: int
+    shortage: Shortage
     until: float
 
 
@@ -62,8 +63,8 @@
         pairs_left: number of pairs of task and runner that the current part may still evaluate.
         bytes_left: size of the starts that the current part may still bind, limited by the
             capacity of the leader's link.
-        misses: by kind, number of steps that found no runner in the current part. Misses of an
-            earlier part do not predict the result for a job that arrived since.
+        shortages: by scope, what the last miss in the current part shows. Misses of an earlier
+            part do not predict the result for a job that arrived since.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
         tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
@@ -72,15 +73,15 @@
 
     pairs_left: int = MAX_PAIRS_PER_PART
     bytes_left: float = math.inf
-    misses: dict[Kind, int] = field(default_factory=dict)
+    shortages: dict[Scope, Shortage] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
 
     def begin_part(self, bytes_left: float = math.inf) -> None:
-        """Reset the limits and misses for the next part."""
+        """Reset the limits and shortages for the next part."""
         self.pairs_left = MAX_PAIRS_PER_PART
         self.bytes_left = bytes_left
-        self.misses.clear()
+        self.shortages.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
         """Return whether to skip a step that found no runner in this pass.
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -323,6 +323,22 @@
             <= room.accelerators
         )
 
+    def free(self) -> Demand:
+        """Return the free capacity that is not reserved; a part is negative if it is overused."""
+        room, reserved = self.entry.room, self.reservations.values()
+        free = Demand(
+            room.millicores - self.used_millicores,
+            room.memory_mb - self.used_memory_mb,
+            room.accelerators - self.used_accelerators,
+        )
+        if not reserved:
+            return free
+        return Demand(
+            free.millicores - sum(other.demand.millicores for other in reserved),
+            free.memory_mb - sum(other.demand.memory_mb for other in reserved),
+            free.accelerators - sum(other.demand.accelerators for other in reserved),
+        )
+
     def drop_expired_reservations(self, now: float) -> None:
         """Drop the reservations that have expired."""
         if self.reservations:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -17,6 +17,7 @@
 from spoolcrank.log_events import LogEvent
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.objective import objective_s
+from spoolcrank.openings import Scope
 from spoolcrank.orders import Order, Start, Stop, Target
 from spoolcrank.pending_writes import PendingWrites
 from spoolcrank.placing_pass import FillerRefusal, PlacingPass
@@ -99,7 +100,7 @@
         self.log_events: list[LogEvent] = []
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
-        self.filler_refusals: dict[tuple[ServiceName, str], FillerRefusal] = {}
+        self.filler_refusals: dict[Scope, FillerRefusal] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
