Leave half of each part to steps that the pass has not tried yet

Callers would see accepted jobs wait for good while runners are empty: a pass runs in parts of 20,000 pairs, and some steps are tried again in each part, first of all: those whose tasks wait for an exclusive runner, and, every half second, lasting ones that run again. 58 suspects that fit nowhere on 350 runners use up each part, and the pass never gets to the jobs behind them; as do 115 lasting tasks on the smallest instance, where a part takes 0.4 s.

Now steps tried before in a pass share at most half of the pairs of a part, so that each part gets further and the pass ends. A step that uses up a part without a task being bound counts as tried too.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -157,16 +157,14 @@
             if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
-            result = _place_step(
-                state, job, round_state.number, step_number, step, runners, current, now
-            )
+            result = _try_step(state, job, step_key, step, runners, current, now)
             if result is PlacingResult.ALL:
                 continue
             still_waits = True
-            if result is PlacingResult.PART_SPENT:
-                return
-            if result is PlacingResult.HELD_BACK:
+            if result is not PlacingResult.NO_PLACE:
                 # The step does not wait for capacity: record neither a try nor a miss.
+                if current.spent:
+                    return
                 continue
             current.tried[step_key] = now
             _record_miss(state, current, scope, step, now)
@@ -235,16 +233,37 @@
     return task.move_destination != NO_RUNNER or needs_isolation(task.crashes)
 
 
+def _try_step(
+    state: Scheduler,
+    job: JobState,
+    step_key: StepKey,
+    step: StepState,
+    runners: list[RunnerState],
+    current: PlacingPass,
+    now: float,
+) -> PlacingResult:
+    """Place the waiting tasks of a step, which uses few pairs if it was tried before."""
+    withheld, waiting_count = current.withhold_pairs(step_key), len(step.waiting)
+    pairs_before = current.pairs_left
+    result = _place_step(state, job, step_key, step, runners, current, now)
+    used = pairs_before - current.pairs_left
+    current.return_pairs(withheld, used)
+    fruitless = used > 0 and len(step.waiting) == waiting_count
+    if result is PlacingResult.HELD_BACK or (result is PlacingResult.PART_SPENT and fruitless):
+        current.held_back.add(step_key)
+    return result
+
+
 def _place_step(
     state: Scheduler,
     job: JobState,
-    round_number: int,
-    step_number: int,
+    step_key: StepKey,
     step: StepState,
     runners: list[RunnerState],
     current: PlacingPass,
     now: float,
 ) -> PlacingResult:
+    round_number, step_number = step_key.round, step_key.step
     if step.spec.gang:
         current.pairs_left -= len(runners) * len(step.tasks)
         gang_placed = place_gang(state, job, round_number, step_number, step, runners, now)
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -19,6 +19,9 @@
 core and 0.4 s on the smallest instance. Without parts, 2,128 tasks over 350 runners took 4.5 s
 during which the leader wrote and read nothing; others claim leadership after 1.3 s."""
 
+MAX_RETRY_PAIRS_PER_PART = MAX_PAIRS_PER_PART // 2
+"""Number of the pairs of one part that steps tried before in the same pass may use, so that each
+part gets further than the previous one."""
 
 RETRY_LASTING_S = 0.5
 """Delay before a lasting task that ran before and found no runner is tried again, seconds. The
@@ -65,10 +68,13 @@
             capacity of the leader's link.
         shortages: by scope, what the last miss in the current part shows. Misses of an earlier
             part do not predict the result for a job that arrived since.
+        retry_pairs_left: how many of these are left to steps tried before in this pass.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
         tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
             steps again, so that each part gets further than the previous one.
+        held_back: steps that were tried and are tried again in each part: they waited for something
+            else than capacity, or used up a part without a task being bound.
     """
 
     pairs_left: int = MAX_PAIRS_PER_PART
@@ -76,21 +82,44 @@
     shortages: dict[Scope, Shortage] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
+    held_back: set[StepKey] = field(default_factory=set)
+    retry_pairs_left: int = MAX_RETRY_PAIRS_PER_PART
 
     def begin_part(self, bytes_left: float = math.inf) -> None:
         """Reset the limits and shortages for the next part."""
         self.pairs_left = MAX_PAIRS_PER_PART
+        self.retry_pairs_left = MAX_RETRY_PAIRS_PER_PART
         self.bytes_left = bytes_left
         self.shortages.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
-        """Return whether to skip a step that found no runner in this pass.
+        """Return whether to skip a step that was tried in this pass.
 
-        With `may_retry`, a step is skipped only until RETRY_LASTING_S has passed.
+        With `may_retry`, a step that found no runner is skipped only until RETRY_LASTING_S has
+        passed.
         """
+        if self.retry_pairs_left <= 0 and self._was_tried(step):
+            return True
         tried_at = self.tried.get(step)
         return tried_at is not None and not (may_retry and now - tried_at >= RETRY_LASTING_S)
 
+    def _was_tried(self, step: StepKey) -> bool:
+        return step in self.tried or step in self.held_back
+
+    def withhold_pairs(self, step: StepKey) -> int:
+        """Withhold and return the pairs that a step may not use because it was tried before."""
+        if not self._was_tried(step):
+            return 0
+        withheld = max(0, self.pairs_left - self.retry_pairs_left)
+        self.pairs_left -= withheld
+        return withheld
+
+    def return_pairs(self, withheld: int, used: int) -> None:
+        """Return the pairs withheld from a step that used the given number of the others."""
+        self.pairs_left += withheld
+        if withheld:
+            self.retry_pairs_left -= used
+
     @property
     def spent(self) -> bool:
         """Return whether the current part has to end."""
--- a/tests/test_placing_pass.py
+++ b/tests/test_placing_pass.py
@@ -2,12 +2,24 @@
 
 import math
 
+import msgspec
+import pytest
+
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
+from spoolcrank.job_state import JobState
 from spoolcrank.placing import place
 from spoolcrank.placing_pass import MAX_PAIRS_PER_PART
 from spoolcrank.runner_state import RunnerEntry, RunnerState
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import Demand, JobRecord, RouteName, RunnerId, Step, Workflow
+from spoolcrank.workflow import (
+    CrashEvidence,
+    Demand,
+    JobRecord,
+    RouteName,
+    RunnerId,
+    Step,
+    Workflow,
+)
 
 SERVICE = ServiceName("pricing")
 NOW = 100.0
@@ -67,3 +79,49 @@
     for _ in range(4):
         place(state, NOW, 0.0)
     assert _bound(state) == 3
+
+
+PART_DURATION_S = 0.4
+"""Duration of a part on the smallest instance, seconds."""
+
+TWO_CRASHES = (CrashEvidence("r8", "10.0.0.9:1"), CrashEvidence("r9", "10.0.0.9:2"))
+
+
+def _ran_before(job: JobState, crashes: tuple[CrashEvidence, ...] = ()) -> None:
+    job.begun = True
+    for task in job.rounds[0].steps[0].tasks:
+        task.run, task.crashes = 1, crashes
+
+
+def _seconds_until_begun(state: Scheduler, job: JobState) -> float:
+    now = NOW
+    while not job.begun and now < NOW + 20.0:
+        for runner in state.runners.values():
+            runner.answered_at = now
+        place(state, now, 0.0)
+        now += PART_DURATION_S
+    return now - NOW
+
+
+TOO_LARGE = Step(count=1, millicores=40_000, memory_mb=10, image="x")
+
+
+@pytest.mark.parametrize("jobs, tasks", [(80, 1), (1, 80)])
+def test_suspects_that_fit_nowhere_do_not_use_up_each_part(jobs: int, tasks: int) -> None:
+    """They wait for an exclusive runner, and were looked at again first in each part of a pass."""
+    state = _state(350)
+    for number in range(jobs):
+        _add(state, number, msgspec.structs.replace(TOO_LARGE, count=tasks))
+        _ran_before(state.jobs[JobId(f"{number:x}")], TWO_CRASHES)
+    _add(state, 1000, Step(count=1, millicores=10, memory_mb=1, image="y"))
+    assert _seconds_until_begun(state, state.jobs[JobId(f"{1000:x}")]) < 3.0
+
+
+def test_lasting_tasks_that_fit_nowhere_do_not_use_up_each_part() -> None:
+    """They are tried again each half second, in which the smallest instance ran a single part."""
+    state = _state(350)
+    for number in range(120):
+        _add(state, number, msgspec.structs.replace(TOO_LARGE, lasting=True))
+        _ran_before(state.jobs[JobId(f"{number:x}")])
+    _add(state, 1000, Step(count=1, millicores=10, memory_mb=1, image="y"))
+    assert _seconds_until_begun(state, state.jobs[JobId(f"{1000:x}")]) < 3.0
