Keep no places for a filler that fits nowhere while runners are free

Callers would see late fillers wait beside empty runners: a filler that finds no runner keeps the next place of its image for jobs of its prospect, also if it never fits (larger than any runner, no runner has its label). Others of its image that are late then wait until it is past three times its objective, three minutes with an objective of one; behind a lasting one, which stays in time, for good.

Now a job that has had no start for a second leaves no places any more while under half of the processors of its service's runners are taken: the place then does not hang on the end of other runs.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -4,6 +4,7 @@
 
 from spoolcrank.binding import bind
 from spoolcrank.crash_history import independent_crashes, needs_isolation
+from spoolcrank.filler_claims import claim, leaves_place
 from spoolcrank.filler_pace import slow_fillers_for
 from spoolcrank.gangs import place_gang
 from spoolcrank.ids import ServiceName
@@ -16,7 +17,6 @@
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
     FillerRefusal,
-    Kind,
     PlacingPass,
     PlacingResult,
 )
@@ -152,7 +152,7 @@
             kind, scope = (service, step.spec.image), scope_of(service, step.spec)
             if _is_hopeless(state, current, scope, step, runners, now):
                 if step.spec.fills:
-                    _claim(state, current.claimed, kind, prospect)
+                    claim(state, current, kind, prospect)
                 still_waits = True
                 continue
             step_key = StepKey(job.id, round_state.number, step_number)
@@ -160,8 +160,7 @@
             if current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
-            # Leave the next place of this kind to the job of better prospect that waits for it.
-            if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
+            if step.spec.fills and leaves_place(current, kind, job, prospect, runners, now):
                 still_waits = True
                 continue
             result = _try_step(state, job, step_key, step, runners, current, now)
@@ -176,17 +175,11 @@
             current.tried[step_key] = now
             _record_miss(state, current, scope, step, now)
             if step.spec.fills:
-                _claim(state, current.claimed, kind, prospect)
+                claim(state, current, kind, prospect)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
-def _claim(state: Scheduler, claimed: dict[Kind, Prospect], kind: Kind, prospect: Prospect) -> None:
-    """Leave the next place of a kind to jobs of this prospect or a better one."""
-    if state.uses(Mechanism.CLAIMS):
-        claimed.setdefault(kind, prospect)
-
-
 def _record_miss(
     state: Scheduler, current: PlacingPass, scope: Scope, step: StepState, now: float
 ) -> None:
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -71,6 +71,7 @@
         retry_pairs_left: how many of these are left to steps tried before in this pass.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
+        busy: by service, whether its runners were busy when first asked in the current part.
         tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
             steps again, so that each part gets further than the previous one.
         held_back: steps that were tried and are tried again in each part: they waited for something
@@ -81,16 +82,18 @@
     bytes_left: float = math.inf
     shortages: dict[Scope, Shortage] = field(default_factory=dict)
     claimed: dict[Kind, Prospect] = field(default_factory=dict)
+    busy: dict[ServiceName, bool] = field(default_factory=dict)
     tried: dict[StepKey, float] = field(default_factory=dict)
     held_back: set[StepKey] = field(default_factory=set)
     retry_pairs_left: int = MAX_RETRY_PAIRS_PER_PART
 
     def begin_part(self, bytes_left: float = math.inf) -> None:
-        """Reset the limits and shortages for the next part."""
+        """Reset the limits, and what was found of runners, for the next part."""
         self.pairs_left = MAX_PAIRS_PER_PART
         self.retry_pairs_left = MAX_RETRY_PAIRS_PER_PART
         self.bytes_left = bytes_left
         self.shortages.clear()
+        self.busy.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
         """Return whether to skip a step that was tried in this pass.
--- a/tests/test_missed_steps.py
+++ b/tests/test_missed_steps.py
@@ -54,9 +54,11 @@
     return state
 
 
-def _add(state: Scheduler, name: str, step: Step, age_s: float) -> JobState:
-    """Add a job that is too late to earn anything, so that the oldest comes first."""
-    record = JobRecord(RouteName("feed"), SERVICE, 0, 3, 250, 1.5, Workflow("", (step,)))
+def _add(
+    state: Scheduler, name: str, step: Step, age_s: float, objective_ms: int = 250
+) -> JobState:
+    """Add a job, by default one too late to earn anything, of which the oldest comes first."""
+    record = JobRecord(RouteName("feed"), SERVICE, 0, 3, objective_ms, 1.5, Workflow("", (step,)))
     order = len(state.jobs)
     state.add_job(JobId(name), record, order, None, False, NOW - age_s, 0.0)
     return state.jobs[JobId(name)]
@@ -122,6 +124,35 @@
     assert job.begun
 
 
+@pytest.mark.parametrize("lasting", [False, True])
+@pytest.mark.parametrize(
+    "step",
+    [Step(count=1, millicores=9000), Step(count=1, memory_mb=11_000), Step(count=1, label="gpu")],
+    ids=["processors", "memory", "label"],
+)
+def test_a_filler_that_fits_nowhere_does_not_keep_empty_runners_for_itself(
+    step: Step, lasting: bool
+) -> None:
+    """Late jobs left the next place to a job in time of their image for three objectives of it."""
+    state = _state()
+    claiming = msgspec.structs.replace(step, image="x", fills=True, lasting=lasting)
+    _add(state, "a", claiming, age_s=1.0, objective_ms=60_000).begun = lasting
+    job = _add(state, "b", SMALL_FILLER, age_s=30.0)
+    _place_all(state)
+    assert job.begun
+
+
+def test_late_fillers_leave_a_place_to_one_in_time_while_runners_are_busy() -> None:
+    state = _state()
+    for number, runner in enumerate(state.runners.values()):
+        run = Run(1, RunStage.RUNNING, Demand(0, 100), 3500, NOW, image="y", fills=True)
+        runner.add(TaskKey(JobId("c"), 0, 0, number), run)
+    _add(state, "a", msgspec.structs.replace(SMALL_FILLER, millicores=5500), 1.0, 60_000)
+    job = _add(state, "b", SMALL_FILLER, age_s=30.0)
+    _place_all(state)
+    assert not job.begun
+
+
 def test_lasting_steps_that_leave_a_reserve_do_not_hold_back_short_ones() -> None:
     """The reserve is kept for short tasks: a lasting task that leaves it says nothing of them."""
     state = _state()
