Let a suspect task use any quiet server with room, the emptiest first

Callers would see a job stand for good beside a server with room (own interface): a task that was lost with two servers was placed only on the quiet servers with the fewest tasks. While these lack room for it, and those that have room run one task more, it never starts.

Now the quiet servers are tried in groups, those with the fewest tasks first, until one takes the task.

Evidence: test_a_suspect_task_goes_to_the_emptiest_server_with_room_for_it on the code before: after 20 s `assert <TaskState.PENDING: 'pending'> is <TaskState.FINISHED: 'finished'>`; a trial of 60 s gave the same.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -90,8 +90,8 @@
                 continue
             retried += 1
         considered += 1
-        candidates = _candidates(core, task, list(capacities.values()), closed, wall)
-        choice = _place_task(core, task, candidates, peers, now)
+        groups = _candidate_groups(core, task, list(capacities.values()), closed, wall)
+        choice = _place_in_groups(core, task, groups, peers, now)
         if choice.server is None:
             core.passed_over.add(task.id)
             if choice.obstacle is not None:
@@ -126,20 +126,22 @@
     return closed
 
 
-def _candidates(
+def _candidate_groups(
     core: Core, task: Task, capacities: list[ServerCapacity], closed: set[InstanceId], wall: float
-) -> list[ServerCapacity]:
+) -> list[list[ServerCapacity]]:
     """Return the servers on which a task may be placed, given the crashes it was involved in.
 
     After two crashes, a task goes only to servers where nothing has started recently, so that
-    another crash is evidence against it, and of these to the ones with the fewest tasks.
+    another crash is evidence against it. Servers with fewer tasks form an earlier group.
     """
     free = [capacity for capacity in capacities if capacity.server not in closed]
     if len(task.crashes) < ISOLATE_AFTER_CRASHES:
-        return free
-    quiet = [capacity for capacity in free if _is_quiet(core, capacity.server, wall)]
-    fewest = min((len(core.ledger.tasks_on(capacity.server)) for capacity in quiet), default=0)
-    return [capacity for capacity in quiet if len(core.ledger.tasks_on(capacity.server)) == fewest]
+        return [free]
+    groups: dict[int, list[ServerCapacity]] = {}
+    for capacity in free:
+        if _is_quiet(core, capacity.server, wall):
+            groups.setdefault(len(core.ledger.tasks_on(capacity.server)), []).append(capacity)
+    return [groups[task_count] for task_count in sorted(groups)] or [[]]
 
 
 def _is_quiet(core: Core, server: InstanceId, wall: float) -> bool:
@@ -148,6 +150,22 @@
     return all(wall - task.since >= MIN_AGE_GAP_S for task in core.ledger.tasks_on(server))
 
 
+def _place_in_groups(
+    core: Core,
+    task: Task,
+    groups: list[list[ServerCapacity]],
+    peers: list[tuple[InstanceId, Resources]],
+    now: float,
+) -> Choice:
+    """Return the choice from the first group of servers that can take a task."""
+    choice = Choice(None, Obstacle.NO_SERVER)
+    for capacities in groups:
+        choice = _place_task(core, task, capacities, peers, now)
+        if choice.server is not None or choice.obstacle is Obstacle.OTHER_OWNER_FIRST:
+            break
+    return choice
+
+
 def _place_task(
     core: Core,
     task: Task,
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -1,7 +1,10 @@
 """Order of waiting tasks where others in front of them cannot be placed."""
 
+from spoolcrank.ids import TaskId
 from spoolcrank.jobs import TaskState
+from spoolcrank.lost_tasks import Crash
 from spoolcrank.policy import Policy
+from spoolcrank.state import Core
 from tests.world import CAPACITY, World
 
 TEAM = "renewals"
@@ -68,3 +71,34 @@
     ledger = next(iter(world.owners.values())).core.ledger
     states = {task.job: task.state for task in ledger.tasks.values()}
     assert states == {"job-1": TaskState.REFUSED, "job-2": TaskState.FINISHED}
+
+
+def _suspect_beside_uneven_servers() -> tuple[World, Core]:
+    """Return a world of one owner, with the servers at one large and two small runs.
+
+    A job of three tasks waits because of its team's quota; the first has crashed two servers. Its
+    tasks fit on the server with two runs only.
+    """
+    world = World(Policy(quotas={TEAM: 0.0}))
+    for name in ("entry-2", "entry-3"):
+        world.crash(name)
+    world.advance(MAX_WAIT_S)
+    world.submit(1, 600.0, True, name="large", processors=4.0)
+    world.advance(4.0)
+    world.submit(2, 600.0, True, name="small", processors=0.9)
+    world.advance(4.0)
+    core = world.owners["entry-1"].core
+    assert sorted(len(core.ledger.tasks_on(server)) for server in core.owned) == [1, 2]
+    world.submit(3, 1.0, True, name="suspect", team=TEAM, processors=1.5)
+    world.advance(1.0)
+    crashes = [Crash(server=server) for server in core.owned]
+    core.ledger.tasks[TaskId("job-3.0")].crashes = crashes
+    return world, core
+
+
+def test_a_suspect_task_goes_to_the_emptiest_server_with_room_for_it() -> None:
+    """It was placed only on the server with the fewest runs, and waited while that lacked room."""
+    world, core = _suspect_beside_uneven_servers()
+    core.policy = Policy()
+    world.advance(MAX_WAIT_S)
+    assert core.ledger.tasks[TaskId("job-3.0")].state is TaskState.FINISHED
