Let the tasks of a job pass one that is isolated after crashes

Callers would see a job's sound tasks wait beside servers with room (own interface) for as long as one of its tasks, lost with two servers before, found no quiet server: what kept that one from a server counted for all tasks of the job for the rest of each pass, and it comes first in each.

Now only the quota counts for the others, if the task's servers are limited by its crashes.

Evidence: test_a_suspect_task_without_a_server_does_not_hold_back_its_job on the code before: `At index 1 diff: <TaskState.PENDING: 'pending'> != <TaskState.FINISHED: 'finished'>` after 20 s.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -23,7 +23,10 @@
 while those of highest priority are still considered in each pass."""
 
 _JOB_WIDE_OBSTACLES = frozenset({Obstacle.NO_ROOM, Obstacle.QUOTA, Obstacle.NO_SERVER})
-"""Obstacles that, found for one task of a job, hold for all its tasks for the rest of a pass."""
+"""Obstacles that, found for one task of a job, hold for all its tasks for the rest of a pass.
+
+If the task is isolated, which limits its servers, only the quota holds for the others too.
+"""
 
 # Time for which a task must have waited, as we saw it, before its job is refused.
 _REFUSE_AFTER_S = 1.0
@@ -96,8 +99,8 @@
             core.passed_over.add(task.id)
             if choice.obstacle is not None:
                 core.obstacles[task.id] = choice.obstacle
-            if choice.obstacle in _JOB_WIDE_OBSTACLES:
-                blocked[task.job] = choice.obstacle
+                if _holds_for_job(task, choice.obstacle):
+                    blocked[task.job] = choice.obstacle
             continue
         core.obstacles.pop(task.id, None)
         record = _record_place(core, task, choice.server, now)
@@ -112,6 +115,13 @@
     return actions
 
 
+def _holds_for_job(task: Task, obstacle: Obstacle) -> bool:
+    """Return whether an obstacle to placing a task holds for the other tasks of its job."""
+    if len(task.crashes) >= ISOLATE_AFTER_CRASHES:
+        return obstacle is Obstacle.QUOTA
+    return obstacle in _JOB_WIDE_OBSTACLES
+
+
 def _closed_servers(core: Core, wall: float) -> set[InstanceId]:
     """Return our servers where a task suspected of crashes has just started or is to start."""
     ledger = core.ledger
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -1,5 +1,8 @@
 """Order of waiting tasks where others in front of them cannot be placed."""
 
+import pytest
+
+from spoolcrank import assignment
 from spoolcrank.ids import TaskId
 from spoolcrank.jobs import TaskState
 from spoolcrank.lost_tasks import Crash
@@ -102,3 +105,15 @@
     core.policy = Policy()
     world.advance(MAX_WAIT_S)
     assert core.ledger.tasks[TaskId("job-3.0")].state is TaskState.FINISHED
+
+
+def test_a_suspect_task_without_a_server_does_not_hold_back_its_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No other task of the job was placed for as long as no server was quiet enough for it."""
+    world, core = _suspect_beside_uneven_servers()
+    monkeypatch.setattr(assignment, "MIN_AGE_GAP_S", 1000.0)  # No server counts as quiet.
+    core.policy = Policy()
+    world.advance(MAX_WAIT_S)
+    states = [core.ledger.tasks[TaskId(f"job-3.{number}")].state for number in range(3)]
+    assert states == [TaskState.PENDING, TaskState.FINISHED, TaskState.FINISHED]
