Preassign no runner to tasks that fit none, nor count them

Callers would see nothing of their late jobs start while the store stores no records (4 to 6 s), beside free runners: each renewal of the preassignments considers four tasks for each runner in the order of work, and tasks that fit no runner used these up, those of an old job again and again. A filler larger than a runner was even preassigned to it, where it cannot start.

Now steps that fit no runner are left out, unless a preassignment of theirs is to be removed.

--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -131,8 +131,9 @@
 def fits_when_empty(step: Step, runner: RunnerState) -> bool:
     """Return whether an empty runner has the capacity and the label for one task of the step."""
     capacity, demand = runner.entry.room, step.demand
+    needed_millicores = step.millicores * MIN_IDLE_SHARE if step.fills else demand.millicores
     return (
-        demand.millicores <= capacity.millicores
+        needed_millicores <= capacity.millicores
         and demand.memory_mb <= capacity.memory_mb
         and demand.accelerators <= capacity.accelerators
         and (not step.label or step.label in runner.entry.labels)
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -74,7 +74,7 @@
         preassigned_counts: Counter[RunnerId] = Counter()
         for job in _in_order(state, now):
             pool = pools.get(state.service_of(job), [])
-            for key, step in _next_tasks(job):
+            for key, step in _next_tasks(job, pool):
                 if remaining <= 0:
                     return
                 remaining -= 1
@@ -145,8 +145,11 @@
     return sorted(jobs, key=lambda job: work_order(job, state.times, now))
 
 
-def _next_tasks(job: JobState) -> Iterator[tuple[TaskKey, StepState]]:
-    """Yield the waiting tasks that are ready, or become ready when the running tasks are done."""
+def _next_tasks(job: JobState, pool: list[RunnerState]) -> Iterator[tuple[TaskKey, StepState]]:
+    """Yield the waiting tasks that are ready, or become ready when the running tasks are done.
+
+    Tasks that fit no runner are left out, unless a preassignment of theirs is to be removed.
+    """
     for round_state in job.rounds.values():
         for number, step in enumerate(round_state.steps):
             spec = step.spec
@@ -154,8 +157,12 @@
                 continue
             if any(round_state.steps[earlier].waiting for earlier in spec.after):
                 continue
+            has_place = any(fits_when_empty(spec, runner) for runner in pool)
             for index in step.waiting:
-                if not independent_crashes(step.tasks[index].crashes):
+                task = step.tasks[index]
+                if not has_place and task.preassigned == NO_RUNNER:
+                    continue
+                if not independent_crashes(task.crashes):
                     # The runner of a suspect task is chosen only when it starts.
                     yield TaskKey(job.id, round_state.number, number, index), step
 
--- a/tests/test_preassignment.py
+++ b/tests/test_preassignment.py
@@ -226,3 +226,23 @@
     state.routes = {ROUTE: RoutePolicy(ServiceName(service), 0, 3)}
     start_preassigned(state, now)
     assert [order.task for order in state.orders if isinstance(order, Start)] == [key] * starts
+
+
+@pytest.mark.parametrize("fills", [False, True])
+def test_tasks_that_fit_no_runner_do_not_take_the_preassignments_of_others(fills: bool) -> None:
+    """Nothing started in an outage of the store behind one job of many tasks too large to run."""
+    world = small_world()
+    for runner in world.runners.values():
+        runner.work_s = 5.0
+    count = MAX_PREASSIGNED * len(world.runners)
+    too_large = Step(count=count, millicores=11_000, memory_mb=100, fills=fills)
+    world.instances["entry-0"].submit("e1", too_large)
+    world.run(3.0)
+    steps = [Step(count=4, millicores=1000, after=(number,)) for number in range(2)]
+    world.instances["entry-0"].submit("f1", FIRST, *steps)
+    # The second step runs, and both jobs are too late to earn anything.
+    world.run(6.5)
+    assert started_tasks(world, 1) == 4
+    world.store.silent = True
+    world.run(4.5)
+    assert started_tasks(world, 2) == 4
