--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -137,8 +137,9 @@
 def fits_when_empty(step: Step, runner: RunnerState) -> bool:
     """Return whether an empty runner has the capacity and the label for one task of the step."""
     capacity, demand = runner.entry.room, step.demand
+    needed_millicores = step.millicores * MIN_IDLE_SHARE if step.fills else demand.millicores
     return (
-        demand.millicores <= capacity.millicores
+        needed_millicores <= capacity.millicores
         and demand.memory_mb <= capacity.memory_mb
         and demand.accelerators <= capacity.accelerators
         and (not step.label or step.label in runner.entry.labels)
@@ -221,6 +222,33 @@
     return effect
 
 
+def largest_by_idle(runner: RunnerState) -> int:
+    """Return the processors of the largest filler that idle processors allow, millicores.
+
+    The result is negative if they allow none.
+    """
+    return math.ceil(runner.idle_millicores / MIN_IDLE_SHARE)
+
+
+def largest_filler(image: str, runner: RunnerState, contention: ContentionModel, now: float) -> int:
+    """Return the processors of the largest filler of an image that may start, millicores.
+
+    The result is negative if none may. It is rounded up: no filler that may start is larger.
+    """
+    headroom = _filler_headroom(runner, contention, now)
+    if headroom.over:
+        return -1
+    largest = float(largest_by_idle(runner))
+    for serving, allowed in headroom.left:
+        if contention.harmless(serving, image) >= HARMLESS_LIKELIHOOD:
+            continue
+        if allowed < 0:
+            return -1
+        effect = contention.weight(serving, image) * runner.share(1.0)
+        largest = min(largest, allowed / effect) if effect > 0 else largest
+    return math.ceil(largest)
+
+
 def slows_nothing(step: Step, runner: RunnerState, contention: ContentionModel, now: float) -> bool:
     """Return whether a filler could start on a runner without slowing its serving tasks."""
     if not has_room(step, {}, runner):
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -1,19 +1,19 @@
-"""Bind waiting tasks to runners in order of work, and reserve capacity for short tasks."""
+"""Bind waiting tasks to runners in order of work."""
 
-from collections import Counter
 from collections.abc import Mapping
 
 from spoolcrank.binding import bind
 from spoolcrank.crash_history import independent_crashes, needs_isolation
+from spoolcrank.filler_claims import claim, leaves_place
 from spoolcrank.filler_pace import slow_fillers_for
-from spoolcrank.filler_refusals import keep_place, record_refusal, was_refused
 from spoolcrank.gangs import place_gang
-from spoolcrank.idle_capacity import waits_beside_idle_capacity
+from spoolcrank.idle_capacity import last_resort
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.objective import Prospect, work_order
+from spoolcrank.openings import scope_of
 from spoolcrank.packing import PlacementRequest, choose, slows_nothing
 from spoolcrank.placing_pass import (
     MAX_PAIRS_PER_PART,
@@ -24,100 +24,14 @@
 from spoolcrank.ranking import Ranking
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.shortages import is_hopeless, record_miss
+from spoolcrank.start_window import LATE_TURN_INTERVAL_S, TURN_INTERVAL_S, TURN_WAIT_S
 from spoolcrank.workflow import RunnerId, StepKey, TaskKey
 
-MAX_MISSES_PER_KIND = 3
-"""Number of steps of one kind that may find no runner before this part of the pass skips the others
-of that kind. Trying all of a long queue costs more than finding a runner one pass later."""
-
 LASTING_BATCH_S = 0.25
 """Time for which a new lasting job waits so that jobs arriving together are placed by image,
 seconds. Lasting jobs run for minutes, so this wait costs them little."""
 
-FORECAST_INTERVAL_S = 0.5
-"""Interval between samples of the demand of short tasks, seconds; about one task duration."""
-
-FORECAST_DECAY_S = 8.0
-"""Time constant of the average demand of short tasks, seconds; bursts last about 6 s."""
-
-RESERVE_FACTOR = 1.5
-"""Factor by which the capacity reserved for short tasks exceeds their average demand."""
-
-MIN_RESERVE_MILLICORES = 2500
-"""Smallest reserve on each runner while there are short tasks, millicores: capacity for one short
-task of the usual size."""
-
-
-def forecast(state: Scheduler, now: float) -> None:
-    """Set the capacity that lasting tasks leave to short counted tasks on each runner.
-
-    A counted task is one whose processors count against the runner's capacity. Short tasks earn
-    about four times as much per core-second as lasting ones, and would find no free capacity
-    while more lasting tasks wait than fit.
-    """
-    if now - state.forecast_at < FORECAST_INTERVAL_S:
-        return
-    share = min(1.0, (now - state.forecast_at) / FORECAST_DECAY_S)
-    state.forecast_at = now
-    state.contention.set_expected_fillers(filler_mix(state))
-    demand = _short_running(state) + _short_waiting(state)
-    state.short_demand += share * (demand - state.short_demand)
-    usable = sum(1 for runner in state.runners.values() if runner.usable(now))
-    if state.short_demand < 1.0 or not usable or not state.uses(Mechanism.RESERVE):
-        state.reserve = 0
-    else:
-        state.reserve = max(
-            MIN_RESERVE_MILLICORES, int(RESERVE_FACTOR * state.short_demand / usable)
-        )
-
-
-def filler_mix(state: Scheduler) -> dict[str, float]:
-    """Return the share of each image in the processors that running and waiting fillers want."""
-    demand_millicores: Counter[str] = Counter()
-    for runner in state.runners.values():
-        for run in runner.runs.values():
-            if run.fills:
-                demand_millicores[run.image] += run.wanted_millicores
-    for job in state.waiting_jobs():
-        for round_state in job.rounds.values():
-            for _, step in round_state.ready():
-                if step.spec.fills:
-                    demand_millicores[step.spec.image] += len(step.waiting) * step.spec.millicores
-    total = sum(demand_millicores.values())
-    return {image: amount / total for image, amount in demand_millicores.items()}
-
-
-def _short_running(state: Scheduler) -> int:
-    return sum(
-        run.demand.millicores
-        for runner in state.runners.values()
-        for run in runner.runs.values()
-        if not run.lasting
-    )
-
-
-def _short_waiting(state: Scheduler) -> int:
-    return sum(
-        len(step.waiting) * step.spec.demand.millicores
-        for job in state.waiting_jobs()
-        for round_state in job.rounds.values()
-        for _, step in round_state.ready()
-        if not step.spec.lasting
-    )
-
-
-TURN_WAIT_S = 1.0
-"""Time without a start after which a job gets a turn, which is one start out of order, seconds. A
-job counts as lost once it has had nothing running for 3 s while there is free capacity for it."""
-
-TURN_INTERVAL_S = 0.25
-"""Interval between turns while some waiting job can still meet its objective, seconds. With the
-largest payloads, turns then use a seventh of a link of 1 Mbit/s."""
-
-LATE_TURN_INTERVAL_S = 0.02
-"""Interval between turns while only late jobs wait, seconds. Turns then use all of a link of
-1 Mbit/s: the order of late jobs gains little value, and forty jobs get one start each in 2 s."""
-
 
 def place(state: Scheduler, now: float, time_of_day_ms: float) -> bool:
     """Bind waiting tasks to runners with free capacity; return whether the pass is complete."""
@@ -168,7 +82,8 @@
     """Start one task of the job that has waited longest for a start while the link is saturated.
 
     By the order of work alone, the last job gets nothing until all others are started, although
-    runners are free: with links of 1 to 2 Mbit/s this took 8 s.
+    runners are free: with links of 1 to 2 Mbit/s this took 8 s. A job of which no task can start
+    passes the turn on, and waits for its next turn as long as if it had had a start.
     """
     waiting = [state.jobs[job_id] for job_id in state.ready]
     overdue = [job for job in waiting if not job.lasting and now - job.started_at >= TURN_WAIT_S]
@@ -177,8 +92,14 @@
     state.starts.last_turn_at = now
     # A budget of one byte ends this pass with its first start.
     turn = PlacingPass(bytes_left=1.0)
-    job = min(overdue, key=lambda overdue_job: overdue_job.started_at)
-    _place_job(state, job, Prospect.HOPELESS, pools, turn, now)
+    overdue.sort(key=lambda job: max(job.started_at, job.passed_over_at))
+    for job in overdue:
+        _place_job(state, job, Prospect.HOPELESS, pools, turn, now)
+        if turn.link_full:
+            break
+        job.passed_over_at = now
+        if turn.spent:
+            break
     current.pairs_left -= MAX_PAIRS_PER_PART - turn.pairs_left
     current.bytes_left -= 1.0 - turn.bytes_left
 
@@ -198,7 +119,7 @@
         state.ready[job.id] = None
 
 
-_NOT_PLACED = (PlacingResult.NO_PLACE, PlacingResult.HELD_BACK)
+_NOT_PLACED = (PlacingResult.NO_PLACE, PlacingResult.PASSED_OVER, PlacingResult.HELD_BACK)
 
 
 def _place_job(
@@ -214,65 +135,73 @@
         return
     service = state.service_of(job)
     runners = pools.get(service, [])
+    usual = Candidates(runners, state.reserve)
     still_waits = False
     for round_state in list(job.rounds.values()):
         for step_number, step in list(round_state.ready()):
             kind = (service, step.spec.image)
             step_key = StepKey(job.id, round_state.number, step_number)
-            # Lasting tasks are few, and none may wait while there is free capacity for it.
-            skip_kind = current.misses.get(kind, 0) >= MAX_MISSES_PER_KIND and not step.spec.lasting
             resumes = step.spec.lasting and job.begun
-            if skip_kind or current.should_skip(step_key, resumes, now):
+            if current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
-            if step.spec.fills and was_refused(state, kind, step, now):
-                keep_place(state, current, kind, prospect, step, runners)
+            if step.spec.fills and leaves_place(state, current, kind, job, prospect, now):
                 still_waits = True
                 continue
-            # Leave the next place of this kind to the job of better prospect that waits for it.
-            if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
-                still_waits = True
-                continue
-            usual = Candidates(runners, state.reserve)
-            result = _place_step(
-                state, job, round_state.number, step_number, step, usual, current, now
-            )
-            if result in _NOT_PLACED and waits_beside_idle_capacity(
-                state, current, job, service, now
-            ):
-                # A runner that may be faulty, or the reserve, is better than none.
-                more = Candidates([*runners, *state.quarantined(service, now)], reserve=0)
-                result = _place_step(
-                    state, job, round_state.number, step_number, step, more, current, now
-                )
+            result = _try_step(state, job, step_key, step, usual, current, now)
+            if result in _NOT_PLACED:
+                more = last_resort(state, current, job, step.spec, runners, now)
+                if more is not None:
+                    result = _try_step(state, job, step_key, step, more, current, now)
             if result is PlacingResult.ALL:
                 continue
             still_waits = True
-            if result is PlacingResult.PART_SPENT:
+            if result is PlacingResult.NO_PLACE:
+                current.tried[step_key] = now
+            if step.spec.fills and result in (PlacingResult.NO_PLACE, PlacingResult.PASSED_OVER):
+                claim(state, current, kind, prospect, step, runners)
+            if current.spent:
                 return
-            if result is PlacingResult.HELD_BACK:
-                # The step does not wait for capacity: record neither a try nor a miss.
-                continue
-            current.tried[step_key] = now
-            current.misses[kind] = current.misses.get(kind, 0) + 1
-            if step.spec.fills:
-                keep_place(state, current, kind, prospect, step, runners)
-                record_refusal(state, kind, step, now)
     if not still_waits:
         state.ready.pop(job.id, None)
 
 
+def _try_step(
+    state: Scheduler,
+    job: JobState,
+    step_key: StepKey,
+    step: StepState,
+    candidates: Candidates,
+    current: PlacingPass,
+    now: float,
+) -> PlacingResult:
+    """Place the waiting tasks of a step, which uses few pairs if it was tried before."""
+    scope = scope_of(state.service_of(job), step.spec, candidates.quarantined)
+    if is_hopeless(state, current, scope, step, candidates.runners, now):
+        return PlacingResult.PASSED_OVER
+    withheld, waiting_count = current.withhold_pairs(step_key), len(step.waiting)
+    pairs_before = current.pairs_left
+    result = _place_step(state, job, step_key, step, candidates, current, now)
+    used = pairs_before - current.pairs_left
+    current.return_pairs(withheld, used)
+    fruitless = used > 0 and len(step.waiting) == waiting_count
+    if result is PlacingResult.HELD_BACK or (result is PlacingResult.PART_SPENT and fruitless):
+        current.held_back.add(step_key)
+    if result is PlacingResult.NO_PLACE:
+        record_miss(state, current, scope, step, now)
+    return result
+
+
 def _place_step(
     state: Scheduler,
     job: JobState,
-    round_number: int,
-    step_number: int,
+    step_key: StepKey,
     step: StepState,
     candidates: Candidates,
     current: PlacingPass,
     now: float,
 ) -> PlacingResult:
-    runners = candidates.runners
+    round_number, step_number, runners = step_key.round, step_key.step, candidates.runners
     if step.spec.gang:
         current.pairs_left -= len(runners) * len(step.tasks)
         gang_placed = place_gang(state, job, round_number, step_number, step, runners, now)
--- a/tests/test_held_back_fillers.py
+++ b/tests/test_held_back_fillers.py
@@ -3,11 +3,12 @@
 import msgspec
 import pytest
 
-from spoolcrank.filler_refusals import FILLER_RETRY_S
 from spoolcrank.ids import JobId
+from spoolcrank.openings import Shortage, size_of
 from spoolcrank.placing import place
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.shortages import FILLER_RETRY_S
 from spoolcrank.workflow import JobRecord, RouteName, Step, TaskKey, Workflow
 from tests.test_packing import NOW, QUIET, SERVICE, leader, runner
 
@@ -48,5 +49,5 @@
     add(state, "ee", QUIET, 0)
     add(state, "ff", LARGE, 1)
     place(state, NOW, 0.0)
-    refusals = list(state.filler_refusals.values())
-    assert [[refusal.step for refusal in kind] for kind in refusals] == [[QUIET]]
+    shortages = [refusal.shortage for refusal in state.filler_refusals.values()]
+    assert shortages == [Shortage(size_of(QUIET))]
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -8,7 +8,6 @@
 from spoolcrank.binding import bind, move
 from spoolcrank.contention import ContentionModel, StepLoad
 from spoolcrank.filler_pace import slow_fillers_for
-from spoolcrank.filler_refusals import FILLER_RETRY_S
 from spoolcrank.ids import Address, AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState
 from spoolcrank.learned_state import LearnedState, decode_learned_state, encode_learned_state
@@ -23,6 +22,7 @@
 from spoolcrank.runner_state import RunnerEntry, RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import RoutePolicy, Scheduler
+from spoolcrank.shortages import FILLER_RETRY_S
 from spoolcrank.step_times import StepTimes
 from spoolcrank.workflow import (
     Demand,
