Use quarantined runners where they are most of their service

Seen by callers (in simulation): a sound job submitted beside one wide job whose tasks hang, or fail, had nothing running for 4 s while all runners were free; after 3 s it counts as lost.

Cause: one task may blame two runners, and a hung task or two failed ones put a runner out of use. The limit is per task, so a job of twelve tasks quarantined all twelve runners, and a service without usable runners starts nothing.

Mend: a pool leaves its quarantined runners out as before while they are at most half of the service's reachable runners; if they are more, the tasks are the likelier cause and the runners stay in the pool. They rank behind all other runners, so that runners which fail everything (the idlest) get only what fits nowhere else.

--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -168,7 +168,8 @@
 ) -> tuple[float, ...]:
     step = request.step
     near_data = 1.0 if not step.data_rack or step.data_rack in runner.entry.labels else 0.0
-    not_avoided = 0.0 if runner.id == request.avoid else 1.0
+    avoided = runner.id == request.avoid or now < runner.quarantined_until
+    not_avoided = 0.0 if avoided else 1.0
     if step.fills:
         return _score_filler(step, runner, contention, now, (not_avoided, near_data))
     if step.target_ms or step.lasting:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -343,12 +343,19 @@
         return sum(self.start_bytes(bound_run.task) for bound_run in bound)
 
     def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
-        """Return the runners that may receive new work, by service."""
-        pools: dict[ServiceName, list[RunnerState]] = {}
+        """Return the runners that may receive new work, by service.
+
+        Quarantined runners are left out, unless they are most of their service: then the tasks are
+        more likely to blame than the runners, and all other work would wait beside free capacity.
+        """
+        reachable: dict[ServiceName, list[RunnerState]] = {}
         for runner in self.runners.values():
-            if runner.usable(now):
-                pools.setdefault(runner.entry.service, []).append(runner)
-        return pools
+            if runner.reachable(now):
+                reachable.setdefault(runner.entry.service, []).append(runner)
+        pools = {
+            service: _without_few_quarantined(pool, now) for service, pool in reachable.items()
+        }
+        return {service: pool for service, pool in pools.items() if pool}
 
     def quarantined(self, service: ServiceName, now: float) -> list[RunnerState]:
         """Return the quarantined runners of a service that are reachable and could take work."""
@@ -361,3 +368,8 @@
     def waiting_jobs(self) -> Iterable[JobState]:
         """Return the jobs that have tasks waiting for a runner."""
         return (self.jobs[job_id] for job_id in self.ready)
+
+
+def _without_few_quarantined(runners: list[RunnerState], now: float) -> list[RunnerState]:
+    usable = [runner for runner in runners if runner.usable(now)]
+    return usable if 2 * len(usable) >= len(runners) else runners
--- /dev/null
+++ b/tests/test_room_beside_waits.py
@@ -0,0 +1,85 @@
+"""Work that waits beside free capacity because of other work or of other runners."""
+
+from collections.abc import Callable
+
+import pytest
+
+from spoolcrank.job_state import NO_RUNNER
+from spoolcrank.packing import PlacementRequest, choose
+from spoolcrank.workflow import Step
+from tests.fleet_world import World, small_world
+from tests.test_packing import NOW, SERVICE, SHORT, leader, runner
+
+RUNNERS = 12
+MAX_HELD_S = 2.5
+"""Longest time in which a job may have nothing running beside free runners, in seconds; after 3 s
+it counts as lost."""
+
+SAMPLE_S = 0.05
+SOUND = Step(count=2, millicores=1000, memory_mb=100, estimate_ms=600)
+
+
+def _held_s(world: World, job: str, step: Step) -> float:
+    """Return the longest time for which a job has nothing running until it ends, in seconds."""
+    held_s = longest_s = 0.0
+    begun = world.now
+    while sum(key.job == job for key in world.done) < step.count:
+        assert world.now - begun < 60.0, f"held for {held_s:.1f} s"
+        world.run(SAMPLE_S)
+        running = any(runners for key, runners in world.running_on.items() if key.job == job)
+        held_s = 0.0 if running else held_s + SAMPLE_S
+        longest_s = max(longest_s, held_s)
+    return longest_s
+
+
+def _all_quarantined(world: World) -> bool:
+    instance = world.leader()
+    state = instance.dispatcher.scheduler if instance is not None else None
+    assert state is not None
+    return all(other.quarantined_until > world.now for other in state.runners.values())
+
+
+def _hanging(world: World) -> Step:
+    world.hanging.add("bad0")
+    return Step(count=RUNNERS, millicores=1000, memory_mb=100, estimate_ms=600)
+
+
+def _failing(world: World) -> Step:
+    world.failing["bad0"] = 0.1
+    return Step(count=3 * RUNNERS, millicores=1000, memory_mb=100, estimate_ms=600)
+
+
+@pytest.mark.parametrize("kind", [_hanging, _failing], ids=lambda kind: kind.__name__)
+def test_one_job_of_bad_tasks_does_not_keep_all_runners_from_others(
+    kind: Callable[[World], Step],
+) -> None:
+    """Each bad task put two runners out of use, and a wide job of them all runners of a service."""
+    world = small_world(instances=2, runners=RUNNERS, seed=3)
+    first = world.instances["entry-0"]
+    first.submit("bad0", kind(world), max_attempts=99)
+    world.run_until(lambda: _all_quarantined(world))
+    first.submit("0001", SOUND)
+    held_s = _held_s(world, "0001", SOUND)
+    assert held_s <= MAX_HELD_S, f"{held_s:.2f} s"
+
+
+@pytest.mark.parametrize("quarantined_count", [1, 2])
+def test_a_quarantine_of_up_to_half_of_the_runners_holds(quarantined_count: int) -> None:
+    """A runner that fails what it gets must not get work back as soon as others are full."""
+    runners = [runner(f"r{number}") for number in range(4)]
+    for bad in runners[:quarantined_count]:
+        bad.quarantine(NOW)
+    assert leader(*runners).pools(NOW) == {SERVICE: runners[quarantined_count:]}
+
+
+def test_quarantined_runners_get_only_what_fits_nowhere_else() -> None:
+    """The runners that fail everything are the idlest, so they would be the first choice."""
+    runners = [runner(f"r{number}") for number in range(3)]
+    for bad in runners[:2]:
+        bad.quarantine(NOW)
+    state = leader(*runners)
+    assert state.pools(NOW) == {SERVICE: runners}
+    request = PlacementRequest(SHORT, {}, NO_RUNNER)
+    assert choose(request, runners, state.contention, NOW) is runners[2]
+    runners[2].used_millicores = runners[2].entry.room.millicores
+    assert choose(request, runners, state.contention, NOW) in runners[:2]
