Try suspects that cannot start once in a pass, not in each part

Callers would see: a job that could run waits without a start for as long as many suspects wait before it that no runner can take (tasks that crashed two runners, too large for what is free, or fillers that every runner refuses).

Cause: a step that is held back was not recorded as tried, so each part of a pass began with the same suspects. Each costs one evaluation of all runners; with 100 runners, 12 steps of 17 suspects use up the 20,000 evaluations of a part, and the steps behind them are never reached. The parts go on without end, at full use of the processor.

Mend: a step that is held back counts as tried until the pass ends, as one without a runner does. It still counts as no miss of its kind. It is tried again in the next pass; between two passes of one part nothing changes.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -242,10 +242,11 @@
             still_waits = True
             if result is PlacingResult.PART_SPENT:
                 return
+            # Tried again in each part, steps that cannot start now would use up all of the parts.
+            current.tried[step_key] = now
             if result is PlacingResult.HELD_BACK:
-                # The step does not wait for capacity: record neither a try nor a miss.
+                # The step does not wait for capacity: record no miss.
                 continue
-            current.tried[step_key] = now
             current.misses[kind] = current.misses.get(kind, 0) + 1
             if step.spec.fills:
                 _claim(state, current.claimed, kind, prospect)
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -66,8 +66,8 @@
             earlier part do not predict the result for a job that arrived since.
         claimed: by kind, the prospect of the first job whose filler found no runner. Jobs of worse
             prospect leave the next place of that kind to it.
-        tried: by step, when it found no runner, monotonic seconds. Later parts do not try these
-            steps again, so that each part gets further than the previous one.
+        tried: by step, when it found no runner or was held back, monotonic seconds. Later parts do
+            not try these steps again, so that each part gets further than the previous one.
     """
 
     pairs_left: int = MAX_PAIRS_PER_PART
@@ -83,7 +83,7 @@
         self.misses.clear()
 
     def should_skip(self, step: StepKey, may_retry: bool, now: float) -> bool:
-        """Return whether to skip a step that found no runner in this pass.
+        """Return whether to skip a step that was tried in this pass.
 
         With `may_retry`, a step is skipped only until RETRY_LASTING_S has passed.
         """
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -1,12 +1,17 @@
 """Work that waits beside free capacity because of other work or of other runners."""
 
+import math
 from collections.abc import Callable
 
 import pytest
 
+from spoolcrank.ids import JobId
 from spoolcrank.job_state import NO_RUNNER
 from spoolcrank.packing import PlacementRequest, choose
-from spoolcrank.workflow import Step
+from spoolcrank.placing import place
+from spoolcrank.placing_pass import MAX_PAIRS_PER_PART
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import CrashEvidence, JobRecord, RouteName, Step, Workflow
 from tests.fleet_world import World, small_world
 from tests.test_packing import NOW, SERVICE, SHORT, leader, runner
 
@@ -16,6 +21,7 @@
 it counts as lost."""
 
 SAMPLE_S = 0.05
+MAX_PARTS = 100
 SOUND = Step(count=2, millicores=1000, memory_mb=100, estimate_ms=600)
 
 
@@ -83,3 +89,34 @@
     assert choose(request, runners, state.contention, NOW) is runners[2]
     runners[2].used_millicores = runners[2].entry.room.millicores
     assert choose(request, runners, state.contention, NOW) in runners[:2]
+
+
+def _evidence(count: int) -> tuple[CrashEvidence, ...]:
+    return tuple(CrashEvidence(f"gone-{number}", f"gone-{number}:80") for number in range(count))
+
+
+def _add(state: Scheduler, job: str, step: Step, order: int, accepted_at: float = NOW) -> None:
+    record = JobRecord(RouteName("feed"), SERVICE, 0, 3, 250, 1.5, Workflow("", (step,)))
+    state.add_job(JobId(job), record, order, None, False, accepted_at, 0.0)
+
+
+def test_suspects_that_fit_nowhere_do_not_use_up_every_part_of_a_pass() -> None:
+    """Suspects for which no runner had capacity were tried again in each part of the pass.
+
+    They used up all parts, so that the tasks behind them were never tried, whatever was free.
+    """
+    state = leader(*(runner(f"r{number}") for number in range(100)))
+    state.starts.limit = math.inf
+    large = Step(count=17, millicores=40_000, memory_mb=10)
+    for number in range(MAX_PAIRS_PER_PART // (100 * 17) + 1):
+        _add(state, f"{number:x}", large, number, NOW - 100.0)
+        for task in state.jobs[JobId(f"{number:x}")].rounds[0].steps[0].tasks:
+            task.run, task.crashes = 3, _evidence(2)
+    _add(state, "fff", SOUND, 1000, NOW - 50.0)
+    for part in range(MAX_PARTS):
+        now = NOW + part * SAMPLE_S
+        for each in state.runners.values():
+            each.record_answer(1000.0, now, now)
+        if place(state, now, 0.0):
+            break
+    assert not state.jobs[JobId("fff")].rounds[0].steps[0].waiting
