Give turns to the next job when no runner can take the first one

Callers would see: while the leader's link is saturated, jobs that could run have nothing running for seconds (after 3 s they count as lost), beside free runners, as soon as one older job waits for something that no runner has.

Cause: over a full link the job that waited longest for a start gets a turn. A job that no runner could take stayed the one that had waited longest, so that every turn went to it and nobody else got one: the order of work alone decided again.

Evidence: test_a_job_that_fits_nowhere_does_not_take_the_turns_of_the_others on the code before: 21.5 s with nothing running, limit 3 s (60 jobs over 125 kB/s, 45 runners, one job too large for any); passes with the change, as does the test without that job.

Mend: a turn goes on to the next job, up to four, until one start is bound. A job without a place counts as if it had just been started in the order of turns.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -23,6 +23,12 @@
 from spoolcrank.ranking import Ranking
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.start_window import (
+    LATE_TURN_INTERVAL_S,
+    MAX_JOBS_PER_TURN,
+    TURN_INTERVAL_S,
+    TURN_WAIT_S,
+)
 from spoolcrank.workflow import RunnerId, StepKey, TaskKey
 
 MAX_MISSES_PER_KIND = 3
@@ -110,19 +116,6 @@
     )
 
 
-TURN_WAIT_S = 1.0
-"""Time without a start after which a job gets a turn, which is one start out of order, seconds. A
-job counts as lost once it has had nothing running for 3 s while there is free capacity for it."""
-
-TURN_INTERVAL_S = 0.25
-"""Interval between turns while some waiting job can still meet its objective, seconds. With the
-largest payloads, turns then use a seventh of a link of 1 Mbit/s."""
-
-LATE_TURN_INTERVAL_S = 0.02
-"""Interval between turns while only late jobs wait, seconds. Turns then use all of a link of
-1 Mbit/s: the order of late jobs gains little value, and forty jobs get one start each in 2 s."""
-
-
 def place(state: Scheduler, now: float, time_of_day_ms: float) -> bool:
     """Bind waiting tasks to runners with free capacity; return whether the pass is complete."""
     for job_id in list(state.recurring_jobs):
@@ -172,7 +165,8 @@
     """Start one task of the job that has waited longest for a start while the link is saturated.
 
     By the order of work alone, the last job gets nothing until all others are started, although
-    runners are free: with links of 1 to 2 Mbit/s this took 8 s.
+    runners are free: with links of 1 to 2 Mbit/s this took 8 s. A job that no runner can take now
+    goes behind the others, which would otherwise get no turns.
     """
     waiting = [state.jobs[job_id] for job_id in state.ready]
     overdue = [job for job in waiting if not job.lasting and now - job.started_at >= TURN_WAIT_S]
@@ -181,8 +175,12 @@
     state.starts.last_turn_at = now
     # A budget of one byte ends this pass with its first start.
     turn = PlacingPass(bytes_left=1.0)
-    job = min(overdue, key=lambda overdue_job: overdue_job.started_at)
-    _place_job(state, job, Prospect.HOPELESS, pools, turn, now)
+    overdue.sort(key=lambda job: max(job.started_at, job.turn_missed_at))
+    for job in overdue[:MAX_JOBS_PER_TURN]:
+        _place_job(state, job, Prospect.HOPELESS, pools, turn, now)
+        if turn.link_full:
+            break
+        job.turn_missed_at = now
     current.pairs_left -= MAX_PAIRS_PER_PART - turn.pairs_left
     current.bytes_left -= 1.0 - turn.bytes_left
 
--- a/spoolcrank/start_window.py
+++ b/spoolcrank/start_window.py
@@ -52,6 +52,21 @@
 WINDOW_STEP_BYTES = MIN_WINDOW_BYTES
 """Bytes by which the window grows per round trip once it has been too large."""
 
+TURN_WAIT_S = 1.0
+"""Time without a start after which a job gets a turn, which is one start out of order, seconds. A
+job counts as lost once it has had nothing running for 3 s while there is free capacity for it."""
+
+TURN_INTERVAL_S = 0.25
+"""Interval between turns while some waiting job can still meet its objective, seconds. With the
+largest payloads, turns then use a seventh of a link of 1 Mbit/s."""
+
+LATE_TURN_INTERVAL_S = 0.02
+"""Interval between turns while only late jobs wait, seconds. Turns then use all of a link of
+1 Mbit/s: the order of late jobs gains little value, and forty jobs get one start each in 2 s."""
+
+MAX_JOBS_PER_TURN = 4
+"""Maximum number of jobs tried in one turn. Each evaluates all runners for at least one task."""
+
 
 NO_ZONE = AvailabilityZone("")
 
--- a/tests/test_start_window.py
+++ b/tests/test_start_window.py
@@ -328,3 +328,20 @@
         world.run(FLOOD_EVERY_S)
     assert _longest_idle_s(world, tasks, IDLE_CHECK_FROM_S) <= MAX_IDLE_S
     assert not world.violations
+
+
+def test_a_job_that_fits_nowhere_does_not_take_the_turns_of_the_others() -> None:
+    """Every turn went to the job that had waited longest, also while no runner could take it."""
+    world = small_world(instances=3, runners=45)
+    world.link_bytes_per_s = LINK_BYTES_PER_S
+    too_large = Step(count=1, millicores=64_000, memory_mb=10, estimate_ms=600)
+    world.instances["entry-1"].submit("f" * 16, too_large, payload=PAYLOAD)
+    tasks: dict[str, int] = {}
+    for number in range(FLOOD_JOBS):
+        job = f"{number:016x}"
+        tasks[job] = 40 if number % 4 == 0 else 12
+        step = Step(count=tasks[job], millicores=1000, memory_mb=10, estimate_ms=600)
+        world.instances["entry-1"].submit(job, step, payload=PAYLOAD)
+        world.run(FLOOD_EVERY_S)
+    assert _longest_idle_s(world, tasks, IDLE_CHECK_FROM_S) <= MAX_IDLE_S
+    assert not world.violations
