Leave half of the runners to other work after a takeover

Callers would see: after crashes under many tasks and a change of leader, jobs have nothing running for three seconds beside free runners, on top of the time without a leader.

Cause: a new leader isolates the runner of each suspect that the records show as bound, for three seconds. Where suspects had been started beside other tasks, for want of exclusive runners, these were most runners, and nothing limits their number as for suspects that are placed.

Evidence: test_a_new_leader_does_not_isolate_most_runners_for_suspects on the code before: 10 of 12 runners isolated.

Mend: isolations beyond half of the listed runners of a service end, those beside most runs first; half is the limit that holds for suspects that have waited.

--- a/spoolcrank/isolation.py
+++ b/spoolcrank/isolation.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import TaskState
 from spoolcrank.packing import PlacementRequest, score
 from spoolcrank.runner_loss import MIN_AGE_GAP_S
@@ -153,3 +154,20 @@
     waiting = job is not None and job.has(key) and job.task(key).phase is Phase.WAITING
     if not waiting or now - runner.isolated_since >= ISOLATION_S:
         runner.isolated_for = None
+
+
+def limit_exclusive_runners(state: Scheduler) -> None:
+    """End isolations until at least half of the listed runners of each service take other work.
+
+    A new leader isolates the runner of every suspect that it finds in the records, also where the
+    suspect was started beside other tasks because no exclusive runner was left.
+    """
+    listed: dict[ServiceName, list[RunnerState]] = {}
+    for runner in state.runners.values():
+        if runner.listed and not runner.gone:
+            listed.setdefault(runner.entry.service, []).append(runner)
+    for runners in listed.values():
+        exclusive = [runner for runner in runners if runner.isolated_for is not None]
+        exclusive.sort(key=lambda runner: len(runner.runs))
+        for runner in exclusive[max(1, len(runners) // RUNNERS_PER_LATE_SUSPECT) :]:
+            runner.isolated_for = None
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -8,7 +8,7 @@
 
 from spoolcrank.abnormal_ends import record_abnormal_end
 from spoolcrank.earlier_incarnations import lose_earlier, other_incarnation_answers, take_over_runs
-from spoolcrank.isolation import end_isolation
+from spoolcrank.isolation import end_isolation, limit_exclusive_runners
 from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import (
@@ -297,6 +297,7 @@
             _tick_run(state, runner, key, run, now)
         if runner.is_leaving(now) and runner.adopted:
             _evacuate(state, runner, now)
+    limit_exclusive_runners(state)
 
 
 def _evacuate(state: Scheduler, runner: RunnerState, now: float) -> None:
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
@@ -22,6 +23,15 @@
 
 SAMPLE_S = 0.05
 MAX_PARTS = 100
+CRASH_EVERY_S = 3.0
+CRASH_GAP_S = 0.3
+"""Time between two crashes, in seconds; more than crashes with a common cause are apart."""
+
+TAKEOVER_S = 0.3
+MAX_TAKEOVER_HELD_S = 1.2
+"""Longest time, in seconds, until the first start of a job that comes right after a takeover. With
+the time until an instance leads and has asked the runners it stays below 3 s."""
+
 SOUND = Step(count=2, millicores=1000, memory_mb=100, estimate_ms=600)
 
 
@@ -120,3 +130,32 @@
         if place(state, now, 0.0):
             break
     assert not state.jobs[JobId("fff")].rounds[0].steps[0].waiting
+
+
+def test_a_new_leader_does_not_isolate_most_runners_for_suspects() -> None:
+    """After crashes a takeover took ten of twelve runners from all other work for three seconds."""
+    world = small_world(instances=4, runners=RUNNERS, seed=4)
+    world.lasting_jobs = {f"{number:04x}" for number in range(4)}
+    for job in sorted(world.lasting_jobs):
+        step = Step(count=9, millicores=1000, memory_mb=100, lasting=True)
+        world.instances["entry-0"].submit(job, step, max_attempts=9)
+    world.run(CRASH_EVERY_S)
+    for _ in range(4):
+        alive = [each for each in world.runners.values() if each.alive]
+        for number, each in enumerate(world.random.sample(alive, min(len(alive), 4))):
+            world.at(number * CRASH_GAP_S, partial(world.crash, each))
+        world.run(CRASH_EVERY_S)
+    world.run(CRASH_EVERY_S)
+    before = world.leader()
+    assert before is not None
+    before.kill()
+    world.run_until(lambda: world.leader() is not None)
+    world.run(TAKEOVER_S)
+    after = world.leader()
+    state = after.dispatcher.scheduler if after is not None else None
+    assert after is not None and state is not None
+    isolated = [each for each in state.runners.values() if each.isolated_for is not None]
+    assert 0 < len(isolated) <= RUNNERS // 2
+    after.submit("abcd", SOUND)
+    held_s = _held_s(world, "abcd", SOUND)
+    assert held_s <= MAX_TAKEOVER_HELD_S, f"{held_s:.2f} s"
