Log for what a job is held that waits beside free capacity

Wanted: of one waiting task, which line says for what it is held now?

Once a second the leader looks for jobs that have had nothing running for 2 s while at least half of their service's capacity is free. It counts them (gauge jobs_held) and writes a line task-waits for the longest waits, at most four a second and one each 2 s for a job. `task_hold.hold_of` finds the obstacle from the leader's state alone, for waiting tasks and for those bound to a runner where they do not run; `runner_hold` says why a runner takes no work. `spoolcrank why` shows the line in words.

The leader keeps two more facts for it: since when a job has had no run that ended (idle_since) and the last completed pass.

--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -13,6 +13,7 @@
 from spoolcrank import demo, load, replay, standin_backend, standin_instances, standin_log
 from spoolcrank import entry as entry_daemon
 from spoolcrank.errors import SpoolcrankError
+from spoolcrank.hold_words import TASK_WAITS, describe_wait
 from spoolcrank.ids import Address, AvailabilityZone, InstanceId, ServiceName
 from spoolcrank.job_report import image_table, report_table
 from spoolcrank.job_report import plot as draw_report
@@ -250,7 +251,9 @@
     lines = lines_about(wanted, texts)
     for line in lines:
         elapsed = f"{line.at - lines[0].at:9.3f}"
-        sys.stdout.write(f"{elapsed} {line.instance} {line.event} {line.text()}\n")
+        waits = line.event == TASK_WAITS
+        text = describe_wait(line.fields) if waits else f"{line.event} {line.text()}"
+        sys.stdout.write(f"{elapsed} {line.instance} {text}\n")
     raise typer.Exit(0 if lines else 1)
 
 
--- a/spoolcrank/log_events.py
+++ b/spoolcrank/log_events.py
@@ -21,6 +21,7 @@
         "places-again",
         "runners-taken-over",
         "rows-unreadable",
+        "task-waits",
     }
 )
 """Names of log events that are dropped last when too many lines are logged."""
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -141,7 +141,7 @@
 
 def _allowed(request: PlacementRequest, runner: RunnerState) -> bool:
     step = request.step
-    if step.lasting and not _leaves_reserve(request, runner):
+    if step.lasting and not leaves_reserve(request, runner):
         return False
     if step.label and step.label not in runner.entry.labels:
         return False
@@ -153,7 +153,7 @@
     )
 
 
-def _leaves_reserve(request: PlacementRequest, runner: RunnerState) -> bool:
+def leaves_reserve(request: PlacementRequest, runner: RunnerState) -> bool:
     """Return whether a lasting task leaves the reserve free on a runner.
 
     The reserve does not apply where twice the task's processors are free.
--- a/spoolcrank/periodic_work.py
+++ b/spoolcrank/periodic_work.py
@@ -3,6 +3,7 @@
 from spoolcrank.backlog import log_backlog_periodically
 from spoolcrank.batching import drop_ended_jobs, store_learned
 from spoolcrank.binding import move
+from spoolcrank.hold_log import log_holds_periodically
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.placing import forecast
 from spoolcrank.preassignment import Preassignments
@@ -22,6 +23,7 @@
     if state.uses(Mechanism.PREASSIGNING):
         preassignments.renew(state, now)
     log_backlog_periodically(state, now)
+    log_holds_periodically(state, now)
     if state.uses(Mechanism.REGROUPING):
         for task, source, destination in regrouping.moves(state, now):
             move(state, task, source, destination, now)
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -119,7 +119,7 @@
 def place(state: Scheduler, now: float, time_of_day_ms: float) -> bool:
     """Bind waiting tasks to runners with free capacity; return whether the pass is complete."""
     for job_id in list(state.recurring_jobs):
-        _open_due(state, state.jobs[job_id], time_of_day_ms)
+        _open_due(state, state.jobs[job_id], time_of_day_ms, now)
     if not state.ready:
         state.starts.held_back = False
         return True
@@ -137,7 +137,7 @@
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, current, now)
         if current.spent:
             return _end_part(state, current)
-    state.placing = PlacingPass()
+    state.last_pass, state.placing = current, PlacingPass()
     state.starts.held_back = False
     return True
 
@@ -193,11 +193,12 @@
     return False
 
 
-def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
+def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float, now: float) -> None:
     before = len(job.rounds)
     job.open_due(time_of_day_ms)
     if len(job.rounds) != before:
         state.ready[job.id] = None
+        job.idle_since = job.idle_since if before else now
 
 
 def _place_job(
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -204,6 +204,7 @@
             self.metrics.gauge("jobs_waiting", sum(1 for _ in scheduler.waiting_jobs()))
             self.metrics.gauge("start_window_bytes", round(scheduler.starts.limit))
             self.metrics.gauge("starts_waiting", len(scheduler.starts.waiting))
+            self.metrics.gauge("jobs_held", scheduler.hold_watch.held)
         reply(HttpReply(200, {"Content-Type": TEXT_TYPE}, self.metrics.text()))
 
     @property
--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -38,6 +38,7 @@
         start_ms=round(max(0.0, run.since - run.bound_at) * 1000.0),
     )
     task.saved = saved or task.saved
+    job.idle_since = now
     step = job.rounds[key.round].steps[key.step]
     state.pending_writes.add_changed_job(job.id)
     if how is EndKind.DONE and not step.spec.lasting:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -11,6 +11,7 @@
 
 from spoolcrank.contention import ContentionModel
 from spoolcrank.crash_history import CrashHistory, independent_crashes, needs_isolation
+from spoolcrank.hold_watch import HoldWatch
 from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
@@ -73,6 +74,8 @@
         orders: orders to be sent to runners.
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
+        last_pass: the last pass that was completed.
+        hold_watch: what was logged of jobs that wait beside free capacity.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
 
@@ -99,6 +102,8 @@
         self.log_events: list[LogEvent] = []
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
+        self.last_pass = PlacingPass()
+        self.hold_watch = HoldWatch()
         self.filler_refusals: dict[tuple[ServiceName, str], FillerRefusal] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
@@ -133,7 +138,7 @@
             return
         job = JobState(job_id, record, order)
         job.objective_s = objective_s(job, self.times)
-        job.accepted_at = job.started_at = now
+        job.accepted_at = job.started_at = job.idle_since = now
         if progress is not None:
             job.restore(progress)
             self.crash_history.restore(job)
@@ -274,6 +279,7 @@
         if task.phase is Phase.BOUND and task.runner == runner.id and task.run == run.number:
             self.log_event("run-released", task=key, run=run.number, runner=runner.id, why=why)
             task.abandoned_run = run.number
+            job.idle_since = now
             self.requeue_task(job, key, task)
 
     def requeue_task(self, job: JobState, key: TaskKey, task: TaskState) -> None:
--- /dev/null
+++ b/spoolcrank/task_hold.py
@@ -0,0 +1,260 @@
+"""Tell for what a task that does not run is held now, from the leader's state alone.
+
+For a waiting task that is what keeps it from being bound, for a bound task how far the order to
+start or to stop it has got. Nothing here changes the state.
+"""
+
+from collections import Counter
+from enum import Enum
+from typing import NamedTuple
+
+from spoolcrank.crash_history import needs_isolation
+from spoolcrank.isolation import MAX_ISOLATION_WAIT_S, MAX_SETTLE_WAIT_S
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
+from spoolcrank.objective import prospect
+from spoolcrank.packing import (
+    Obstacle,
+    PlacementRequest,
+    choose,
+    filler_obstacle,
+    leaves_reserve,
+)
+from spoolcrank.runner_hold import runner_hold
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import Run, RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import FINAL, Phase, RunnerId, TaskKey
+
+
+class HoldReason(Enum):
+    """Reason why a task does not run.
+
+    Attributes:
+        EARLIER_STEP: an earlier step of its round is not done.
+        NOT_IN_READY_LIST: its job is not among those that are placed.
+        RETRY_DELAY: it waits after a failure or a crash.
+        GANG_MEMBERS: other members of its gang have not been released.
+        GANG: no runners have capacity for all members of its gang at once.
+        ISOLATION: it waits for a runner of its own, as it may crash runners.
+        MOVE: it waits for capacity on the runner to which it moves.
+        NO_RUNNER: no runner of its service takes work.
+        LABEL: no runner has its label.
+        SPREAD: each runner has as many tasks of its step as are allowed.
+        CAPACITY: no runner has its processors, memory or accelerators free.
+        RESERVE: the free capacity is reserved for short tasks.
+        PROCESSORS: too few processors are idle for a filler.
+        OVER_TARGET: serving tasks exceed their latency targets.
+        HARM: a filler would slow serving tasks too much.
+        START_WINDOW: the leader's link carries no more starts now.
+        SKIPPED_AFTER_MISSES: other steps of its kind found no runner in the last pass.
+        CLAIMED: the next place of its kind is left to a job of better prospect.
+        TRIED: it was tried in the present pass, which has not ended.
+        PLACEABLE: a runner could take it; nothing else is known.
+        RUN_UNKNOWN: it is bound to a runner that has no such run.
+        RECORD_PENDING: the record of its run waits to be written.
+        UNORDERED_RUN: the record of its run is being stored, or its start was never ordered.
+        START_UNANSWERED: its start is not answered yet.
+        START_UNCONFIRMED: its start got no answer.
+        STOP_UNFINISHED: its run was ordered to stop and its end is not known.
+    """
+
+    EARLIER_STEP = "earlier-step"
+    NOT_IN_READY_LIST = "not-in-ready-list"
+    RETRY_DELAY = "retry-delay"
+    GANG_MEMBERS = "gang-members"
+    GANG = "gang"
+    ISOLATION = "isolation"
+    MOVE = "move"
+    NO_RUNNER = "no-runner-in-pool"
+    LABEL = "label"
+    SPREAD = "spread"
+    CAPACITY = "capacity"
+    RESERVE = "reserve"
+    PROCESSORS = "processors"
+    OVER_TARGET = "over-target"
+    HARM = "harm"
+    START_WINDOW = "start-window"
+    SKIPPED_AFTER_MISSES = "skipped-after-misses"
+    CLAIMED = "claimed"
+    TRIED = "tried"
+    PLACEABLE = "placeable"
+    RUN_UNKNOWN = "run-unknown"
+    RECORD_PENDING = "record-pending"
+    UNORDERED_RUN = "unordered-run"
+    START_UNANSWERED = "start-unanswered"
+    START_UNCONFIRMED = "start-unconfirmed"
+    STOP_UNFINISHED = "stop-unfinished"
+
+
+class Hold(NamedTuple):
+    """What holds a task, and what is known about it.
+
+    Attributes:
+        reason: what holds it.
+        left_s: time after which this reason ends at the latest, seconds; None if that is unknown.
+        runner: runner for which it waits, or to which it is bound; empty if there is none.
+        runners: number of runners by what keeps each of them from the task.
+    """
+
+    reason: HoldReason
+    left_s: float | None = None
+    runner: RunnerId = NO_RUNNER
+    runners: dict[str, int] = {}
+
+
+_OBSTACLES = {
+    Obstacle.CAPACITY: HoldReason.CAPACITY,
+    Obstacle.PROCESSORS: HoldReason.PROCESSORS,
+    Obstacle.OVER_TARGET: HoldReason.OVER_TARGET,
+    Obstacle.HARM: HoldReason.HARM,
+}
+
+_STAGES = {
+    RunStage.ORDERED: HoldReason.START_UNANSWERED,
+    RunStage.UNCONFIRMED: HoldReason.START_UNCONFIRMED,
+    RunStage.STOPPING: HoldReason.STOP_UNFINISHED,
+}
+
+
+def hold_of(state: Scheduler, key: TaskKey, now: float) -> Hold | None:
+    """Return for what a task is held now; None if it runs, has ended or is unknown."""
+    job = state.jobs.get(key.job)
+    if job is None or job.phase in FINAL or not job.has(key):
+        return None
+    task = job.task(key)
+    if task.phase is Phase.BOUND:
+        return _hold_of_bound(state, key, task, now)
+    return _hold_of_waiting(state, job, key, task, now) if task.phase is Phase.WAITING else None
+
+
+# Bound tasks
+
+
+def _hold_of_bound(state: Scheduler, key: TaskKey, task: TaskState, now: float) -> Hold | None:
+    runner = state.runners.get(task.runner)
+    run = runner.runs.get(key) if runner is not None else None
+    if runner is None or run is None or run.number != task.run:
+        return Hold(HoldReason.RUN_UNKNOWN, runner=task.runner)
+    if run.stage is RunStage.RUNNING:
+        return None
+    present = runner_hold(runner, state.starts.zones.silent(now), now)
+    runners = {present.value: 1} if present is not None else {}
+    return Hold(_reason_of_run(state, key, run), None, runner.id, runners)
+
+
+def _reason_of_run(state: Scheduler, key: TaskKey, run: Run) -> HoldReason:
+    if run.stage in _STAGES:
+        return _STAGES[run.stage]
+    if any(bound.task == key and bound.number == run.number for bound in state.starts.waiting):
+        return HoldReason.START_WINDOW
+    pending = any(bound.task == key for bound in state.pending_writes.starts)
+    return HoldReason.RECORD_PENDING if pending else HoldReason.UNORDERED_RUN
+
+
+# Waiting tasks
+
+
+def _hold_of_waiting(
+    state: Scheduler, job: JobState, key: TaskKey, task: TaskState, now: float
+) -> Hold:
+    round_state = job.rounds[key.round]
+    step = round_state.steps[key.step]
+    if not all(round_state.steps[earlier].finished for earlier in step.spec.after):
+        return Hold(HoldReason.EARLIER_STEP)
+    if job.id not in state.ready:
+        return Hold(HoldReason.NOT_IN_READY_LIST)
+    delayed = step.tasks[0] if step.spec.gang else task
+    if delayed.not_before > now:
+        return Hold(HoldReason.RETRY_DELAY, delayed.not_before - now)
+    if step.spec.gang and len(step.waiting) < len(step.tasks):
+        return Hold(HoldReason.GANG_MEMBERS)
+    isolation = _isolation(state, key, task, now)
+    if isolation is not None and not step.spec.gang:
+        return isolation
+    service_pool = state.pools(now).get(state.service_of(job), [])
+    silent = state.starts.zones.silent(now)
+    pool = [runner for runner in service_pool if runner.entry.availability_zone not in silent]
+    pool = pool or service_pool
+    return _hold_by_runners(state, job, key, step, pool, now)
+
+
+def _isolation(state: Scheduler, key: TaskKey, task: TaskState, now: float) -> Hold | None:
+    if not needs_isolation(task.crashes):
+        return None
+    for runner in state.runners.values():
+        if runner.isolated_for == key:
+            left_s = max(0.0, runner.isolated_since + MAX_SETTLE_WAIT_S - now)
+            return Hold(HoldReason.ISOLATION, left_s, runner.id)
+    since = task.isolation_wanted_since
+    left_s = MAX_ISOLATION_WAIT_S - (now - since if since is not None else 0.0)
+    return Hold(HoldReason.ISOLATION, left_s) if left_s > 0.0 else None
+
+
+def _hold_by_runners(
+    state: Scheduler,
+    job: JobState,
+    key: TaskKey,
+    step: StepState,
+    pool: list[RunnerState],
+    now: float,
+) -> Hold:
+    task, in_pool = step.tasks[key.number], {runner.id for runner in pool}
+    obstacles = Counter(
+        hold.value
+        for runner in state.runners.values()
+        if runner.entry.service == state.service_of(job) and runner.id not in in_pool
+        if (hold := runner_hold(runner, state.starts.zones.silent(now), now)) is not None
+    )
+    if not pool:
+        return Hold(HoldReason.NO_RUNNER, runners=dict(obstacles))
+    if task.move_destination in in_pool and now < task.move_until:
+        return Hold(HoldReason.MOVE, task.move_until - now, task.move_destination)
+    request = PlacementRequest(
+        step.spec,
+        step.per_runner() if step.spec.max_per_instance else {},
+        task.refused_by,
+        reserve=0 if task.run else state.reserve,
+        task=key,
+    )
+    if choose(request, pool, state.contention, now) is not None:
+        return Hold(_hold_by_order(state, job, key, step, now), runners=dict(obstacles))
+    by_reason = Counter(_obstacle(state, request, runner, now) for runner in pool)
+    obstacles.update({reason.value: count for reason, count in by_reason.items()})
+    return Hold(by_reason.most_common(1)[0][0], runners=dict(obstacles))
+
+
+def _obstacle(
+    state: Scheduler, request: PlacementRequest, runner: RunnerState, now: float
+) -> HoldReason:
+    """Return why a runner that takes work cannot take a task."""
+    step = request.step
+    if step.label and step.label not in runner.entry.labels:
+        return HoldReason.LABEL
+    if not runner.fits(step.demand, request.task):
+        return HoldReason.CAPACITY
+    if step.lasting and not leaves_reserve(request, runner):
+        return HoldReason.RESERVE
+    if step.max_per_instance and (
+        request.tasks_per_runner.get(runner.id, 0) >= step.max_per_instance
+    ):
+        return HoldReason.SPREAD
+    filler = filler_obstacle(step, runner, state.contention, now) if step.fills else None
+    return _OBSTACLES[filler] if filler is not None else HoldReason.CAPACITY
+
+
+def _hold_by_order(
+    state: Scheduler, job: JobState, key: TaskKey, step: StepState, now: float
+) -> HoldReason:
+    """Return why a task that a runner could take was not bound to it."""
+    if step.spec.gang:
+        return HoldReason.GANG
+    if state.starts.held_back:
+        return HoldReason.START_WINDOW
+    kind = (state.service_of(job), step.spec.image)
+    if key.step_key in state.placing.tried:
+        return HoldReason.TRIED
+    claimed = state.last_pass.claimed.get(kind)
+    if step.spec.fills and claimed is not None and claimed < prospect(job, state.times, now):
+        return HoldReason.CLAIMED
+    missed = state.last_pass.misses.get(kind, 0) > 0 and key.step_key not in state.last_pass.tried
+    return HoldReason.SKIPPED_AFTER_MISSES if missed else HoldReason.PLACEABLE
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
+import msgspec
 import pytest
 
 from spoolcrank.ids import JobId
@@ -105,8 +106,17 @@
     return tuple(CrashEvidence(f"gone-{number}", f"gone-{number}:80") for number in range(count))
 
 
-def _add(state: Scheduler, job: str, step: Step, order: int, accepted_at: float = NOW) -> None:
-    record = JobRecord(RouteName("feed"), SERVICE, 0, 3, 250, 1.5, Workflow("", (step,)))
+def add_job(
+    state: Scheduler,
+    job: str,
+    step: Step,
+    order: int,
+    accepted_at: float = NOW,
+    later: Step | None = None,
+) -> None:
+    """Add a job of one step, and of a later one that waits for it if given."""
+    steps = (step,) if later is None else (step, msgspec.structs.replace(later, after=(0,)))
+    record = JobRecord(RouteName("feed"), SERVICE, 0, 3, 250, 1.5, Workflow("", steps))
     state.add_job(JobId(job), record, order, None, False, accepted_at, 0.0)
 
 
@@ -119,10 +129,10 @@
     state.starts.limit = math.inf
     large = Step(count=17, millicores=40_000, memory_mb=10)
     for number in range(MAX_PAIRS_PER_PART // (100 * 17) + 1):
-        _add(state, f"{number:x}", large, number, NOW - 100.0)
+        add_job(state, f"{number:x}", large, number, NOW - 100.0)
         for task in state.jobs[JobId(f"{number:x}")].rounds[0].steps[0].tasks:
             task.run, task.crashes = 3, _evidence(2)
-    _add(state, "fff", SOUND, 1000, NOW - 50.0)
+    add_job(state, "fff", SOUND, 1000, NOW - 50.0)
     for part in range(MAX_PARTS):
         now = NOW + part * SAMPLE_S
         for each in state.runners.values():
