Name a leader that places nothing as a hold, and count runs until their stop

A held job was called placeable while the leader placed nothing for want of new reads, and a task that was being moved after a long run counted as waiting since its start. Both have a case in tests/test_task_hold.py.

--- a/spoolcrank/hold_words.py
+++ b/spoolcrank/hold_words.py
@@ -11,6 +11,7 @@
 REASONS: dict[HoldReason, str] = {
     HoldReason.EARLIER_STEP: "an earlier step to end",
     HoldReason.NOT_IN_READY_LIST: "nothing: its job is missing from the jobs that are placed",
+    HoldReason.PLACES_NOTHING: "the leader, which places nothing as what it read is too old",
     HoldReason.RETRY_DELAY: "the delay after a failure or a crash",
     HoldReason.GANG_MEMBERS: "the other members of its gang to be released",
     HoldReason.GANG: "capacity for all members of its gang at once",
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -157,8 +157,8 @@
         accepted_at: time of acceptance, monotonic seconds of this process.
         started_at: time when this leader last bound one of its tasks; before the first, when the
             leader added the job.
-        idle_since: time when a run of it last ended; before the first, when the leader added the
-            job or opened its first due round.
+        idle_since: time when a run of it last ended or was ordered to stop; before the first, when
+            the leader added the job or opened its first due round.
         turn_missed_at: time when it last had a turn while no runner could take its tasks.
         objective_s: time from `accepted_at` within which it should finish.
     """
--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -66,6 +66,7 @@
     monitor: LeadershipMonitor, state: Scheduler, block: PlacingBlock, list_age_s: float, now: float
 ) -> None:
     """Record why nothing is placed; log it after BLOCK_LOG_DELAY_S, and log its end."""
+    state.places_nothing = block is not PlacingBlock.NONE
     if block is not monitor.block:
         if monitor.block_logged:
             state.log_event(
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -75,6 +75,7 @@
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
         last_pass: the last pass that was completed.
+        places_nothing: whether no task may be placed now, as what was read is too old.
         hold_watch: what was logged of jobs that wait beside free capacity.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
@@ -104,6 +105,7 @@
         self.placing = PlacingPass()
         self.last_pass = PlacingPass()
         self.hold_watch = HoldWatch()
+        self.places_nothing = False
         self.filler_refusals: dict[tuple[ServiceName, str], FillerRefusal] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
@@ -305,6 +307,9 @@
             return
         if run.stage is RunStage.STOPPING:
             return
+        job = self.jobs.get(key.job)
+        if run.stage is RunStage.RUNNING and job is not None:
+            job.idle_since = now
         run.stage = RunStage.STOPPING
         run.since = now
         run.tries = 0
--- a/spoolcrank/task_hold.py
+++ b/spoolcrank/task_hold.py
@@ -32,6 +32,7 @@
     Attributes:
         EARLIER_STEP: an earlier step of its round is not done.
         NOT_IN_READY_LIST: its job is not among those that are placed.
+        PLACES_NOTHING: the leader places no task, as what it read is too old.
         RETRY_DELAY: it waits after a failure or a crash.
         GANG_MEMBERS: other members of its gang have not been released.
         GANG: no runners have capacity for all members of its gang at once.
@@ -60,6 +61,7 @@
 
     EARLIER_STEP = "earlier-step"
     NOT_IN_READY_LIST = "not-in-ready-list"
+    PLACES_NOTHING = "places-nothing"
     RETRY_DELAY = "retry-delay"
     GANG_MEMBERS = "gang-members"
     GANG = "gang"
@@ -163,6 +165,8 @@
         return Hold(HoldReason.EARLIER_STEP)
     if job.id not in state.ready:
         return Hold(HoldReason.NOT_IN_READY_LIST)
+    if state.places_nothing:
+        return Hold(HoldReason.PLACES_NOTHING)
     delayed = step.tasks[0] if step.spec.gang else task
     if delayed.not_before > now:
         return Hold(HoldReason.RETRY_DELAY, delayed.not_before - now)
--- a/tests/test_task_hold.py
+++ b/tests/test_task_hold.py
@@ -21,6 +21,7 @@
 )
 from spoolcrank.hold_words import REASONS, RUNNERS, describe_wait
 from spoolcrank.ids import AvailabilityZone, JobId
+from spoolcrank.leadership_monitor import LeadershipMonitor, PlacingBlock, log_placing_block
 from spoolcrank.log_event_groups import LogEventGroups
 from spoolcrank.objective import Prospect
 from spoolcrank.pending_writes import BoundRun
@@ -71,6 +72,13 @@
     return state
 
 
+def _places_nothing() -> Scheduler:
+    state = _state()
+    monitor = LeadershipMonitor(NOW)
+    log_placing_block(monitor, state, PlacingBlock.OLD_LIST, 2.0, NOW)
+    return state
+
+
 def _retry_delay() -> Scheduler:
     state = _state()
     state.jobs[JOB].task(KEY).not_before = NOW + 0.7
@@ -199,6 +207,7 @@
 
 CASES: list[tuple[HoldReason, Callable[[], Scheduler]]] = [
     (HoldReason.NOT_IN_READY_LIST, _not_in_ready_list),
+    (HoldReason.PLACES_NOTHING, _places_nothing),
     (HoldReason.RETRY_DELAY, _retry_delay),
     (HoldReason.GANG_MEMBERS, _gang_members),
     (HoldReason.GANG, lambda: _state(GANG)),
@@ -376,6 +385,14 @@
     assert [fields["waited_s"] for fields in _waits(state)] == [MIN_HELD_S]
 
 
+def test_a_run_counts_as_running_until_its_stop_is_ordered() -> None:
+    """A task that ran for long and is being moved is not one that has waited for long."""
+    state = _bound(RunStage.RUNNING)
+    state.stop_run(KEY, RunnerId("r0"), NOW + 5.0)
+    log_holds_periodically(state, NOW + 5.0 + MIN_HELD_S)
+    assert [fields["waited_s"] for fields in _waits(state)] == [MIN_HELD_S]
+
+
 # `spoolcrank why`
 
 
