--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -66,7 +66,6 @@
     monitor: LeadershipMonitor, state: Scheduler, block: PlacingBlock, list_age_s: float, now: float
 ) -> None:
     """Record why nothing is placed; log it after BLOCK_LOG_DELAY_S, and log its end."""
-    state.places_nothing = block is not PlacingBlock.NONE
     if block is not monitor.block:
         if monitor.block_logged:
             state.log_event(
@@ -80,6 +79,7 @@
     ):
         monitor.block_logged = True
         state.log_event("places-nothing", why=block.value, list_age_s=round(list_age_s, 2))
+    state.places_nothing = monitor.block_logged
 
 
 def log_takeover_done(monitor: LeadershipMonitor, state: Scheduler, now: float) -> None:
