Send no start again for a task that is no longer bound to it

Callers would see: the leader ends its term with an internal error, and nothing starts until another instance leads and has asked all runners; or a member of a gang that is done is started again.

Cause: the end of one member ends its gang. If the start of another member had no answer yet, its start was sent again 0.15 s later, though the task was done; if the gang was the last step of its round, the round was closed and the look-up of the task failed. The check for hanging tasks looked up the task of a closed round in the same way.

Evidence: found by a simulation of random faults (24 runners, link of 1 Mbit/s, gangs, crashes; KeyError in tick). The three new tests in tests/test_ends.py fail on the code before, two with KeyError and one with a second start; they pass with the change, as does the simulation.

Mend: a start is sent again only while the task is bound to this run on this runner; else the run is stopped, which settles it. A run of a closed round is not checked for hanging.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -31,7 +31,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import MAX_INHERITED_RUN_S, Scheduler
-from spoolcrank.workflow import FINAL, JobPhase, TaskKey
+from spoolcrank.workflow import FINAL, JobPhase, Phase, TaskKey
 
 MAX_START_TRIES = 2
 """Maximum number of times that a start without an answer is sent before the run is stopped
@@ -325,7 +325,7 @@
     if run.in_flight or not runner.adopted:
         return
     if run.stage is RunStage.UNCONFIRMED and now - run.since >= ORDER_RETRY_INTERVAL_S:
-        if run.tries < MAX_START_TRIES and key.job in state.jobs:
+        if run.tries < MAX_START_TRIES and _is_current(state, key, runner, run):
             state.order_start(key, runner, run, now)
         else:
             state.stop_run(key, runner.id, now)
@@ -340,9 +340,19 @@
         _check_hung(state, runner, key, run, now)
 
 
+def _is_current(state: Scheduler, key: TaskKey, runner: RunnerState, run: Run) -> bool:
+    """Return whether a task is still bound to a run; the end of a gang's member ends the others."""
+    task = _task_of(state, key)
+    return (
+        task is not None
+        and task.phase is Phase.BOUND
+        and (task.runner, task.run) == (runner.id, run.number)
+    )
+
+
 def _check_hung(state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float) -> None:
     job = state.jobs.get(key.job)
-    if job is None or runner.silent_since is not None or run.percent < 0:
+    if job is None or not job.has(key) or runner.silent_since is not None or run.percent < 0:
         return
     if run.fills and run.pace < 100:
         return
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,10 +1,17 @@
 """Tests of the ends that a runner lists, and of runs that it does not list."""
 
+import pytest
+
 from spoolcrank.ids import JobId
-from spoolcrank.orders import EndedRow, EndKind
+from spoolcrank.orders import EndedRow, EndKind, Start, Stop
+from spoolcrank.placing import place
+from spoolcrank.run_control import MIN_HUNG_S, ORDER_RETRY_INTERVAL_S, tick
+from spoolcrank.run_ends import end_run
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import JobPhase, Step, TaskKey
 from tests.fleet_world import World, small_world
+from tests.test_packing import NOW, leader, runner
+from tests.test_room_beside_waits import add_job
 
 
 def _completed(world: World, job: str) -> bool:
@@ -76,3 +83,38 @@
         "done",
         1,
     )
+
+
+@pytest.mark.parametrize("steps", [1, 2])
+def test_a_start_without_an_answer_is_not_sent_again_once_its_gang_has_ended(steps: int) -> None:
+    """The end of one member ends its gang, also while the start of another one is unconfirmed.
+
+    With a single step the leader ended its term with an internal error: the round of the task was
+    closed. With a later step it sent the start of the ended gang's member again.
+    """
+    state = leader(runner("r0"), runner("r1"))
+    gang = Step(count=2, millicores=20_000, memory_mb=100, gang=True)
+    add_job(state, "cd", gang, 0, later=gang if steps == 2 else None)
+    place(state, NOW, 0.0)
+    first, second = (TaskKey(JobId("cd"), 0, 0, number) for number in range(2))
+    by_task = {key: other for other in state.runners.values() for key in other.runs}
+    by_task[second].runs[second].stage = RunStage.UNCONFIRMED
+    end_run(state, first, by_task[first], EndKind.DONE, "", NOW)
+    state.orders.clear()
+    tick(state, NOW + 2 * ORDER_RETRY_INTERVAL_S)
+    orders = [order for order in state.orders if isinstance(order, Start | Stop)]
+    assert [(type(order), order.task) for order in orders] == [(Stop, second)]
+
+
+def test_a_run_without_progress_of_an_ended_gang_does_not_end_the_term() -> None:
+    """The leader ended its term with an internal error, as the round of the task was closed."""
+    state = leader(runner("r0"), runner("r1"))
+    add_job(state, "cd", Step(count=2, millicores=20_000, memory_mb=100, gang=True), 0)
+    place(state, NOW, 0.0)
+    first, second = (TaskKey(JobId("cd"), 0, 0, number) for number in range(2))
+    by_task = {key: other for other in state.runners.values() for key in other.runs}
+    run = by_task[second].runs[second]
+    run.stage, run.percent, run.reported_at = RunStage.RUNNING, 50, NOW + 10 * MIN_HUNG_S
+    end_run(state, first, by_task[first], EndKind.DONE, "", NOW)
+    tick(state, NOW + 10 * MIN_HUNG_S)
+    assert second in by_task[second].runs
