Let a suspect wait for its own runner during its retry delay

Callers would see: after the third crash under a task, its job has nothing running for 3 s and more from the proof of the crash on, beside free runners; after 3 s it counts as lost.

Cause: the delay before the next start (2 s) and the wait for a runner without recent starts (1 s) came one after the other, as a task within its delay was not looked at.

Evidence: test_a_suspect_waits_for_its_own_runner_during_its_retry_delay on the code before: start after 3.05 s; at most 2.5 s, on the suspect's own runner, with the change.

Mend: a task that needs a runner of its own asks for it at once, and starts there when its delay is over. The runner takes no other starts meanwhile, for at most 2 s longer than before; the limits on the number of such runners stay.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -293,7 +293,8 @@
     for index in sorted(step.waiting, key=lambda waiting_index: step.tasks[waiting_index].run == 0):
         task = step.tasks[index]
         key = TaskKey(job.id, round_number, step_number, index)
-        if task.not_before > now:
+        delayed = task.not_before > now
+        if delayed and not needs_isolation(task.crashes):
             held_back = True
             continue
         if current.spent:
@@ -309,9 +310,9 @@
         if needs_isolation(task.crashes):
             current.pairs_left -= len(runners)
             runner = place_isolated(state, key, task, request, runners, now)
-            if runner is None and not waits_for_isolation(task, now):
+            if runner is None and not delayed and not waits_for_isolation(task, now):
                 runner = _choose_for_rerun(state, task, request, runners, now)
-            if runner is None:
+            if runner is None or delayed:
                 # Other tasks of the step need no exclusive runner and may still find a place.
                 held_back = True
                 continue
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -12,10 +12,19 @@
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.placing import place
 from spoolcrank.placing_pass import MAX_PAIRS_PER_PART
+from spoolcrank.runner_loss import RESTART_DELAYS_S
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import CrashEvidence, JobRecord, RouteName, Step, Workflow
+from spoolcrank.workflow import (
+    CrashEvidence,
+    JobRecord,
+    Phase,
+    RouteName,
+    Step,
+    TaskKey,
+    Workflow,
+)
 from tests.fleet_world import World, small_world
-from tests.test_packing import NOW, SERVICE, SHORT, leader, runner
+from tests.test_packing import NOW, SERVICE, SHORT, leader, put, runner
 
 RUNNERS = 12
 MAX_HELD_S = 2.5
@@ -169,3 +178,34 @@
     after.submit("abcd", SOUND)
     held_s = _held_s(world, "abcd", SOUND)
     assert held_s <= MAX_TAKEOVER_HELD_S, f"{held_s:.2f} s"
+
+
+def _begin_runs(state: Scheduler, now: float) -> None:
+    """Replace the runs of all runners that take work by runs that were just started."""
+    for each in state.runners.values():
+        each.record_answer(1000.0 + (now - NOW) * 1000.0, now, now)
+        if each.isolated_for is None:
+            for key in [key for key in each.runs if key.job == "busy"]:
+                each.remove(key)
+            each.runs[put(each, SHORT, job="busy")].ordered_at = now
+
+
+def test_a_suspect_waits_for_its_own_runner_during_its_retry_delay() -> None:
+    """After a third crash the delay and the wait for a runner without recent starts added up.
+
+    The task then had nothing running for more than 3 s and counted as lost.
+    """
+    state = leader(*(runner(f"r{number}") for number in range(8)))
+    state.starts.limit = math.inf
+    add_job(state, "cd", SHORT, 0)
+    task = state.jobs[JobId("cd")].rounds[0].steps[0].tasks[0]
+    task.run, task.crashes, task.not_before = 3, _evidence(3), NOW + RESTART_DELAYS_S[-1]
+    now = NOW
+    while task.phase is Phase.WAITING and now < NOW + 5.0:
+        now += SAMPLE_S
+        if round((now - NOW) / SAMPLE_S) % 10 == 0:
+            _begin_runs(state, now)
+        place(state, now, 0.0)
+    assert now - NOW <= MAX_HELD_S, f"{now - NOW:.2f} s"
+    own = state.runners[task.runner]
+    assert own.isolated_for == TaskKey(JobId("cd"), 0, 0, 0)
