--- a/spoolcrank/task_hold.py
+++ b/spoolcrank/task_hold.py
@@ -250,15 +250,15 @@
     state: Scheduler, job: JobState, key: TaskKey, step: StepState, now: float
 ) -> HoldReason:
     """Return why a task that a runner could take was not bound to it."""
-    if step.spec.gang:
-        return HoldReason.GANG
     if state.starts.held_back:
         return HoldReason.START_WINDOW
     kind = (state.service_of(job), step.spec.image)
+    if state.last_pass.misses.get(kind, 0) > 0 and key.step_key not in state.last_pass.tried:
+        return HoldReason.SKIPPED_AFTER_MISSES
+    if step.spec.gang:
+        return HoldReason.GANG
     if key.step_key in state.placing.tried:
         return HoldReason.TRIED
     claimed = state.last_pass.claimed.get(kind)
-    if step.spec.fills and claimed is not None and claimed < prospect(job, state.times, now):
-        return HoldReason.CLAIMED
-    missed = state.last_pass.misses.get(kind, 0) > 0 and key.step_key not in state.last_pass.tried
-    return HoldReason.SKIPPED_AFTER_MISSES if missed else HoldReason.PLACEABLE
+    behind = claimed is not None and claimed < prospect(job, state.times, now)
+    return HoldReason.CLAIMED if step.spec.fills and behind else HoldReason.PLACEABLE
--- a/tests/test_task_hold.py
+++ b/tests/test_task_hold.py
@@ -187,6 +187,12 @@
     return state
 
 
+def _gang_skipped() -> Scheduler:
+    state = _state(GANG)
+    state.last_pass.misses[SERVICE, ""] = 3
+    return state
+
+
 def _claimed() -> Scheduler:
     state = _state(NOISY)
     state.last_pass.claimed[SERVICE, "noisy"] = Prospect.BEGUN
@@ -231,6 +237,7 @@
     (HoldReason.START_WINDOW, _start_window),
     (HoldReason.START_WINDOW, _start_waits_for_window),
     (HoldReason.SKIPPED_AFTER_MISSES, _skipped),
+    (HoldReason.SKIPPED_AFTER_MISSES, _gang_skipped),
     (HoldReason.CLAIMED, _claimed),
     (HoldReason.TRIED, _tried),
     (HoldReason.PLACEABLE, _state),
