Delay a start once for a crash, not again for its proof

Callers would see: after a loss of many runners, jobs whose tasks had been on runners that were silent until every lease had passed wait up to 2 s more each time that one of these runners is back.

Cause: a crash that is first presumed and later proved was recorded twice, and each record set the delay before the next start anew, counted from its own time.

Evidence: test_the_proof_of_a_crash_does_not_delay_the_next_start_again on the code before: the start moves from 1.0 s to 1.8 s after the leases' end by two proofs; it stays with the change.

Mend: only the first record of a crash delays the next start.

--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -278,14 +278,16 @@
 def _record_evidence(state: Scheduler, key: TaskKey, evidence: CrashEvidence, now: float) -> None:
     """Record crash evidence, delay the next start, and fail the job of a crash-causing task.
 
-    The evidence is stored before the next start can be sent.
+    The evidence is stored before the next start can be sent. The proof of a crash that was recorded
+    before does not delay the start again.
     """
     job, task = state.jobs.get(key.job), _accountable(state, key)
     if job is None or task is None or job.phase in FINAL or task.phase is Phase.DONE:
         return
+    known = any(entry.runner == evidence.runner for entry in task.crashes)
     task.crashes = with_evidence(task.crashes, evidence)
     crashes = len(independent_crashes(task.crashes))
-    if not evidence.shared:
+    if not evidence.shared and not known:
         task.not_before = max(
             task.not_before, now + RESTART_DELAYS_S[min(crashes, len(RESTART_DELAYS_S)) - 1]
         )
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -7,12 +7,13 @@
 import msgspec
 import pytest
 
+from spoolcrank.binding import bind
 from spoolcrank.ids import JobId
 from spoolcrank.job_state import NO_RUNNER
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.placing import place
 from spoolcrank.placing_pass import MAX_PAIRS_PER_PART
-from spoolcrank.runner_loss import RESTART_DELAYS_S
+from spoolcrank.runner_loss import RESTART_DELAYS_S, confirm_crash, handle_expired_leases
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import (
     CrashEvidence,
@@ -209,3 +210,27 @@
     assert now - NOW <= MAX_HELD_S, f"{now - NOW:.2f} s"
     own = state.runners[task.runner]
     assert own.isolated_for == TaskKey(JobId("cd"), 0, 0, 0)
+
+
+def test_the_proof_of_a_crash_does_not_delay_the_next_start_again() -> None:
+    """Each runner that came back pushed on the start of the tasks that had run there before.
+
+    A task whose runners were silent until every lease had passed waits already; with several proofs
+    in a row it had nothing running for seconds more.
+    """
+    lost = [runner(f"r{number}") for number in range(2)]
+    state = leader(*lost, runner("r2"))
+    add_job(state, "cd", SHORT, 0)
+    key = TaskKey(JobId("cd"), 0, 0, 0)
+    job = state.jobs[JobId("cd")]
+    for number, silent in enumerate(lost):
+        bind(state, job, key, number + 1, silent, NOW - 9.0)
+        silent.runs[key].ordered_at = NOW - 9.0
+        silent.listed, silent.silent_since = False, NOW - 8.0 + number
+        handle_expired_leases(state, silent, NOW)
+    not_before = job.task(key).not_before
+    assert not_before == NOW + RESTART_DELAYS_S[1]
+    for number, silent in enumerate(lost):
+        confirm_crash(state, silent.id, NOW + 0.4 * (number + 1))
+    assert [evidence.proved for evidence in job.task(key).crashes] == [True, True]
+    assert job.task(key).not_before == not_before
