Void a start by a higher fence where its stop gets no answer

Callers would see: a job has nothing running beside free runners for as long as a link lets polls through and no orders (a full link between regions: polls use connections that are open).

Cause: a run whose start had no answer was settled only by an accepted stop, by the end of its runner, or by the end of every lease. Stops had no answer either, and each poll extended the lease: nothing bounded the wait.

Mend: when a stop gets no answer, the leader raises its fence for the runner above that of the start. The runner then refuses that start however late it arrives, so that the run is over once a poll under the higher fence, with complete lists, shows neither the run nor its end. One raise serves all runs that were ordered before it; half of the fences of a name stay reserved for later incarnations.

--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -105,6 +105,8 @@
             runner=runner.id,
             result=answered.result.value,
         )
+        if answered.result is OrderResult.UNKNOWN and runner.silent_since is None:
+            state.void_start(runner, run)
 
 
 # Paces
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -2,8 +2,9 @@
 
 A call without an answer may have been carried out, or may still be carried out seconds later. A
 run therefore counts as gone only when its runner listed its end, when a stop of it was accepted
-and a later poll shows neither the run nor its end, when that incarnation of the runner is over, or
-when every lease that was granted to it has expired.
+and a later poll shows neither the run nor its end, when a poll under a higher fence than that of
+its start shows neither, when that incarnation of the runner is over, or when every lease that was
+granted to it has expired.
 """
 
 from spoolcrank.abnormal_ends import record_abnormal_end
@@ -113,6 +114,7 @@
             _adopt(state, runner, present, now)
             lose_earlier(state, runner, now)
         _check_absent(state, runner, present, asked_at, now)
+        _release_void_starts(state, runner, present, poll.target.fence, now)
     learn(state, runner, used, now)
     set_paces(state, runner, now)
 
@@ -251,6 +253,27 @@
             state.release(key, runner, "stopped", now)
 
 
+def _release_void_starts(
+    state: Scheduler,
+    runner: RunnerState,
+    present: set[tuple[TaskKey, int]],
+    fence: int,
+    now: float,
+) -> None:
+    """Release the runs that a runner does not list and whose starts its fence has made void.
+
+    While a link lets polls through and no orders, neither a start nor a stop is ever answered, and
+    each poll extends the lease.
+    """
+    for key, run in list(runner.runs.items()):
+        unsettled = run.stage in (RunStage.UNCONFIRMED, RunStage.STOPPING)
+        if unsettled and (key, run.number) not in present and run.start_fence < fence:
+            task = _task_of(state, key)
+            if task is not None:
+                task.refused_by = runner.id
+            state.release(key, runner, "its start is void there", now)
+
+
 def _release_absent_run(
     state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float
 ) -> None:
--- a/spoolcrank/runner_ids.py
+++ b/spoolcrank/runner_ids.py
@@ -22,6 +22,10 @@
 in its term. An incarnation that has seen its own fence ignores orders that were meant for an
 earlier one, however late they arrive."""
 
+MAX_RAISED_RANK = FENCES_PER_TERM // 2
+"""Limit of the ranks that incarnations get by being raised; higher ones are left to later
+incarnations."""
+
 MAX_INCARNATIONS_PER_NAME = 8
 """Maximum number of incarnations remembered for one name, the newest; the runs of others are
 settled by their leases."""
@@ -78,6 +82,17 @@
             del self._ranks[next(iter(self._ranks))]
         return rank
 
+    def raise_rank(self, runner: RunnerId) -> int | None:
+        """Raise an incarnation above all ranks of its name and return its rank.
+
+        Return None if the ranks that are left are needed for later incarnations.
+        """
+        rank = self.newest(runner) + 1
+        if rank >= MAX_RAISED_RANK:
+            return None
+        self._ranks.setdefault(name_of(runner), {})[runner] = rank
+        return rank
+
     def newest(self, runner: RunnerId) -> int:
         """Return the highest rank of any incarnation of a runner's name."""
         return max(self._ranks.get(name_of(runner), {}).values(), default=0)
--- a/spoolcrank/runs.py
+++ b/spoolcrank/runs.py
@@ -51,6 +51,7 @@
         in_flight: whether a start or stop of it was sent and is not answered yet.
         ordered_at: time at which its start was first sent, or at which it was taken over; None
             before.
+        start_fence: fence of the newest order to start it; 0 if an earlier leader ordered it.
         inherited: whether an earlier leader bound it, so that its age is not known.
         has_crash_evidence: whether runners crashed during earlier runs of its task and this run has
             not yet lived much longer than those.
@@ -83,6 +84,7 @@
     in_flight: bool = False
     bound_at: float = 0.0
     ordered_at: float | None = None
+    start_fence: int = 0
     inherited: bool = False
     has_crash_evidence: bool = False
     suspect: bool = False
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -265,6 +265,13 @@
         fence = self.term * FENCES_PER_TERM + runner.rank
         return Target(runner.id, runner.entry.address, fence)
 
+    def void_start(self, runner: RunnerState, run: Run) -> None:
+        """Raise a runner's fence above that of a start, which its next poll then makes void."""
+        raised = self.target(runner).fence > run.start_fence
+        rank = None if raised else self.ranks.raise_rank(runner.id)
+        if rank is not None:
+            runner.rank = rank
+
     def outranked_by_itself(self, target: Target) -> bool:
         """Return whether this leader gave a later incarnation of the runner a higher fence."""
         return target.fence < self.term * FENCES_PER_TERM + self.ranks.newest(target.runner)
@@ -340,6 +347,7 @@
         size = START_OVERHEAD_BYTES + len(payload) + len(task.saved) if run.tries == 1 else 0
         self.starts.sent(key, run.number, size, now, runner.entry.availability_zone)
         to = self.target(runner)
+        run.start_fence = to.fence
         self.orders.append(Start(to, key, run.number, payload, task.saved, until_ms))
 
     def start_bytes(self, key: TaskKey) -> int:
--- a/tests/fleet_runners.py
+++ b/tests/fleet_runners.py
@@ -301,7 +301,8 @@
         if runner.id != name_of(order.target.runner):
             instance.later(0.002, lambda: done(Answered(OrderResult.OTHER_INCARNATION)))
             return
-        if world.random.random() < world.late_order_share:
+        is_stuck = not isinstance(order, Poll) and order.target.address in world.polls_only
+        if is_stuck or world.random.random() < world.late_order_share:
             world.at(world.random.uniform(2, 12), lambda: world.carry_out_late(runner, act))
             instance.later(0.6, lambda: done(Answered(OrderResult.UNKNOWN)))
             return
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -63,6 +63,7 @@
         self.timely_starts: dict[TaskKey, list[float]] = defaultdict(list)
         self.running_on: dict[TaskKey, set[str]] = defaultdict(set)
         self.unreachable: set[tuple[str, str]] = set()
+        self.polls_only: set[str] = set()
         self.late_order_share = 0.0
         self.repeated_call_share = 0.0
         self.lost_answer_share = 0.0
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -13,6 +13,11 @@
 from tests.test_packing import NOW, leader, runner
 from tests.test_room_beside_waits import add_job
 
+MAX_LATE_ORDER_S = 13.0
+MAX_VOID_S = 6.0
+"""Longest time, in seconds, until a job of 0.6 s is done of which some starts had no answer: two
+tries of a start, one of a stop, and the wait for a poll. A lease takes 7.5 s."""
+
 
 def _completed(world: World, job: str) -> bool:
     instance = next(iter(world.instances.values()))
@@ -118,3 +123,19 @@
     end_run(state, first, by_task[first], EndKind.DONE, "", NOW)
     tick(state, NOW + 10 * MIN_HUNG_S)
     assert second in by_task[second].runs
+
+
+def test_a_task_whose_start_and_stop_stay_unanswered_goes_on_elsewhere() -> None:
+    """A full link lets polls through on their open connections, and no start and no stop.
+
+    The run was neither listed nor stopped, and each poll extended the lease: its task waited beside
+    free runners for as long as the link was full.
+    """
+    world = small_world(runners=2)
+    unreached = next(iter(world.runners.values()))
+    world.polls_only = {unreached.name}
+    world.instances["entry-0"].submit("a1", Step(count=12, millicores=1000, memory_mb=100))
+    world.run_until(lambda: _completed(world, "a1"), MAX_VOID_S)
+    world.run(MAX_LATE_ORDER_S)
+    assert not unreached.tasks
+    assert world.violations == []
