Drop the pending change of a job together with the job

Callers would see: the leader ends its term with an internal error.

Cause: a run that was lost after its job's records had been kept for their time was released, which asked for the job to be written, and the job was dropped in the same check: the next batch looked up a job that was gone.

Evidence: test_a_run_lost_long_after_its_job_ended_does_not_end_the_term on the code before: KeyError in take_batch; passes with the change. Found by reading; it needs a run that outlives its job by 150 s, and was not seen in a simulation.

Mend: a dropped job is taken off the jobs to be written.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -115,6 +115,7 @@
             retained.append((ended_at, job_id))
             continue
         del state.jobs[job_id]
+        state.pending_writes.jobs.pop(job_id, None)
         keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
         state.pending_writes.other_records += [KeyedRecord(key, b"") for key in keys]
     state.ended = retained
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from spoolcrank.batching import ENDED_JOB_RETENTION_S, drop_ended_jobs, take_batch
 from spoolcrank.ids import JobId
 from spoolcrank.orders import EndedRow, EndKind, Start, Stop
 from spoolcrank.placing import place
 from spoolcrank.run_control import MIN_HUNG_S, ORDER_RETRY_INTERVAL_S, tick
 from spoolcrank.run_ends import end_run
+from spoolcrank.runner_loss import handle_expired_leases
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import JobPhase, Step, TaskKey
 from tests.fleet_world import World, small_world
@@ -139,3 +141,21 @@
     world.run(MAX_LATE_ORDER_S)
     assert not unreached.tasks
     assert world.violations == []
+
+
+def test_a_run_lost_long_after_its_job_ended_does_not_end_the_term() -> None:
+    """The job was dropped with its change still to be written: an internal error ended the term."""
+    state = leader(runner("r0"))
+    key = TaskKey(JobId("cd"), 0, 0, 0)
+    add_job(state, "cd", Step(count=1, millicores=1000, memory_mb=100), 0)
+    place(state, NOW, 0.0)
+    lost = next(iter(state.runners.values()))
+    lost.runs[key].stage = RunStage.RUNNING
+    state.cancel(JobId("cd"), NOW)
+    take_batch(state)
+    now = NOW + ENDED_JOB_RETENTION_S
+    handle_expired_leases(state, lost, now)
+    drop_ended_jobs(state, now)
+    batch = take_batch(state)
+    assert batch is not None
+    assert [record.value for record in batch.records] == [b"", b"", b""]
