--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -390,5 +390,6 @@
 
 
 def _without_few_quarantined(runners: list[RunnerState], now: float) -> list[RunnerState]:
-    usable = [runner for runner in runners if runner.usable(now)]
+    """Return the reachable runners of a service without the quarantined ones, if these are few."""
+    usable = [runner for runner in runners if now >= runner.quarantined_until]
     return usable if 2 * len(usable) >= len(runners) else runners
