--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -158,6 +158,8 @@
         accepted_at: time of acceptance, monotonic seconds of this process.
         started_at: time when this leader last bound one of its tasks; before the first, when the
             leader added the job.
+        idle_since: time when a run of it last ended or was ordered to stop; before the first, when
+            the leader added the job or opened its first due round.
         passed_over_at: time of its last turn in which none of its tasks could start.
         objective_s: time from `accepted_at` within which it should finish.
     """
@@ -171,6 +173,7 @@
     begun: bool = False
     accepted_at: float = 0.0
     started_at: float = 0.0
+    idle_since: float = 0.0
     passed_over_at: float = -math.inf
     objective_s: float = 0.0
 
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -36,7 +36,7 @@
 def place(state: Scheduler, now: float, time_of_day_ms: float) -> bool:
     """Bind waiting tasks to runners with free capacity; return whether the pass is complete."""
     for job_id in list(state.recurring_jobs):
-        _open_due(state, state.jobs[job_id], time_of_day_ms)
+        _open_due(state, state.jobs[job_id], time_of_day_ms, now)
     if not state.ready:
         state.starts.held_back = False
         return True
@@ -54,7 +54,7 @@
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, current, now)
         if current.spent:
             return _end_part(state, current)
-    state.placing = PlacingPass()
+    state.last_pass, state.placing = current, PlacingPass()
     state.starts.held_back = False
     return True
 
@@ -112,11 +112,12 @@
     return False
 
 
-def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float) -> None:
+def _open_due(state: Scheduler, job: JobState, time_of_day_ms: float, now: float) -> None:
     before = len(job.rounds)
     job.open_due(time_of_day_ms)
     if len(job.rounds) != before:
         state.ready[job.id] = None
+        job.idle_since = job.idle_since if before else now
 
 
 _NOT_PLACED = (PlacingResult.NO_PLACE, PlacingResult.PASSED_OVER, PlacingResult.HELD_BACK)
@@ -216,7 +217,8 @@
     for index in sorted(step.waiting, key=lambda waiting_index: step.tasks[waiting_index].run == 0):
         task = step.tasks[index]
         key = TaskKey(job.id, round_number, step_number, index)
-        if task.not_before > now:
+        delayed = task.not_before > now
+        if delayed and not needs_isolation(task.crashes):
             held_back = True
             continue
         if current.spent:
@@ -232,9 +234,9 @@
         if needs_isolation(task.crashes):
             current.pairs_left -= len(runners)
             runner = place_isolated(state, key, task, request, runners, now)
-            if runner is None and not waits_for_isolation(task, now):
+            if runner is None and not delayed and not waits_for_isolation(task, now):
                 runner = _choose_for_rerun(state, task, request, runners, now)
-            if runner is None:
+            if runner is None or delayed:
                 # Other tasks of the step need no exclusive runner and may still find a place.
                 held_back = True
                 continue
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -127,17 +127,18 @@
         With `may_retry`, a step that found no runner is skipped only until RETRY_LASTING_S has
         passed.
         """
-        if self.retry_pairs_left <= 0 and self._was_tried(step):
+        if self.retry_pairs_left <= 0 and self.was_tried(step):
             return True
         tried_at = self.tried.get(step)
         return tried_at is not None and not (may_retry and now - tried_at >= RETRY_LASTING_S)
 
-    def _was_tried(self, step: StepKey) -> bool:
+    def was_tried(self, step: StepKey) -> bool:
+        """Return whether a step was tried in this pass without all of its tasks being bound."""
         return step in self.tried or step in self.held_back
 
     def withhold_pairs(self, step: StepKey) -> int:
         """Withhold and return the pairs that a step may not use because it was tried before."""
-        if not self._was_tried(step):
+        if not self.was_tried(step):
             return 0
         withheld = max(0, self.pairs_left - self.retry_pairs_left)
         self.pairs_left -= withheld
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -11,6 +11,7 @@
 
 from spoolcrank.contention import ContentionModel
 from spoolcrank.crash_history import CrashHistory, independent_crashes, needs_isolation
+from spoolcrank.hold_watch import HoldWatch
 from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
@@ -76,6 +77,9 @@
         orders: orders to be sent to runners.
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
+        last_pass: the last pass that was completed.
+        places_nothing: whether no task may be placed now, as what was read is too old.
+        hold_watch: what was logged of jobs that wait beside free capacity.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
 
@@ -104,6 +108,9 @@
         self.log_events: list[LogEvent] = []
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
+        self.last_pass = PlacingPass()
+        self.hold_watch = HoldWatch()
+        self.places_nothing = False
         self.filler_refusals: dict[Scope, FillerRefusal] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
@@ -138,7 +145,7 @@
             return
         job = JobState(job_id, record, order)
         job.objective_s = objective_s(job, self.times)
-        job.accepted_at = job.started_at = now
+        job.accepted_at = job.started_at = job.idle_since = now
         if progress is not None:
             job.restore(progress)
             self.crash_history.restore(job)
@@ -267,6 +274,13 @@
         fence = self.term * FENCES_PER_TERM + runner.rank
         return Target(runner.id, runner.entry.address, fence)
 
+    def void_start(self, runner: RunnerState, run: Run) -> None:
+        """Raise a runner's fence above that of a start, which its next poll then makes void."""
+        raised = self.target(runner).fence > run.start_fence
+        rank = None if raised else self.ranks.raise_rank(runner.id)
+        if rank is not None:
+            runner.rank = rank
+
     def outranked_by_itself(self, target: Target) -> bool:
         """Return whether this leader gave a later incarnation of the runner a higher fence."""
         return target.fence < self.term * FENCES_PER_TERM + self.ranks.newest(target.runner)
@@ -283,6 +297,7 @@
         if task.phase is Phase.BOUND and task.runner == runner.id and task.run == run.number:
             self.log_event("run-released", task=key, run=run.number, runner=runner.id, why=why)
             task.abandoned_run = run.number
+            job.idle_since = now
             self.requeue_task(job, key, task)
 
     def requeue_task(self, job: JobState, key: TaskKey, task: TaskState) -> None:
@@ -308,6 +323,9 @@
             return
         if run.stage is RunStage.STOPPING:
             return
+        job = self.jobs.get(key.job)
+        if run.stage is RunStage.RUNNING and job is not None:
+            job.idle_since = now
         run.stage = RunStage.STOPPING
         run.since = now
         run.tries = 0
@@ -338,6 +356,7 @@
         size = START_OVERHEAD_BYTES + len(payload) + len(task.saved) if run.tries == 1 else 0
         self.starts.sent(key, run.number, size, now, runner.entry.availability_zone)
         to = self.target(runner)
+        run.start_fence = to.fence
         self.orders.append(Start(to, key, run.number, payload, task.saved, until_ms))
 
     def start_bytes(self, key: TaskKey) -> int:
