Count both tries of a step beside idle capacity as one try

By reading, not seen in a run: a step that found no runner, and was passed over at its try with quarantined runners, was not recorded as tried, so that each part of a pass would begin with it; and the second try of a suspect came out of the pairs left to steps tried before, which those in front of it may have used up.

Both tries now share the pairs of the step, and a second try that is passed over leaves the first one's result.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -150,10 +150,6 @@
                 still_waits = True
                 continue
             result = _try_step(state, job, step_key, step, usual, current, now)
-            if result in _NOT_PLACED:
-                more = last_resort(state, current, job, step.spec, runners, now)
-                if more is not None:
-                    result = _try_step(state, job, step_key, step, more, current, now)
             if result is PlacingResult.ALL:
                 continue
             still_waits = True
@@ -172,22 +168,41 @@
     job: JobState,
     step_key: StepKey,
     step: StepState,
-    candidates: Candidates,
+    usual: Candidates,
     current: PlacingPass,
     now: float,
 ) -> PlacingResult:
     """Place the waiting tasks of a step, which uses few pairs if it was tried before."""
-    scope = scope_of(state.service_of(job), step.spec, candidates.quarantined)
-    if is_hopeless(state, current, scope, step, candidates.runners, now):
-        return PlacingResult.PASSED_OVER
     withheld, waiting_count = current.withhold_pairs(step_key), len(step.waiting)
     pairs_before = current.pairs_left
-    result = _place_step(state, job, step_key, step, candidates, current, now)
+    result = _try_candidates(state, job, step_key, step, usual, current, now)
+    if result in _NOT_PLACED:
+        more = last_resort(state, current, job, step.spec, usual.runners, now)
+        if more is not None:
+            with_more = _try_candidates(state, job, step_key, step, more, current, now)
+            result = result if with_more is PlacingResult.PASSED_OVER else with_more
     used = pairs_before - current.pairs_left
     current.return_pairs(withheld, used)
     fruitless = used > 0 and len(step.waiting) == waiting_count
     if result is PlacingResult.HELD_BACK or (result is PlacingResult.PART_SPENT and fruitless):
         current.held_back.add(step_key)
+    return result
+
+
+def _try_candidates(
+    state: Scheduler,
+    job: JobState,
+    step_key: StepKey,
+    step: StepState,
+    candidates: Candidates,
+    current: PlacingPass,
+    now: float,
+) -> PlacingResult:
+    """Place the waiting tasks of a step, unless a miss before shows that none can start."""
+    scope = scope_of(state.service_of(job), step.spec, candidates.quarantined)
+    if is_hopeless(state, current, scope, step, candidates.runners, now):
+        return PlacingResult.PASSED_OVER
+    result = _place_step(state, job, step_key, step, candidates, current, now)
     if result is PlacingResult.NO_PLACE:
         record_miss(state, current, scope, step, now)
     return result
