Keep no place from a filler that waits beside idle capacity

Cause: the next place of a kind is left to the best job whose filler found none, until that job is placed or cannot end in time any more. Where it wants 6 cores of few runners that have 2 to 5 idle, this lasts longer than others may wait.

Evidence: test_no_place_is_kept_for_long_beside_idle_capacity, the case with under half of the processors in use: not started on the code before.

Mend: a filler whose job has got no start for 2 s, while under half of its service's processors are in use, is tried in spite of kept places and refusals. While more is in use both hold as before.

The mutation by which the check showed that it sees fillers held by a refusal now also takes this out, as either mend alone starts them.

--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -225,12 +225,16 @@
             if skip_kind or current.should_skip(step_key, resumes, now):
                 still_waits = True
                 continue
-            if step.spec.fills and was_refused(state, kind, step, now):
+            # A filler that waits beside idle capacity is tried, whatever holds the others.
+            may_be_held = step.spec.fills and not waits_beside_idle_capacity(
+                state, current, job, service, now
+            )
+            if may_be_held and was_refused(state, kind, step, now):
                 keep_place(state, current, kind, prospect, step, runners)
                 still_waits = True
                 continue
             # Leave the next place of this kind to the job of better prospect that waits for it.
-            if step.spec.fills and current.claimed.get(kind, prospect) < prospect:
+            if may_be_held and current.claimed.get(kind, prospect) < prospect:
                 still_waits = True
                 continue
             usual = Candidates(runners, state.reserve)
--- a/tests/test_held_back_fillers.py
+++ b/tests/test_held_back_fillers.py
@@ -9,7 +9,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import JobRecord, RouteName, Step, TaskKey, Workflow
-from tests.test_packing import NOW, QUIET, SERVICE, leader, runner
+from tests.test_packing import NOW, QUIET, SERVICE, SHORT, leader, put, runner
 
 ROUTE = RouteName("q")
 LABELLED = msgspec.structs.replace(QUIET, label="elsewhere")
@@ -41,6 +41,21 @@
     assert second in there.runs
 
 
+# Guards against a filler that waits as long as a better job hopes for a larger place.
+@pytest.mark.parametrize(("used_millicores", "starts"), [(3000, True), (5000, False)])
+def test_no_place_is_kept_for_long_beside_idle_capacity(used_millicores: int, starts: bool) -> None:
+    there: RunnerState = runner("i-1", 8000)
+    put(there, msgspec.structs.replace(SHORT, millicores=used_millicores))
+    state = leader(there)
+    wide = msgspec.structs.replace(QUIET, millicores=8000, estimate_ms=5000)
+    small = msgspec.structs.replace(QUIET, millicores=1000, estimate_ms=100)
+    add(state, "ee", wide, 0)
+    second = add(state, "ff", small, 1)
+    state.jobs[second.job].accepted_at = state.jobs[second.job].started_at = NOW - 300.0
+    place_several_times(state)
+    assert (second in there.runs) is starts
+
+
 def test_fillers_that_need_as_much_as_a_refused_one_are_not_tried() -> None:
     """Guards against passes over all waiting fillers under overload."""
     there: RunnerState = runner("i-1", 2000)
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -60,11 +60,14 @@
     monkeypatch.setattr(Scheduler, "requeue_task", forget)
 
 
-def _keep_off_quarantined_runners(monkeypatch: pytest.MonkeyPatch) -> None:
+def _try_nothing_more_beside_idle_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(placing, "waits_beside_idle_capacity", lambda *facts: False)
 
 
 def _refuse_by_processors_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let one refusal hold all later fillers, also those that wait beside idle capacity."""
+    _try_nothing_more_beside_idle_capacity(monkeypatch)
+
     def covers(refusal: FillerRefusal, step: Step) -> bool:
         return step.millicores >= refusal.step.millicores
 
@@ -79,7 +82,7 @@
     ("mutate", "seed"),
     [
         (_forget_requeued_jobs, ANY_WAITING_JOB),
-        (_keep_off_quarantined_runners, QUARANTINED),
+        (_try_nothing_more_beside_idle_capacity, QUARANTINED),
         (_refuse_by_processors_alone, SMALL_FILLERS),
         (_release_no_expired_run, 0),
     ],
