--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -10,11 +10,12 @@
 
 import pytest
 
-from spoolcrank import placing, run_control
+from spoolcrank import idle_capacity, openings, placing, run_control
+from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState, TaskState
-from spoolcrank.placing_pass import FillerRefusal
+from spoolcrank.openings import Scope, Shortage
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import Step, TaskKey
+from spoolcrank.workflow import Demand, Step, TaskKey
 from tests.fault_plays import Play, play_faults
 from tests.idle_capacity import Violation
 
@@ -60,15 +61,22 @@
     monkeypatch.setattr(Scheduler, "requeue_task", forget)
 
 
-def _keep_off_quarantined_runners(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(placing, "waits_beside_idle_capacity", lambda *facts: False)
+def _try_nothing_more_beside_idle_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(idle_capacity, "_is_mostly_idle", lambda *facts: False)
 
 
 def _refuse_by_processors_alone(monkeypatch: pytest.MonkeyPatch) -> None:
-    def covers(refusal: FillerRefusal, step: Step) -> bool:
-        return step.millicores >= refusal.step.millicores
+    """Let one refusal hold all later fillers, also those that wait beside idle capacity."""
+    _try_nothing_more_beside_idle_capacity(monkeypatch)
 
-    monkeypatch.setattr(FillerRefusal, "covers", covers)
+    def scope_of(service: ServiceName, step: Step, quarantined: bool = False) -> Scope:
+        return openings.scope_of(service, step, quarantined)._replace(label="")
+
+    def rules_out(shortage: Shortage, size: Demand) -> bool:
+        return shortage.missed is None or size.millicores >= shortage.missed.millicores
+
+    monkeypatch.setattr(placing, "scope_of", scope_of)
+    monkeypatch.setattr(Shortage, "rules_out", rules_out)
 
 
 def _release_no_expired_run(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -79,7 +87,7 @@
     ("mutate", "seed"),
     [
         (_forget_requeued_jobs, ANY_WAITING_JOB),
-        (_keep_off_quarantined_runners, QUARANTINED),
+        (_try_nothing_more_beside_idle_capacity, QUARANTINED),
         (_refuse_by_processors_alone, SMALL_FILLERS),
         (_release_no_expired_run, 0),
     ],
