--- a/tests/idle_capacity.py
+++ b/tests/idle_capacity.py
@@ -186,11 +186,14 @@
     def _sample(self) -> None:
         self.world.at(SAMPLE_S, self._sample)
         self._read_records()
-        running = [key for runner in self.world.sized_runners() for key in runner.tasks]
+        running = {key for runner in self.world.sized_runners() for key in runner.tasks}
+        # A run may begin and end between two samples.
+        since = self.world.now - SAMPLE_S
+        running |= {key for key, starts in self.world.starts.items() if starts[-1:] >= [since]}
         for key in running:
             self._last_ran[key] = self.world.now
         if self.watching:
-            self._check(set(running))
+            self._check(running)
 
     def _read_records(self) -> None:
         records = self.world.store.jobs.records
