--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -75,7 +75,9 @@
         return
     if run.stage is not RunStage.RECORDED:
         return
-    why = _reason_not_to_start(runner, now)
+    job = state.jobs.get(bound.task.job)
+    is_open = job is not None and job.has(bound.task)
+    why = _reason_not_to_start(runner, now) if is_open else "its task is finished"
     if why:
         # The reason arose while the start waited. No order was sent: the task may go elsewhere.
         state.release(bound.task, runner, why, now)
@@ -115,6 +117,7 @@
             retained.append((ended_at, job_id))
             continue
         del state.jobs[job_id]
+        state.pending_writes.jobs.pop(job_id, None)
         keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
         state.pending_writes.other_records += [KeyedRecord(key, b"") for key in keys]
     state.ended = retained
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -1,5 +1,6 @@
 """Hold the state of each task of a job, and convert it to and from the stored progress."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -157,6 +158,9 @@
         accepted_at: time of acceptance, monotonic seconds of this process.
         started_at: time when this leader last bound one of its tasks; before the first, when the
             leader added the job.
+        idle_since: time when a run of it last ended or was ordered to stop; before the first, when
+            the leader added the job or opened its first due round.
+        passed_over_at: time of its last turn in which none of its tasks could start.
         objective_s: time from `accepted_at` within which it should finish.
     """
 
@@ -169,6 +173,8 @@
     begun: bool = False
     accepted_at: float = 0.0
     started_at: float = 0.0
+    idle_since: float = 0.0
+    passed_over_at: float = -math.inf
     objective_s: float = 0.0
 
     @property
--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -79,6 +79,7 @@
     ):
         monitor.block_logged = True
         state.log_event("places-nothing", why=block.value, list_age_s=round(list_age_s, 2))
+    state.places_nothing = monitor.block_logged
 
 
 def log_takeover_done(monitor: LeadershipMonitor, state: Scheduler, now: float) -> None:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -128,11 +128,18 @@
     return _score(request, runner, contention, now)
 
 
+def has_room(step: Step, tasks_per_runner: dict[RunnerId, int], runner: RunnerState) -> bool:
+    """Return whether a runner has the capacity for one more task of a step and may take it."""
+    request = PlacementRequest(step, tasks_per_runner, RunnerId(""))
+    return runner.fits(step.demand) and _allowed(request, runner)
+
+
 def fits_when_empty(step: Step, runner: RunnerState) -> bool:
     """Return whether an empty runner has the capacity and the label for one task of the step."""
     capacity, demand = runner.entry.room, step.demand
+    needed_millicores = step.millicores * MIN_IDLE_SHARE if step.fills else demand.millicores
     return (
-        demand.millicores <= capacity.millicores
+        needed_millicores <= capacity.millicores
         and demand.memory_mb <= capacity.memory_mb
         and demand.accelerators <= capacity.accelerators
         and (not step.label or step.label in runner.entry.labels)
@@ -141,7 +148,7 @@
 
 def _allowed(request: PlacementRequest, runner: RunnerState) -> bool:
     step = request.step
-    if step.lasting and not _leaves_reserve(request, runner):
+    if step.lasting and not leaves_reserve(request, runner):
         return False
     if step.label and step.label not in runner.entry.labels:
         return False
@@ -153,7 +160,7 @@
     )
 
 
-def _leaves_reserve(request: PlacementRequest, runner: RunnerState) -> bool:
+def leaves_reserve(request: PlacementRequest, runner: RunnerState) -> bool:
     """Return whether a lasting task leaves the reserve free on a runner.
 
     The reserve does not apply where twice the task's processors are free.
@@ -215,10 +222,36 @@
     return effect
 
 
+def largest_by_idle(runner: RunnerState) -> int:
+    """Return the processors of the largest filler that idle processors allow, millicores.
+
+    The result is negative if they allow none.
+    """
+    return math.ceil(runner.idle_millicores / MIN_IDLE_SHARE)
+
+
+def largest_filler(image: str, runner: RunnerState, contention: ContentionModel, now: float) -> int:
+    """Return the processors of the largest filler of an image that may start, millicores.
+
+    The result is negative if none may. It is rounded up: no filler that may start is larger.
+    """
+    headroom = _filler_headroom(runner, contention, now)
+    if headroom.over:
+        return -1
+    largest = float(largest_by_idle(runner))
+    for serving, allowed in headroom.left:
+        if contention.harmless(serving, image) >= HARMLESS_LIKELIHOOD:
+            continue
+        if allowed < 0:
+            return -1
+        effect = contention.weight(serving, image) * runner.share(1.0)
+        largest = min(largest, allowed / effect) if effect > 0 else largest
+    return math.ceil(largest)
+
+
 def slows_nothing(step: Step, runner: RunnerState, contention: ContentionModel, now: float) -> bool:
     """Return whether a filler could start on a runner without slowing its serving tasks."""
-    request = PlacementRequest(step, {}, RunnerId(""))
-    if not runner.fits(step.demand) or not _allowed(request, runner):
+    if not has_room(step, {}, runner):
         return False
     effect = _filler_effect(step, runner, contention, now)
     return not isinstance(effect, Obstacle) and effect <= NEGLIGIBLE_EFFECT
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -2,13 +2,14 @@
 
 A call without an answer may have been carried out, or may still be carried out seconds later. A
 run therefore counts as gone only when its runner listed its end, when a stop of it was accepted
-and a later poll shows neither the run nor its end, when that incarnation of the runner is over, or
-when every lease that was granted to it has expired.
+and a later poll shows neither the run nor its end, when a poll under a higher fence than that of
+its start shows neither, when that incarnation of the runner is over, or when every lease that was
+granted to it has expired.
 """
 
 from spoolcrank.abnormal_ends import record_abnormal_end
 from spoolcrank.earlier_incarnations import lose_earlier, other_incarnation_answers, take_over_runs
-from spoolcrank.isolation import end_isolation
+from spoolcrank.isolation import end_isolation, limit_exclusive_runners
 from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import (
@@ -31,7 +32,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import MAX_INHERITED_RUN_S, Scheduler
-from spoolcrank.workflow import FINAL, JobPhase, TaskKey
+from spoolcrank.workflow import FINAL, JobPhase, Phase, TaskKey
 
 MAX_START_TRIES = 2
 """Maximum number of times that a start without an answer is sent before the run is stopped
@@ -88,6 +89,9 @@
     if runner is None or runner.gone:
         return
     runner.polling = False
+    if state.resigned and not runner.adopted:
+        # The resignation tells the successor that no lease was granted there.
+        return
     if not answers_for(report.runner, runner.id):
         other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
@@ -113,6 +117,7 @@
             _adopt(state, runner, present, now)
             lose_earlier(state, runner, now)
         _check_absent(state, runner, present, asked_at, now)
+        _release_void_starts(state, runner, present, poll.target.fence, now)
     learn(state, runner, used, now)
     set_paces(state, runner, now)
 
@@ -251,6 +256,27 @@
             state.release(key, runner, "stopped", now)
 
 
+def _release_void_starts(
+    state: Scheduler,
+    runner: RunnerState,
+    present: set[tuple[TaskKey, int]],
+    fence: int,
+    now: float,
+) -> None:
+    """Release the runs that a runner does not list and whose starts its fence has made void.
+
+    While a link lets polls through and no orders, neither a start nor a stop is ever answered, and
+    each poll extends the lease.
+    """
+    for key, run in list(runner.runs.items()):
+        unsettled = run.stage in (RunStage.UNCONFIRMED, RunStage.STOPPING)
+        if unsettled and (key, run.number) not in present and run.start_fence < fence:
+            task = _task_of(state, key)
+            if task is not None:
+                task.refused_by = runner.id
+            state.release(key, runner, "its start is void there", now)
+
+
 def _release_absent_run(
     state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float
 ) -> None:
@@ -297,6 +323,7 @@
             _tick_run(state, runner, key, run, now)
         if runner.is_leaving(now) and runner.adopted:
             _evacuate(state, runner, now)
+    limit_exclusive_runners(state)
 
 
 def _evacuate(state: Scheduler, runner: RunnerState, now: float) -> None:
@@ -312,7 +339,7 @@
 
 
 def _check_leases(state: Scheduler, runner: RunnerState, now: float) -> None:
-    inherited_leases_expired = now - state.predecessor_wrote_at > MAX_INHERITED_RUN_S
+    inherited_leases_expired = now - state.leases_run_from(runner.id) > MAX_INHERITED_RUN_S
     never_reached = not runner.adopted and inherited_leases_expired
     if not never_reached and not runner.surely_ended(now):
         return
@@ -324,7 +351,7 @@
     if run.in_flight or not runner.adopted:
         return
     if run.stage is RunStage.UNCONFIRMED and now - run.since >= ORDER_RETRY_INTERVAL_S:
-        if run.tries < MAX_START_TRIES and key.job in state.jobs:
+        if run.tries < MAX_START_TRIES and _is_current(state, key, runner, run):
             state.order_start(key, runner, run, now)
         else:
             state.stop_run(key, runner.id, now)
@@ -339,6 +366,14 @@
         _check_hung(state, runner, key, run, now)
 
 
+def _is_current(state: Scheduler, key: TaskKey, runner: RunnerState, run: Run) -> bool:
+    """Return whether a task is still bound to a run; the end of a gang's member ends the others."""
+    task = _task_of(state, key)
+    if task is None or task.phase is not Phase.BOUND:
+        return False
+    return (task.runner, task.run) == (runner.id, run.number)
+
+
 def _check_hung(state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float) -> None:
     job = state.jobs.get(key.job)
     if job is None or runner.silent_since is not None or run.percent < 0:
@@ -352,11 +387,12 @@
     else:
         hung_after_s = max(MIN_COUNTED_HUNG_S, expected_s * COUNTED_HUNG_FACTOR)
     # A lack of progress shows only in the time up to the latest report.
-    if run.reported_at - max(run.progress_changed_at, run.since) >= hung_after_s:
-        state.log_event(
-            "task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent
-        )
-        if record_abnormal_end(job.task(key), runner, run, now):
+    if run.reported_at - max(run.progress_changed_at, run.since) < hung_after_s:
+        return
+    state.log_event("task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent)
+    task = _task_of(state, key)
+    if task is not None:
+        task.refused_by = runner.id
+        if record_abnormal_end(task, runner, run, now):
             runner.quarantine(now)
-        job.task(key).refused_by = runner.id
-        state.stop_run(key, runner.id, now)
+    state.stop_run(key, runner.id, now)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -11,12 +11,14 @@
 
 from spoolcrank.contention import ContentionModel
 from spoolcrank.crash_history import CrashHistory, independent_crashes, needs_isolation
+from spoolcrank.hold_watch import HoldWatch
 from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, TaskState
 from spoolcrank.leadership import SELF_FENCE_S
 from spoolcrank.log_events import LogEvent
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.objective import objective_s
+from spoolcrank.openings import Scope
 from spoolcrank.orders import Order, Start, Stop, Target
 from spoolcrank.pending_writes import PendingWrites
 from spoolcrank.placing_pass import FillerRefusal, PlacingPass
@@ -64,6 +66,8 @@
         without: mechanisms that are switched off.
         predecessor_wrote_at: time from which leases of an earlier leader may run, monotonic
             seconds.
+        inherited_since: the same time for runners that the leader before never reached.
+        resigned: whether this leader's resignation is being written.
         contention: model of how fillers slow serving tasks.
         times: model of the run times of tasks.
         extends_until: time until which leases may be extended, monotonic seconds.
@@ -73,6 +77,9 @@
         orders: orders to be sent to runners.
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
+        last_pass: the last pass that was completed.
+        places_nothing: whether no task may be placed now, as what was read is too old.
+        hold_watch: what was logged of jobs that wait beside free capacity.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
 
@@ -84,6 +91,8 @@
         self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
         self.predecessor_wrote_at = predecessor_wrote_at
+        self.inherited_since: dict[RunnerId, float] = {}
+        self.resigned = False
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
         self.ranks = FenceRanks()
@@ -99,7 +108,10 @@
         self.log_events: list[LogEvent] = []
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
-        self.filler_refusals: dict[tuple[ServiceName, str], FillerRefusal] = {}
+        self.last_pass = PlacingPass()
+        self.hold_watch = HoldWatch()
+        self.places_nothing = False
+        self.filler_refusals: dict[Scope, FillerRefusal] = {}
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
@@ -133,7 +145,7 @@
             return
         job = JobState(job_id, record, order)
         job.objective_s = objective_s(job, self.times)
-        job.accepted_at = job.started_at = now
+        job.accepted_at = job.started_at = job.idle_since = now
         if progress is not None:
             job.restore(progress)
             self.crash_history.restore(job)
@@ -253,11 +265,22 @@
         for runner in self.runners.values():
             runner.evacuated = runner.entry.availability_zone in zones
 
+    def leases_run_from(self, runner: RunnerId) -> float:
+        """Return the time from which leases of earlier leaders may run on a runner."""
+        return self.inherited_since.get(runner, self.predecessor_wrote_at)
+
     def target(self, runner: RunnerState) -> Target:
         """Return the address and fence for orders to a runner."""
         fence = self.term * FENCES_PER_TERM + runner.rank
         return Target(runner.id, runner.entry.address, fence)
 
+    def void_start(self, runner: RunnerState, run: Run) -> None:
+        """Raise a runner's fence above that of a start, which its next poll then makes void."""
+        raised = self.target(runner).fence > run.start_fence
+        rank = None if raised else self.ranks.raise_rank(runner.id)
+        if rank is not None:
+            runner.rank = rank
+
     def outranked_by_itself(self, target: Target) -> bool:
         """Return whether this leader gave a later incarnation of the runner a higher fence."""
         return target.fence < self.term * FENCES_PER_TERM + self.ranks.newest(target.runner)
@@ -274,6 +297,7 @@
         if task.phase is Phase.BOUND and task.runner == runner.id and task.run == run.number:
             self.log_event("run-released", task=key, run=run.number, runner=runner.id, why=why)
             task.abandoned_run = run.number
+            job.idle_since = now
             self.requeue_task(job, key, task)
 
     def requeue_task(self, job: JobState, key: TaskKey, task: TaskState) -> None:
@@ -299,6 +323,9 @@
             return
         if run.stage is RunStage.STOPPING:
             return
+        job = self.jobs.get(key.job)
+        if run.stage is RunStage.RUNNING and job is not None:
+            job.idle_since = now
         run.stage = RunStage.STOPPING
         run.since = now
         run.tries = 0
@@ -329,6 +356,7 @@
         size = START_OVERHEAD_BYTES + len(payload) + len(task.saved) if run.tries == 1 else 0
         self.starts.sent(key, run.number, size, now, runner.entry.availability_zone)
         to = self.target(runner)
+        run.start_fence = to.fence
         self.orders.append(Start(to, key, run.number, payload, task.saved, until_ms))
 
     def start_bytes(self, key: TaskKey) -> int:
