Count a request with a body in chunks as unanswered from its last byte on

Callers would see: a request with a body in chunks, sent whole before the end of refusing in a planned stop, is closed with no answer and no line in the log.

Cause: a request counts as whole once the bytes that its Content-Length names have arrived. The length of a body in chunks is known to the parser alone; between the end of the body and the event of the request, the connection counted as one whose request can't be completed any more.

Evidence: test_a_request_that_was_read_is_answered_in_any_turn[chunked-sending] on the code before: 0 answers.

Mend: a request counts as whole also once the parser has let go of it.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -258,6 +258,8 @@
             incoming.pipelined.append(block.rest)
         # The parser of circuits discards what follows a complete request.
         self.http._on_read(sock, block.own)
+        # Only the parser knows the end of a body in chunks.
+        incoming.whole = incoming.whole or sock not in self.http._buffers
 
     def _refuse_raw(self, sock: socket.socket, refusal: Refusal) -> None:
         reply = refusal_reply(refusal, {"Connection": "close"})
--- /dev/null
+++ b/tests/test_web_any_turn.py
@@ -0,0 +1,64 @@
+"""The HTTP server: what was read is answered, in whichever turn of the loop a stop looks at it."""
+
+from collections.abc import Callable, Iterator
+
+import pytest
+from circuits import BaseComponent, Event, handler
+
+from tests.test_web_stop import ServerInThread, read_to_end, request
+
+CHUNKED = (
+    b"POST /now HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+)
+WAIT_S = 2.0
+
+
+class EachTurn(BaseComponent):
+    """Runs an action in every turn of the loop, right before the timers."""
+
+    channel = "each-turn"
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        super().__init__()
+        self._action = action
+
+    @handler("generate_events", channel="*", priority=3)
+    def _on_generate_events(self, event: Event) -> None:
+        self._action()
+        event.reduce_time_left(0.001)
+
+
+@pytest.fixture
+def served() -> Iterator[ServerInThread]:
+    server = ServerInThread()
+    yield server
+    server.close()
+
+
+def close_in_each_turn(served: ServerInThread, state: str) -> None:
+    """Do what a stop does in a state, in every turn after the first bytes were read."""
+    web = served.web
+    act = {"refusing": web.close_idle, "sending": web.close_unanswerable}[state]
+
+    def act_later() -> None:
+        if web._incoming:
+            act()
+
+    served.do(lambda: EachTurn(act_later).register(served._runtime))
+
+
+def answers_to(served: ServerInThread, sent: bytes) -> bytes:
+    conn = served.client()
+    conn.settimeout(WAIT_S)
+    conn.sendall(sent)
+    return read_to_end(conn)
+
+
+@pytest.mark.parametrize("state", ["refusing", "sending"])
+@pytest.mark.parametrize("sent", [request("/now"), CHUNKED], ids=["no body", "chunked"])
+def test_a_request_that_was_read_is_answered_in_any_turn(
+    served: ServerInThread, state: str, sent: bytes
+) -> None:
+    """One with a body in chunks was closed between the end of the body and its handling."""
+    close_in_each_turn(served, state)
+    assert answers_to(served, sent).count(b"HTTP/1.1 200") == 1
