Take the next request of a connection once the answer before it is sent

Callers would see: of pipelined requests the last one gets no answer in a planned stop, and no line says so, if the answer before it has no body (410: unknown job).

Cause: the end of an answer is taken from the empty buffer of its connection. The next answer was given by then, with its bytes still in events: the connection counted as one without work, and was closed.

Evidence: test_pipelined_requests_are_answered_in_any_turn[no body-*] on the code before: 2 of 3 answers.

Mend: what arrives behind a request waits until its answer is passed to the kernel.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -234,7 +234,8 @@
         incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
         if incoming.closing:
             return
-        if incoming.unanswered or incoming.pipelined:
+        # One answer at a time: `_on_written` can't tell the bytes of two answers apart.
+        if incoming.unanswered or incoming.pipelined or sock in self._sending:
             incoming.pipelined.append(data)
             if incoming.is_full:
                 self.server.stop_reading_from(sock)
@@ -319,8 +320,6 @@
         incoming.begin_next()
         if res.close:
             self._begin_close(sock, incoming)
-        elif incoming.pipelined:
-            self.fire(Event.create("pipelined", sock, incoming))
 
     def _begin_close(self, sock: socket.socket, incoming: Incoming) -> None:
         """Stop reading from a connection that closes with an answer that has just been given."""
@@ -361,8 +360,11 @@
         The server has just sent bytes. All events that fill a connection's buffer are handled
         before the first event of this kind.
         """
-        if not self.server.has_unsent_bytes(sock):
-            self._sending.pop(sock, None)
+        if self.server.has_unsent_bytes(sock) or self._sending.pop(sock, None) is None:
+            return
+        incoming = self._incoming.get(sock)
+        if incoming is not None and incoming.pipelined:
+            self.fire(Event.create("pipelined", sock, incoming))
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
--- a/tests/test_web_any_turn.py
+++ b/tests/test_web_any_turn.py
@@ -5,6 +5,7 @@
 import pytest
 from circuits import BaseComponent, Event, handler
 
+from spoolcrank._web import HttpReply, HttpRequest, Reply
 from tests.test_web_stop import ServerInThread, read_to_end, request
 
 CHUNKED = (
@@ -35,6 +36,14 @@
     server.close()
 
 
+def answer_by(served: ServerInThread, answer: Callable[[HttpRequest, Reply], None]) -> None:
+    def take(req: HttpRequest, reply: Reply) -> None:
+        served.requests.append((req, reply))
+        answer(req, reply)
+
+    served.do(lambda: setattr(served.web, "_answer", take))
+
+
 def close_in_each_turn(served: ServerInThread, state: str) -> None:
     """Do what a stop does in a state, in every turn after the first bytes were read."""
     web = served.web
@@ -62,3 +71,17 @@
     """One with a body in chunks was closed between the end of the body and its handling."""
     close_in_each_turn(served, state)
     assert answers_to(served, sent).count(b"HTTP/1.1 200") == 1
+
+
+@pytest.mark.parametrize("state", ["refusing", "sending"])
+@pytest.mark.parametrize("body", [b"", b"now"], ids=["no body", "body"])
+def test_pipelined_requests_are_answered_in_any_turn(
+    served: ServerInThread, state: str, body: bytes
+) -> None:
+    """The last answer was thrown away if the one before it had no body.
+
+    Once that was sent, the connection counted as one without work.
+    """
+    answer_by(served, lambda req, reply: reply(HttpReply(410, {}, body)))
+    close_in_each_turn(served, state)
+    assert answers_to(served, request("/a") * 3).count(b"HTTP/1.1 410") == 3
