Refuse at once a request that the parser can't decode

Callers would see: a request with an undecoded path, a bad port or host, or a body that isn't of its Content-Encoding gets no answer for 10 s; in a planned stop it holds the instance to the forced end and gets none.

Cause: the parser raises on them, and nobody answered.

Evidence: test_a_request_that_cannot_be_decoded_is_refused_at_once on the code before: no answer to any of the eight within 2 s.

Mend: refuse them as not run, and close.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -258,7 +258,11 @@
         if block.rest:
             incoming.pipelined.append(block.rest)
         # The parser of circuits discards what follows a complete request.
-        self.http._on_read(sock, block.own)
+        try:
+            self.http._on_read(sock, block.own)
+        except Exception as exc:  # The parser raises many kinds on what it can't decode.
+            self._refuse_raw(sock, Refusal(ErrorKind.BAD_REQUEST, f"the request: {exc}"))
+            return
         # Only the parser knows the end of a body in chunks.
         incoming.whole = incoming.whole or sock not in self.http._buffers
 
--- a/tests/test_web_any_turn.py
+++ b/tests/test_web_any_turn.py
@@ -13,6 +13,17 @@
 )
 WAIT_S = 2.0
 
+UNREADABLE = [
+    b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /\xc3\xa9 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET http://[ HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /x HTTP/1.1\r\nHost: a:99999\r\n\r\n",
+    b"GET /x HTTP/1.1\r\nHost: [::1\r\n\r\n",
+    b"GET /x HTTP/1.1\r\nHost: \xff\r\n\r\n",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc",
+    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Encoding: deflate\r\nContent-Length: 3\r\n\r\nabc",
+]
+
 
 class EachTurn(BaseComponent):
     """Runs an action in every turn of the loop, right before the timers."""
@@ -85,3 +96,14 @@
     answer_by(served, lambda req, reply: reply(HttpReply(410, {}, body)))
     close_in_each_turn(served, state)
     assert answers_to(served, request("/a") * 3).count(b"HTTP/1.1 410") == 3
+
+
+@pytest.mark.parametrize("sent", UNREADABLE)
+def test_a_request_that_cannot_be_decoded_is_refused_at_once(
+    served: ServerInThread, sent: bytes
+) -> None:
+    """It had no answer for 10 s, and held a planned stop up to its forced end."""
+    received = answers_to(served, sent)
+    assert received.startswith(b"HTTP/1.1 400")
+    assert b"Spoolcrank-Outcome: not-run" in received
+    served.wait(lambda: served.web.unanswered == 0)
