Answer an exception in a handler as a refusal with its headers

Callers would see: a page of the web framework with status 500 and no Spoolcrank-Outcome.

Cause: the handler of such errors compares the code of the event's arguments, which is None there, and raised itself.

Evidence: test_an_exception_in_a_handler_is_answered_as_an_internal_error on the code before.

Mend: take the code from the event.

--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -333,8 +333,9 @@
         self.server.stop_reading_from(sock)
 
     @handler("httperror", priority=1)
-    def _on_httperror(self, event: Event, req: Request, res: Response, code: int, **_: Any) -> None:
-        if code == 500 and getattr(event, "error", None) is None:
+    def _on_httperror(self, event: Event, req: Request, res: Response, *_: Any, **__: Any) -> None:
+        code = event.code
+        if code == 500 and event.error is None:
             return
         kind = ErrorKind.BAD_REQUEST if code < 500 else ErrorKind.INTERNAL
         refusal = Refusal(kind, f"the request could not be read (HTTP {code})")
--- a/tests/test_web_any_turn.py
+++ b/tests/test_web_any_turn.py
@@ -1,6 +1,7 @@
 """The HTTP server: what was read is answered, in whichever turn of the loop a stop looks at it."""
 
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
 from circuits import BaseComponent, Event, handler
@@ -107,3 +108,18 @@
     assert received.startswith(b"HTTP/1.1 400")
     assert b"Spoolcrank-Outcome: not-run" in received
     served.wait(lambda: served.web.unanswered == 0)
+
+
+def test_an_exception_in_a_handler_is_answered_as_an_internal_error(
+    served: ServerInThread,
+) -> None:
+    """The answer was a page of the web framework without the headers of a refusal."""
+
+    def fail(req: HttpRequest, reply: Reply) -> Any:
+        raise ValueError(req.path)
+
+    answer_by(served, fail)
+    received = answers_to(served, request("/a"))
+    assert received.startswith(b"HTTP/1.1 500")
+    assert b"Spoolcrank-Error: internal" in received
+    served.wait(lambda: served.web.unanswered == 0)
