--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -238,7 +238,8 @@
         incoming = self._incoming.setdefault(sock, Incoming(time.monotonic()))
         if incoming.closing:
             return
-        if incoming.unanswered or incoming.pipelined:
+        # One answer at a time: `_on_written` can't tell the bytes of two answers apart.
+        if incoming.unanswered or incoming.pipelined or sock in self._sending:
             incoming.pipelined.append(data)
             if incoming.is_full:
                 self.server.stop_reading_from(sock)
@@ -261,7 +262,13 @@
         if block.rest:
             incoming.pipelined.append(block.rest)
         # The parser of circuits discards what follows a complete request.
-        self.http._on_read(sock, block.own)
+        try:
+            self.http._on_read(sock, block.own)
+        except Exception as exc:  # The parser raises many kinds on what it can't decode.
+            self._refuse_raw(sock, Refusal(ErrorKind.BAD_REQUEST, f"the request: {exc}"))
+            return
+        # Only the parser knows the end of a body in chunks.
+        incoming.whole = incoming.whole or sock not in self.http._buffers
 
     def _refuse_raw(self, sock: socket.socket, refusal: Refusal) -> None:
         reply = refusal_reply(refusal, {"Connection": "close"})
@@ -321,8 +328,6 @@
         incoming.begin_next()
         if res.close:
             self._begin_close(sock, incoming)
-        elif incoming.pipelined:
-            self.fire(Event.create("pipelined", sock, incoming))
 
     def _begin_close(self, sock: socket.socket, incoming: Incoming) -> None:
         """Stop reading from a connection that closes with an answer that has just been given."""
@@ -332,8 +337,9 @@
         self.server.stop_reading_from(sock)
 
     @handler("httperror", priority=1)
-    def _on_httperror(self, event: Event, req: Request, res: Response, code: int, **_: Any) -> None:
-        if code == 500 and getattr(event, "error", None) is None:
+    def _on_httperror(self, event: Event, req: Request, res: Response, *_: Any, **__: Any) -> None:
+        code = event.code
+        if code == 500 and event.error is None:
             return
         kind = ErrorKind.BAD_REQUEST if code < 500 else ErrorKind.INTERNAL
         refusal = Refusal(kind, f"the request could not be read (HTTP {code})")
@@ -363,8 +369,11 @@
         The server has just sent bytes. All events that fill a connection's buffer are handled
         before the first event of this kind.
         """
-        if not self.server.has_unsent_bytes(sock):
-            self._sending.pop(sock, None)
+        if self.server.has_unsent_bytes(sock) or self._sending.pop(sock, None) is None:
+            return
+        incoming = self._incoming.get(sock)
+        if incoming is not None and incoming.pipelined:
+            self.fire(Event.create("pipelined", sock, incoming))
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
