Start held fillers slowly beside idle capacity

Callers would see an accepted job of fillers with nothing running for good while most of its service is idle (rule LOST: 3 s): the only obstacle is the filler's effect on serving tasks. OVER_TARGET holds it beside a tail that stays over its target, whatever the cause; HARM holds a filler whose image is new or was once taken for harmful, and as it never starts, the belief is never tested again.

Now a job with no task bound that waits beside idle capacity for 2 s starts one task of a filler's step where its believed effect is smallest, runners over their target last, within memory, processors, accelerators and label, one such start per runner at a time. It counts at a pace of 10 % from its binding, which is ordered as soon as its start is known; pacing raises, slows and halts it as any other. Nothing changes where some runner takes the filler, or from half of the capacity in use.

--- a/spoolcrank/filler_pace.py
+++ b/spoolcrank/filler_pace.py
@@ -43,6 +43,14 @@
     state.log_event("paced", task=key, run=run.number, runner=runner.id, percent=pace)
 
 
+def order_starting_pace(
+    state: Scheduler, runner: RunnerState, key: TaskKey, run: Run, now: float
+) -> None:
+    """Order the pace of a run that has just started and starts slowly."""
+    if run.starts_slowly:
+        order_pace(state, runner, key, run, run.pace, now)
+
+
 def slow_fillers_for(state: Scheduler, runner: RunnerState, image: str, now: float) -> None:
     """Slow fillers down as the model predicts, before a serving task of an image starts running."""
     weight = state.contention.weight
--- /dev/null
+++ b/spoolcrank/held_fillers.py
@@ -0,0 +1,234 @@
+"""Start fillers that every runner refuses for their effect, slowly and one at a time.
+
+A filler is refused beside serving tasks that it is expected to slow too much, or one of which is
+over its target. Whether the expectation is right shows only while such a filler runs. Where most
+capacity is idle, a job with nothing running therefore starts one filler all the same, at a low
+pace; from then on its pace follows the tail latencies beside it, as that of any other filler.
+"""
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from spoolcrank.binding import bind
+from spoolcrank.contention import ContentionModel
+from spoolcrank.crash_history import independent_crashes, needs_isolation
+from spoolcrank.idle_capacity import waits_beside_idle_capacity
+from spoolcrank.ids import ServiceName
+from spoolcrank.isolation import without_suspects
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
+from spoolcrank.packing import (
+    HARMLESS_LIKELIHOOD,
+    Obstacle,
+    filler_obstacle,
+    has_room,
+    max_effect,
+)
+from spoolcrank.placing_pass import FillerRefusal, Kind, PlacingPass
+from spoolcrank.runner_state import RunnerState
+from spoolcrank.runs import RunStage
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import Demand, Step, TaskKey
+
+RETRY_S = 0.1
+"""Interval between two searches for held fillers, seconds."""
+
+STARTING_PACE_PERCENT = 10
+"""Pace at which a held filler starts, percent. At it, a filler of usual weight and size raises a
+tail latency by a tenth."""
+
+UNDER_WAY_S = 0.1
+"""Time after its start for which a held filler keeps others off its runner, seconds. Its low pace
+takes effect within it. Runners with several held fillers each need this time for each of them,
+and a job counts as lost a second after it is recognised as held."""
+
+MAX_PAIRS = 4000
+"""Number of pairs of task and runner that one search may evaluate. At 14 microseconds a pair,
+it takes 0.06 s."""
+
+_EFFECTS = (Obstacle.HARM, Obstacle.OVER_TARGET)
+
+Pools = Mapping[ServiceName, list[RunnerState]]
+
+
+class _Needs(NamedTuple):
+    """What decides which runners suit a filler whose task has no history."""
+
+    service: ServiceName
+    image: str
+    millicores: int
+    demand: Demand
+    label: str
+    lasting: bool
+
+
+Ranked = list[tuple[tuple[float, ...], RunnerState]]
+"""Runners that refuse a filler for its effect, the one that suits best first."""
+
+
+@dataclass
+class _Search:
+    """One search for runners for held fillers.
+
+    Attributes:
+        pools: runners that may receive new work, by service.
+        pairs_left: number of pairs of task and runner that it may still evaluate.
+        ranked: runners for fillers of equal needs; None if some runner takes those.
+        refused: fillers that found no runner, by kind.
+    """
+
+    pools: Pools
+    pairs_left: int = MAX_PAIRS
+    ranked: dict[_Needs, Ranked | None] = field(default_factory=dict)
+    refused: dict[Kind, list[FillerRefusal]] = field(default_factory=dict)
+
+
+def start_held_fillers(state: Scheduler, pools: Pools, current: PlacingPass, now: float) -> None:
+    """Start one filler of each job that waits beside idle capacity with nothing running."""
+    if now - state.held_fillers_at < RETRY_S:
+        return
+    held = [job for job in state.waiting_jobs() if _is_held(state, current, job, now)]
+    if not held:
+        return
+    state.held_fillers_at = now
+    search = _Search(pools)
+    for job in sorted(held, key=lambda held_job: held_job.started_at):
+        if search.pairs_left <= 0:
+            return
+        _start_one(state, job, search, now)
+
+
+def _is_held(state: Scheduler, current: PlacingPass, job: JobState, now: float) -> bool:
+    return (
+        waits_beside_idle_capacity(state, current, job, state.service_of(job), now)
+        and next(iter(job.bound()), None) is None
+    )
+
+
+def _start_one(state: Scheduler, job: JobState, search: _Search, now: float) -> None:
+    service = state.service_of(job)
+    for key, step in _startable(job, now):
+        refusals = search.refused.setdefault((service, step.spec.image), [])
+        if any(refusal.covers(step.spec) for refusal in refusals):
+            continue
+        if _start(state, job, key, step, search, now):
+            return
+        refusals.append(FillerRefusal(step.spec, now))
+
+
+def _startable(job: JobState, now: float) -> Iterator[tuple[TaskKey, StepState]]:
+    """Yield one task of each step of fillers that waits for nothing but a runner."""
+    for round_state in job.rounds.values():
+        for step_number, step in round_state.ready():
+            if not step.spec.fills or step.spec.gang:
+                continue
+            for index in step.waiting:
+                if _waits_for_runner_only(step.tasks[index], now):
+                    yield TaskKey(job.id, round_state.number, step_number, index), step
+                    break
+
+
+def _waits_for_runner_only(task: TaskState, now: float) -> bool:
+    return (
+        task.not_before <= now
+        and task.move_destination == NO_RUNNER
+        and not needs_isolation(task.crashes)
+    )
+
+
+def _start(
+    state: Scheduler, job: JobState, key: TaskKey, step: StepState, search: _Search, now: float
+) -> bool:
+    """Start a filler slowly if every runner refuses it; return False if it cannot start at all."""
+    task = step.tasks[key.number]
+    ranked = _ranked_for(state, state.service_of(job), step.spec, task, search, now)
+    if ranked is None:
+        # Some runner takes it: the usual order of work decides when it starts there.
+        return True
+    runner = next((each for _, each in ranked if not _is_under_way(each, now)), None)
+    if runner is None:
+        return False
+    bind(state, job, key, task.run + 1, runner, now)
+    run = runner.runs[key]
+    run.starts_slowly = True
+    runner.set_pace(run, STARTING_PACE_PERCENT, now)
+    return True
+
+
+def _ranked_for(
+    state: Scheduler,
+    service: ServiceName,
+    step: Step,
+    task: TaskState,
+    search: _Search,
+    now: float,
+) -> Ranked | None:
+    """Return the runners that refuse a filler for its effect, or None if some runner takes it."""
+    runners = [*search.pools.get(service, []), *state.quarantined(service, now)]
+    if independent_crashes(task.crashes):
+        runners = without_suspects(runners) or runners
+    if task.crashes or task.refused_by != NO_RUNNER:
+        search.pairs_left -= len(runners)
+        return _ranking(step, task, runners, state.contention, now)
+    needs = _Needs(service, step.image, step.millicores, step.demand, step.label, step.lasting)
+    if needs not in search.ranked:
+        search.pairs_left -= len(runners)
+        search.ranked[needs] = _ranking(step, task, runners, state.contention, now)
+    return search.ranked[needs]
+
+
+def _ranking(
+    step: Step,
+    task: TaskState,
+    runners: Sequence[RunnerState],
+    contention: ContentionModel,
+    now: float,
+) -> Ranked | None:
+    ranked: Ranked = []
+    for runner in runners:
+        # No task of a held job is on a runner, so that no limit for each runner applies.
+        if not has_room(step, {}, runner):
+            continue
+        obstacle = filler_obstacle(step, runner, contention, now)
+        if obstacle is None:
+            return None
+        if obstacle in _EFFECTS:
+            ranked.append((_rank(step, task, runner, obstacle, contention, now), runner))
+    return sorted(ranked, key=lambda candidate: candidate[0])
+
+
+def _rank(
+    step: Step,
+    task: TaskState,
+    runner: RunnerState,
+    obstacle: Obstacle,
+    contention: ContentionModel,
+    now: float,
+) -> tuple[float, ...]:
+    """Return how badly a runner suits a filler that it refuses (lower is better)."""
+    harmless = all(
+        contention.harmless(image, step.image) >= HARMLESS_LIKELIHOOD for image in runner.serving
+    )
+    effect = max_effect(step.image, runner.share(step.millicores), runner, contention)
+    return (
+        0.0 if runner.usable(now) else 1.0,
+        1.0 if obstacle is Obstacle.OVER_TARGET and not harmless else 0.0,
+        1.0 if runner.id == task.refused_by else 0.0,
+        round(effect, 1),
+        _highest_tail_ratio(runner),
+        float(-runner.idle_millicores),
+    )
+
+
+def _is_under_way(runner: RunnerState, now: float) -> bool:
+    """Return whether a held filler starts on the runner and may still work at full pace."""
+    return any(
+        run.starts_slowly and (run.stage is not RunStage.RUNNING or now - run.since < UNDER_WAY_S)
+        for run in runner.runs.values()
+    )
+
+
+def _highest_tail_ratio(runner: RunnerState) -> float:
+    return max(
+        (run.tail_ms / run.target_ms for run in runner.runs.values() if run.serves), default=0.0
+    )
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -8,6 +8,7 @@
 from spoolcrank.filler_pace import slow_fillers_for
 from spoolcrank.filler_refusals import keep_place, record_refusal, was_refused
 from spoolcrank.gangs import place_gang
+from spoolcrank.held_fillers import start_held_fillers
 from spoolcrank.idle_capacity import waits_beside_idle_capacity
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
@@ -139,7 +140,10 @@
     for rank, job in ready:
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, current, now)
         if current.spent:
-            return _end_part(state, current)
+            break
+    start_held_fillers(state, pools, current, now)
+    if current.spent:
+        return _end_part(state, current)
     state.placing = PlacingPass()
     state.starts.held_back = False
     return True
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -8,6 +8,7 @@
 
 from spoolcrank.abnormal_ends import record_abnormal_end
 from spoolcrank.earlier_incarnations import lose_earlier, other_incarnation_answers, take_over_runs
+from spoolcrank.filler_pace import order_starting_pace
 from spoolcrank.isolation import end_isolation
 from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
@@ -190,6 +191,7 @@
     if run.stage in (RunStage.ORDERED, RunStage.UNCONFIRMED):
         run.stage = RunStage.RUNNING
         run.since = now
+        order_starting_pace(state, runner, row.task, run, now)
     if run.has_crash_evidence:
         clear_outlived(state, row.task, run, now)
     if row.percent != max(0, run.percent):
--- a/spoolcrank/runs.py
+++ b/spoolcrank/runs.py
@@ -55,6 +55,8 @@
         has_crash_evidence: whether runners crashed during earlier runs of its task and this run has
             not yet lived much longer than those.
         suspect: whether it has crash evidence of a crash without a common cause with others.
+        starts_slowly: whether its pace has to be ordered as soon as it runs, because it is a filler
+            that was refused for its effect on serving tasks.
     """
 
     number: int
@@ -86,6 +88,7 @@
     inherited: bool = False
     has_crash_evidence: bool = False
     suspect: bool = False
+    starts_slowly: bool = False
 
     def worked_s(self, now: float) -> float:
         """Return the time that the run has worked, in seconds at full pace."""
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -75,6 +75,7 @@
         orders: orders to be sent to runners.
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
+        held_fillers_at: time of the last search for held fillers, monotonic seconds.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
 
@@ -104,6 +105,7 @@
         self.ready: dict[JobId, None] = {}
         self.placing = PlacingPass()
         self.filler_refusals: dict[Kind, list[FillerRefusal]] = {}
+        self.held_fillers_at = -math.inf
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
