--- a/spoolcrank/_web.py
+++ b/spoolcrank/_web.py
@@ -19,7 +19,7 @@
 
 from spoolcrank._timers import Timers
 from spoolcrank._web_incoming import Incoming
-from spoolcrank._web_sockets import AcceptResult, WebSockets
+from spoolcrank._web_sockets import AcceptResult, StopCounts, WebSockets
 from spoolcrank.errors import ANSWERS, ErrorKind, Refusal
 
 PARTIAL_REQUEST_TIMEOUT_S = 10.0
@@ -70,26 +70,6 @@
     read_at: float
 
 
-class StopCounts(NamedTuple):
-    """What a stop did to connections, as far as the server can know it.
-
-    A request that reaches a connection after its close is not among them: its client sees a reset.
-
-    Attributes:
-        closed_idle: connections without any bytes of a request that the server closed.
-        found_at_close: connections on which bytes were found as they were to be closed as idle.
-        closed_half_sent: connections closed with a partly received request.
-        closed_unread: connections closed with unread bytes, at any time of the process.
-        refused_leaving: requests that were refused because the instance leaves.
-    """
-
-    closed_idle: int
-    found_at_close: int
-    closed_half_sent: int
-    closed_unread: int
-    refused_leaving: int
-
-
 Reply = Callable[[HttpReply], None]
 RequestHandler = Callable[[HttpRequest, Reply], None]
 
--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -23,6 +23,26 @@
     failure: str = ""
 
 
+class StopCounts(NamedTuple):
+    """What a stop did to connections, as far as the server can know it.
+
+    A request that reaches a connection after its close is not among them: its client sees a reset.
+
+    Attributes:
+        closed_idle: connections without any bytes of a request that the server closed.
+        found_at_close: connections on which bytes were found as they were to be closed as idle.
+        closed_half_sent: connections closed with a partly received request.
+        closed_unread: connections closed with unread bytes, at any time of the process.
+        refused_leaving: requests that were refused because the instance leaves.
+    """
+
+    closed_idle: int
+    found_at_close: int
+    closed_half_sent: int
+    closed_unread: int
+    refused_leaving: int
+
+
 class WebSockets(TCPServer):
     """Listener with its connections.
 
--- a/spoolcrank/openings.py
+++ b/spoolcrank/openings.py
@@ -55,7 +55,7 @@
 
     def rules_out(self, size: Demand) -> bool:
         """Return whether what is known shows that no task of a size fits."""
-        if self.missed is not None and _covers(size, self.missed):
+        if self.missed is not None and covers(size, self.missed):
             return True
         return self.openings is not None and not is_covered(size, self.openings)
 
@@ -103,7 +103,7 @@
             opening = Demand(millicores, opening.memory_mb, opening.accelerators)
             if not _adds(opening, largest):
                 continue
-        largest = [other for other in largest if not _covers(opening, other)]
+        largest = [other for other in largest if not covers(opening, other)]
         largest.append(opening)
     return tuple(largest)
 
@@ -123,7 +123,8 @@
     return not is_covered(opening, openings)
 
 
-def _covers(larger: Demand, smaller: Demand) -> bool:
+def covers(larger: Demand, smaller: Demand) -> bool:
+    """Return whether a demand is at least as large as another in every part."""
     return (
         smaller.millicores <= larger.millicores
         and smaller.memory_mb <= larger.memory_mb
@@ -133,4 +134,4 @@
 
 def is_covered(size: Demand, openings: Sequence[Demand]) -> bool:
     """Return whether a task of a size fits in some opening."""
-    return any(_covers(opening, size) for opening in openings)
+    return any(covers(opening, size) for opening in openings)
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -7,6 +7,7 @@
 from spoolcrank.filler_claims import claim, leaves_place
 from spoolcrank.filler_pace import slow_fillers_for
 from spoolcrank.gangs import place_gang
+from spoolcrank.held_fillers import start_held_fillers
 from spoolcrank.idle_capacity import last_resort
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import place_isolated, waits_for_isolation, without_suspects
@@ -53,7 +54,10 @@
     for rank, job in ready:
         _place_job(state, job, Prospect(max(0, rank[3][0])), pools, current, now)
         if current.spent:
-            return _end_part(state, current)
+            break
+    start_held_fillers(state, pools, current, now)
+    if current.spent:
+        return _end_part(state, current)
     state.last_pass, state.placing = current, PlacingPass()
     state.starts.held_back = False
     return True
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -9,6 +9,7 @@
 
 from spoolcrank.abnormal_ends import record_abnormal_end
 from spoolcrank.earlier_incarnations import lose_earlier, other_incarnation_answers, take_over_runs
+from spoolcrank.filler_pace import order_starting_pace
 from spoolcrank.isolation import end_isolation, limit_exclusive_runners
 from spoolcrank.job_state import TaskState
 from spoolcrank.mechanisms import Mechanism
@@ -192,6 +193,7 @@
     if run.stage in (RunStage.ORDERED, RunStage.UNCONFIRMED):
         run.stage = RunStage.RUNNING
         run.since = now
+        order_starting_pace(state, runner, row.task, run, now)
     if run.has_crash_evidence:
         clear_outlived(state, row.task, run, now)
     if row.percent != max(0, run.percent):
@@ -263,11 +265,8 @@
     fence: int,
     now: float,
 ) -> None:
-    """Release the runs that a runner does not list and whose starts its fence has made void.
-
-    While a link lets polls through and no orders, neither a start nor a stop is ever answered, and
-    each poll extends the lease.
-    """
+    """Release the runs that a runner does not list and whose starts its fence has made void."""
+    # A link that lets polls through and no orders leaves both unanswered while leases go on.
     for key, run in list(runner.runs.items()):
         unsettled = run.stage in (RunStage.UNCONFIRMED, RunStage.STOPPING)
         if unsettled and (key, run.number) not in present and run.start_fence < fence:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -80,6 +80,7 @@
         last_pass: the last pass that was completed.
         places_nothing: whether no task may be placed now, as what was read is too old.
         hold_watch: what was logged of jobs that wait beside free capacity.
+        held_fillers_at: time of the last search for held fillers, monotonic seconds.
         ended: ended jobs whose records are still stored, with the time of their end.
     """
 
@@ -112,6 +113,7 @@
         self.hold_watch = HoldWatch()
         self.places_nothing = False
         self.filler_refusals: dict[Scope, FillerRefusal] = {}
+        self.held_fillers_at = -math.inf
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from spoolcrank._web import HttpReply, HttpRequest, StopCounts, UnsentAnswer
-from spoolcrank._web_sockets import AcceptResult
+from spoolcrank._web import HttpReply, HttpRequest, UnsentAnswer
+from spoolcrank._web_sockets import AcceptResult, StopCounts
 from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.open_requests import OpenRequests
