Take no filler that was halted for hung once it works again

Callers would see a run that pacing had halted stopped as soon as its full pace was restored, and that end counted against its task and its runner, which was put in quarantine: time without progress was counted from the last change of its percent, the halt included, and only a pace below 100 is exempt.

Evidence (simulated): a filler was halted for 18 s beside a tail over its target for another cause; its pace went from 0 to 100 in one order once the tail fell to 0.7 of the target, and it was stopped and started again: 2 starts where the test allows 1, on the code before.

Now the time counts from the last order of a pace, too.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -357,8 +357,9 @@
         hung_after_s = max(MIN_HUNG_S, expected_s * HUNG_FACTOR)
     else:
         hung_after_s = max(MIN_COUNTED_HUNG_S, expected_s * COUNTED_HUNG_FACTOR)
-    # A lack of progress shows only in the time up to the latest report.
-    if run.reported_at - max(run.progress_changed_at, run.since) >= hung_after_s:
+    # A lack of progress shows only in the time up to the latest report, and at full pace.
+    expected_since = max(run.progress_changed_at, run.since, run.paced_at)
+    if run.reported_at - expected_since >= hung_after_s:
         state.log_event(
             "task-hangs", task=key, run=run.number, runner=runner.id, percent=run.percent
         )
--- a/tests/test_filler_waits.py
+++ b/tests/test_filler_waits.py
@@ -407,3 +407,16 @@
     key = add(state, "ee", FILLER)
     place(state, NOW, 0.0)
     assert key in under.runs and key not in over.runs
+
+
+def test_a_filler_that_was_halted_for_long_is_not_taken_for_hung_once_it_works_again() -> None:
+    """Guards against a stop, counted against task and runner, of each filler that is set free."""
+    world = PacedWorld(1.1, 0.0, 0.0)
+    world.submit("entry-0", "b", FILLER, work_s=60.0)
+    key = TaskKey(JobId("b"), 0, 0, 0)
+    world.run(20.0)
+    assert world.ordered[key][-1] == 0
+    world.ratio = 0.7
+    world.run(20.0)
+    assert world.ordered[key][-1] == 100
+    assert len(world.starts[key]) == 1
