Let an instance lead only once it has read every record up to its claim

What callers saw: TWICE is what this leads to: work that was done, and whose end its runner was told to forget, runs again. Cause: an instance took over as soon as its claim was read and its copy counted as loaded. A copy that is loaded anew comes in pages, each as of its own time, and is complete only up to the log's end at the first page. A claim sent before the load, and carried out during it, was read in a later page. Jobs accepted and begun by the leader before it, after the page in which they would stand, were unknown then. Their ends were dropped (`end-not-ours`, job unknown) and let go by the runners; once the job's record was read, its runs were ordered again, refused as ended, released as stopped and started anew. Change: taking over waits until the copy holds every record up to the claim. Line `takeover-waits` tells of it, `took-over` the offset that was read to. Why it works: the store refuses a deposed leader's records, so all that earlier leaders did stands before the claim.

--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -12,7 +12,7 @@
 
 from spoolcrank.keyed_log import LEADER_KEY, OFFER_KEY, KeyedRecord
 from spoolcrank.leader_writer import FIRST_SEQUENCE
-from spoolcrank.leadership import Leadership, Offer, decode_offer
+from spoolcrank.leadership import Claim, Leadership, Offer, decode_claim, decode_offer
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.store_port import Append, Appended, AppendOutcome, LogPort, WriterFence
 from spoolcrank.telemetry import Telemetry
@@ -52,6 +52,45 @@
         self._conditional_term = 0
         self._conditional_claims_left = 0
         self._newest_offer = -1
+        self._claim_offset = -1
+        self._wait_logged = False
+
+    def read_claim(self, record: KeyedRecord, now: float) -> Claim | None:
+        """Return the claim in a record if it differs from the newest one read before."""
+        claim = decode_claim(record.value)
+        if not self.leadership.read_claim(claim, now):
+            return None
+        self._claim_offset = record.offset
+        self._wait_logged = False
+        return claim
+
+    def may_take_over(self) -> bool:
+        """Return whether this instance leads and has read every record up to its claim.
+
+        A claim may be read among the newest records of a copy that is being loaded. The copy may
+        then lack jobs that were accepted and begun before the claim.
+        """
+        if not self.leadership.leads:
+            return False
+        if self._follower.copy.contains(self._claim_offset):
+            return True
+        self._log_wait()
+        return False
+
+    def _log_wait(self) -> None:
+        """Log once for each claim that taking over waits for the log."""
+        if self._wait_logged:
+            return
+        self._wait_logged = True
+        copy = self._follower.copy
+        self._telemetry.log(
+            "takeover-waits",
+            important=True,
+            term=self.leadership.claim.term,
+            claim=self._claim_offset,
+            offset=copy.next_offset,
+            loaded=copy.loaded,
+        )
 
     def claim_or_offer(self, now: float) -> None:
         """Claim or offer if that is due; only for an instance that does not lead."""
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -25,7 +25,7 @@
     kind_of,
 )
 from spoolcrank.leader_writer import AppendTiming, LeaderWriter, PendingAppend
-from spoolcrank.leadership import NO_SUCCESSOR, SELF_FENCE_S, Claim, Leadership, decode_claim
+from spoolcrank.leadership import NO_SUCCESSOR, SELF_FENCE_S, Claim, Leadership
 from spoolcrank.leadership_monitor import (
     LeadershipMonitor,
     PlacingBlock,
@@ -184,8 +184,8 @@
         self._decide_soon()
 
     def _on_claim(self, record: KeyedRecord, now: float) -> None:
-        claim = decode_claim(record.value)
-        if not self.leadership.read_claim(claim, now):
+        claim = self._claiming.read_claim(record, now)
+        if claim is None:
             return
         self._telemetry.log(
             "leader",
@@ -197,7 +197,7 @@
         )
         if self.scheduler is not None:
             self._step_down("a newer claim was read")
-        if self.leadership.leads and self._follower.copy.loaded:
+        if self._claiming.may_take_over():
             self._take_over(claim.term, now)
 
     def _on_offer(self, record: KeyedRecord, now: float) -> None:
@@ -256,8 +256,7 @@
             self.leadership.record_log_failure()
         scheduler = self.scheduler
         if scheduler is None:
-            # A claim may be read back before the copy is completely loaded.
-            if self.leadership.leads and self._follower.copy.loaded:
+            if self._claiming.may_take_over():
                 self._take_over(self.leadership.claim.term, now)
             else:
                 self._claiming.claim_or_offer(now)
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -130,6 +130,10 @@
             self.read_at = max(self.read_at, asked_at)
         return new_records
 
+    def contains(self, offset: int) -> bool:
+        """Return whether the copy is complete up to and including the record at an offset."""
+        return self.loaded and self.next_offset > offset
+
     def apply(self, record: KeyedRecord) -> None:
         """Apply a record whose offset is known, unless the copy has a newer one of its key."""
         newest = self.newest.get(record.key)
--- a/spoolcrank/takeover.py
+++ b/spoolcrank/takeover.py
@@ -33,7 +33,13 @@
     for key, record in list(copy.newest.items()):
         if record.value and kind_of(key) is RecordKind.JOB:
             read_job(scheduler, copy, record, telemetry, now, time_of_day_ms, taking_over=True)
-    telemetry.log("took-over", important=True, term=scheduler.term, jobs=len(scheduler.jobs))
+    telemetry.log(
+        "took-over",
+        important=True,
+        term=scheduler.term,
+        jobs=len(scheduler.jobs),
+        offset=copy.next_offset,
+    )
 
 
 def read_job(
--- a/tests/fleet_store.py
+++ b/tests/fleet_store.py
@@ -91,6 +91,7 @@
         self.refused_instances: set[str] = set()
         self.unanswered_instances: set[str] = set()
         self.slow_reads_s: dict[str, float] = {}
+        self.slow_pages_s: dict[str, float] = {}
         self.silent = False
         self.slow_s = 0.0
         self.lost_append_answer_share = 0.0
@@ -164,7 +165,8 @@
             return
         page = [record for record in self.topic.newest() if record.key > after_key]
         answer = NewestPage(True, tuple(page[:7]), len(page) > 7, len(self.topic.records))
-        self._answer_after(self.store.answer_s, done, answer)
+        delay_s = self.store.slow_pages_s.get(self.instance.name, self.store.answer_s)
+        self._answer_after(delay_s, done, answer)
 
     def _is_unreachable(self) -> bool:
         return self.store.silent or self.instance.name in self.store.refused_instances
