Store the runs that were given up before their ends were known

Callers saw: a task whose run had failed behind a partition was started again after its last permitted attempt, if another leader heard of the failure. With two such runs only the newest could count, and none once a later run had been withdrawn before it was ordered.

Cause: the number of one run that was given up was kept in memory only, at each release. The next leader took its failure for one that was counted.

Change: these runs are part of the stored progress of their job until their ends are known, at most 16 for a task, the newest; a failure of an older one does not count. Only runs that were ordered, and whose runner was lost or silent for all leases, can be listed later. For a gang its first task holds them, so that a failure counts once whichever members list it. The failure and the removal are in the same record: a failure that is stored does not count again, one whose record is lost counts under the next leader.

Records: the new field is the fourth element of the progress, left out where it is empty, so that other records are as long as before. msgspec fills missing elements of an array-like struct with defaults and skips surplus ones: former records are read, and the former version reads records with the field and drops it.

--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -8,6 +8,7 @@
 from spoolcrank.decoding import Unreadable
 from spoolcrank.ids import JobId
 from spoolcrank.workflow import (
+    AbandonedRuns,
     CrashEvidence,
     JobPhase,
     JobRecord,
@@ -34,8 +35,7 @@
         saved: newest checkpoint.
         failures: number of failed runs.
         crashes: evidence of runners that crashed during its newest runs.
-        abandoned_run: newest run that was released before its end was known; its failure still
-            counts.
+        saved_run: run that reported `saved`, in this leader's term; 0 if unknown.
         refused_by: runner of the last failure; a retry prefers another.
         abnormal_ends: number of runs that were refused, hung or failed, in this leader's term.
         abnormal_end_runners: runners to which those ends were attributed, in this leader's term.
@@ -53,7 +53,7 @@
     saved: str = ""
     failures: int = 0
     crashes: tuple[CrashEvidence, ...] = ()
-    abandoned_run: int = 0
+    saved_run: int = 0
     refused_by: RunnerId = NO_RUNNER
     abnormal_ends: int = 0
     abnormal_end_runners: tuple[RunnerId, ...] = ()
@@ -69,6 +69,11 @@
         """Return whether the task has no state that must be stored."""
         return self.phase is Phase.WAITING and self.run == 0 and self.preassigned == NO_RUNNER
 
+    def record_checkpoint(self, saved: str, run: int) -> None:
+        """Record a checkpoint of a run, if there is one; that of an older run changes nothing."""
+        if saved and run >= self.saved_run:
+            self.saved, self.saved_run = saved, run
+
 
 @dataclass
 class StepState:
@@ -162,6 +167,8 @@
             the leader added the job or opened its first due round.
         passed_over_at: time of its last turn in which none of its tasks could start.
         objective_s: time from `accepted_at` within which it should finish.
+        abandoned: runs that were given up before their ends were known, by accountable task; stored
+            in the progress.
     """
 
     id: JobId
@@ -176,6 +183,7 @@
     idle_since: float = 0.0
     passed_over_at: float = -math.inf
     objective_s: float = 0.0
+    abandoned: dict[TaskKey, AbandonedRuns] = field(default_factory=dict)
 
     @property
     def lasting(self) -> bool:
@@ -235,6 +243,10 @@
         """Return the state of a task, whose round must be open."""
         return self.rounds[key.round].steps[key.step].tasks[key.number]
 
+    def accountable_key(self, key: TaskKey) -> TaskKey:
+        """Return the key of the task that records the failures of a run."""
+        return key._replace(number=0) if self.record.workflow.steps[key.step].gang else key
+
     def accountable(self, key: TaskKey) -> TaskState:
         """Return the task that records the failures of a run; its round must be open."""
         return self.rounds[key.round].steps[key.step].accountable(key.number)
@@ -262,7 +274,8 @@
                 stored_step = _stored_step(number, step_number, step)
                 if stored_step is not None:
                     stored_steps.append(stored_step)
-        return Progress(self.phase.value, tuple(stored_steps), self.rounds_done)
+        abandoned = tuple(self.abandoned.values())
+        return Progress(self.phase.value, tuple(stored_steps), self.rounds_done, abandoned)
 
     def restore(self, progress: Progress) -> None:
         """Load the progress that an earlier leader stored.
@@ -285,6 +298,9 @@
                 step.finish_all()
             for stored_task in stored_step.tasks:
                 _restore_task(step, stored_task)
+        for entry in progress.abandoned:
+            key = TaskKey(self.id, entry.round, entry.step, entry.number)
+            self.abandoned[key] = entry
 
 
 def _stored_step(number: int, step_number: int, step: StepState) -> StoredStep | None:
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -212,8 +212,7 @@
         # An earlier leader started it from a preassignment and could not store that it did.
         job.begin()
         state.pending_writes.add_changed_job(job.id)
-    if row.saved:
-        job.task(row.task).saved = row.saved
+    job.task(row.task).record_checkpoint(row.saved, row.run)
     if job.phase in FINAL and run.stage is RunStage.RUNNING:
         state.stop_run(row.task, runner.id, now)
 
--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -5,6 +5,7 @@
 still waits or has a newer run by then; a failure in such a run counts as one attempt of the task.
 """
 
+from spoolcrank.abandoned_runs import is_abandoned, settle
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import EndedRow, EndKind
@@ -37,7 +38,7 @@
         how=how.value,
         start_ms=round(max(0.0, run.since - run.bound_at) * 1000.0),
     )
-    task.saved = saved or task.saved
+    task.record_checkpoint(saved, run.number)
     job.idle_since = now
     step = job.rounds[key.round].steps[key.step]
     state.pending_writes.add_changed_job(job.id)
@@ -69,17 +70,19 @@
         state.pending_writes.add_changed_job(job.id)
         _finish_task(state, job, key, step, task, now)
         return True
-    if task.abandoned_run != row.run:
+    if not is_abandoned(job, key, row.run):
         return False
     _log_late_end(state, runner, row, task)
-    task.abandoned_run = 0
-    if task.phase is Phase.WAITING and row.saved:
-        task.saved = row.saved
-        state.pending_writes.add_changed_job(job.id)
+    state.pending_writes.add_changed_job(job.id)
+    if task.phase is Phase.WAITING:
+        task.record_checkpoint(row.saved, row.run)
     if row.how is EndKind.FAILED:
         task.refused_by = runner.id
-        state.pending_writes.add_changed_job(job.id)
+        settle(job, key, row.run)
         _count_failure(state, job, step.accountable(key.number), now)
+    elif not step.spec.gang:
+        # Another member of a gang may still list a failure of the same run.
+        settle(job, key, row.run)
     return True
 
 
@@ -121,6 +124,7 @@
 def _finish_task(
     state: Scheduler, job: JobState, key: TaskKey, step: StepState, task: TaskState, now: float
 ) -> None:
+    job.abandoned.pop(job.accountable_key(key), None)
     if step.spec.gang:
         step.finish_all()
     else:
--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from spoolcrank.abandoned_runs import abandon
 from spoolcrank.common_cause import failure_of, find_cause
 from spoolcrank.crash_history import (
     Crash,
@@ -61,8 +62,7 @@
         )
     if crashed:
         task_evidence = _evidence_of_failure(state, runner, failure, now, proved=True)
-    for key in list(runner.runs):
-        state.release(key, runner, "runner gone", now)
+    _give_up_runs(state, runner, "runner gone", now)
     for key, evidence in task_evidence:
         _record_evidence(state, key, evidence, now)
     confirm_crash(state, runner.id, now)
@@ -76,8 +76,7 @@
     unconfirmed = (
         _evidence_of_failure(state, runner, failure, now, proved=False) if presumed_crashed else []
     )
-    for key in list(runner.runs):
-        state.release(key, runner, "every lease has passed", now)
+    _give_up_runs(state, runner, "every lease has passed", now)
     for key, evidence in unconfirmed:
         _record_evidence(state, key, evidence, now)
     if unconfirmed:
@@ -86,6 +85,23 @@
         )
 
 
+def _give_up_runs(state: Scheduler, runner: RunnerState, why: str, now: float) -> None:
+    """Release all runs of a runner, which may still list the ends of those that were ordered."""
+    for key, run in list(runner.runs.items()):
+        job = state.jobs.get(key.job)
+        if run.ordered_at is not None and job is not None and job.has(key):
+            _abandon_run(job, key, run)
+        state.release(key, runner, why, now)
+
+
+def _abandon_run(job: JobState, key: TaskKey, run: Run) -> None:
+    task = job.task(key)
+    ends_by_itself = not job.record.workflow.steps[key.step].lasting
+    is_current = task.phase is Phase.BOUND and task.run == run.number
+    if ends_by_itself and is_current and job.phase not in FINAL:
+        abandon(job, key, run.number)
+
+
 def runner_answers(state: Scheduler, runner: RunnerState, now: float) -> None:
     """Settle unconfirmed crashes by an answer: this runner is alive, or it replaces another one.
 
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -220,6 +220,7 @@
         self.ready.pop(job.id, None)
         self.recurring_jobs.pop(job.id, None)
         job.drop_preassigned()
+        job.abandoned.clear()
         self.ended.append((now, job.id))
         self.log_event("job-ended", job=job.id, phase=phase.value)
         for key, task in list(job.bound()):
@@ -298,7 +299,6 @@
         task = job.task(key)
         if task.phase is Phase.BOUND and task.runner == runner.id and task.run == run.number:
             self.log_event("run-released", task=key, run=run.number, runner=runner.id, why=why)
-            task.abandoned_run = run.number
             job.idle_since = now
             self.requeue_task(job, key, task)
 
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -228,6 +228,25 @@
     tasks: tuple[StoredTask, ...] = ()
 
 
+MAX_ABANDONED_RUNS = 16
+"""Maximum number of abandoned runs stored for one task, the newest. A run on a silent runner is
+given up after a lease at least, so that 16 of them take about two minutes."""
+
+
+class AbandonedRuns(msgspec.Struct, array_like=True, frozen=True):
+    """The stored runs of one task that were given up before their ends were known.
+
+    Attributes:
+        round, step, number: the task; the first one of a gang, for all its members.
+        runs: numbers of the runs, rising, at most MAX_ABANDONED_RUNS.
+    """
+
+    round: int
+    step: int
+    number: int
+    runs: tuple[int, ...] = ()
+
+
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
     """The complete stored state of one job, written by the leader only.
 
@@ -235,11 +254,13 @@
         phase: a `JobPhase` value.
         steps: steps that have left their initial state.
         rounds_done: number of leading rounds that are done; `steps` omits them.
+        abandoned: runs that were given up before their ends were known; not written if empty.
     """
 
     phase: str
     steps: tuple[StoredStep, ...] = ()
     rounds_done: int = 0
+    abandoned: tuple[AbandonedRuns, ...] = ()
 
 
 encode = msgspec.json.Encoder().encode
@@ -257,7 +278,10 @@
 def encode_progress(progress: Progress) -> bytes:
     """Return the stored form: one letter for the phase, then the compressed progress."""
     code = bytes((_PHASE_CODES[progress.phase],))
-    return code + zlib.compress(encode(progress), PROGRESS_LEVEL)
+    fields = msgspec.structs.astuple(progress)
+    if not progress.abandoned:
+        fields = fields[:-1]
+    return code + zlib.compress(encode(fields), PROGRESS_LEVEL)
 
 
 COMPRESSED_PREFIX = b"z"
