Count a failed run of a gang once, whichever members list it

Callers saw: a gang of which two members failed in the same run was shown as failed after fewer runs than its queue permits. A gang fails as a whole, and may fail maxAttempts times.

Cause: each end `failed` counted at the gang's first task, for every member.

Change: the newest run of a gang whose failure was counted is stored beside the runs that were given up, for gangs that have failed only. A member's failure in that run, listed to the same leader or the next one, or after a given-up run, does not count again.

Evidence: three of the four new tests fail on the code before (two failures instead of one); the fourth guards that each run counts.

--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -5,7 +5,7 @@
 still waits or has a newer run by then; a failure in such a run counts as one attempt of the task.
 """
 
-from spoolcrank.abandoned_runs import is_abandoned, settle
+from spoolcrank.abandoned_runs import is_abandoned, settle, settle_failure
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import EndedRow, EndKind
@@ -52,7 +52,7 @@
             task.not_before = max(task.not_before, now + LASTING_RETRY_DELAY_S)
     state.requeue_task(job, key, task)
     if how is EndKind.FAILED and not step.spec.lasting:
-        _count_failure(state, job, step.accountable(key.number), now)
+        _count_failure(state, job, key, run.number, now)
 
 
 def handle_late_end(state: Scheduler, runner: RunnerState, row: EndedRow, now: float) -> bool:
@@ -78,8 +78,7 @@
         task.record_checkpoint(row.saved, row.run)
     if row.how is EndKind.FAILED:
         task.refused_by = runner.id
-        settle(job, key, row.run)
-        _count_failure(state, job, step.accountable(key.number), now)
+        _count_failure(state, job, key, row.run, now)
     elif not step.spec.gang:
         # Another member of a gang may still list a failure of the same run.
         settle(job, key, row.run)
@@ -115,7 +114,10 @@
         state.times.learn(job.record.route, step.spec.estimate_ms, run.worked_s(now) * 1000.0)
 
 
-def _count_failure(state: Scheduler, job: JobState, accountable: TaskState, now: float) -> None:
+def _count_failure(state: Scheduler, job: JobState, key: TaskKey, run: int, now: float) -> None:
+    if not settle_failure(job, key, run):
+        return
+    accountable = job.accountable(key)
     accountable.failures += 1
     if accountable.failures >= state.max_attempts(job):
         state.fail_job(job, now)
--- a/spoolcrank/workflow.py
+++ b/spoolcrank/workflow.py
@@ -239,12 +239,14 @@
     Attributes:
         round, step, number: the task; the first one of a gang, for all its members.
         runs: numbers of the runs, rising, at most MAX_ABANDONED_RUNS.
+        counted_run: newest run of a gang whose failure was counted; 0 if none.
     """
 
     round: int
     step: int
     number: int
     runs: tuple[int, ...] = ()
+    counted_run: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -236,6 +236,47 @@
     assert _failures(successor) == 1
 
 
+SECOND = FIRST._replace(number=1)
+
+
+def _gang_of_which_one_member_failed() -> Scheduler:
+    state = _new_leader(GANG)
+    assert len(_start(state)) == GANG.count
+    _list(state, "r0", 1)
+    assert _failures(state) == 1
+    return state
+
+
+def test_a_second_member_that_fails_in_the_same_run_is_no_second_attempt() -> None:
+    """Each member that failed counted, so that a gang was given up before its last attempt."""
+    state = _gang_of_which_one_member_failed()
+    _list(state, "r1", 1, key=SECOND)
+    assert _failures(state) == 1
+
+
+def test_a_second_member_that_fails_under_the_next_leader_is_no_second_attempt() -> None:
+    successor = _successor(_gang_of_which_one_member_failed())
+    _list(successor, "r1", 1, key=SECOND)
+    assert _failures(successor) == 1
+
+
+def test_a_second_member_that_is_given_up_is_no_second_attempt() -> None:
+    state = _gang_of_which_one_member_failed()
+    (other,) = [each for each in state.runners.values() if each.runs]
+    handle_expired_leases(state, other, NOW)
+    successor = _successor(state)
+    _list(successor, "r1", 1, key=SECOND)
+    assert _failures(successor) == 1
+
+
+def test_each_run_of_a_gang_that_fails_counts() -> None:
+    state = _gang_of_which_one_member_failed()
+    _list(state, "r1", 1, EndKind.BROKEN, key=SECOND)
+    assert len(_start(state)) == GANG.count
+    _list(state, "r1", 2, key=SECOND)
+    assert _failures(state) == 2
+
+
 def test_the_number_of_runs_that_are_remembered_is_limited() -> None:
     """Beyond the limit the oldest runs are forgotten, and a late failure of one does not count."""
     state = _new_leader()
