Keep a run whose row in a runner's report cannot be read as a whole

A runner listed its run with a checkpoint or a percentage that could not be read; after 1 s the run counted as no longer listed and its task went to another runner. A new leader took such a run for one that had never started.

Cause: the whole row was left out, with the fact that the run is there.

Change: the task and the run of such a row are read by themselves, and the run counts as present. A row that names no run is left out as before: it is no run that was ordered. Ends that cannot be read are acknowledged as before: the run is over, and another start is the only way to finish its task.

--- a/spoolcrank/earlier_incarnations.py
+++ b/spoolcrank/earlier_incarnations.py
@@ -39,6 +39,7 @@
     """Transfer runs that an earlier incarnation was ordered to start to the one that lists them."""
     listed = {(row.task, row.run) for row in report.running}
     listed |= {(row.task, row.run) for row in report.ended}
+    listed.update(report.unreadable_runs)
     for earlier in _earlier(state, runner):
         for key, run in list(earlier.runs.items()):
             job = state.jobs.get(key.job)
--- a/spoolcrank/orders.py
+++ b/spoolcrank/orders.py
@@ -134,6 +134,8 @@
             forgotten.
         unreadable: number of rows of both lists that could not be read and are left out.
         unreadable_ends: the `number` of each unreadable row of `ended`.
+        unreadable_runs: the task and run of each unreadable row of `running` that names them; these
+            runs are present there.
     """
 
     runner: RunnerId
@@ -143,3 +145,4 @@
     whole: bool = True
     unreadable: int = 0
     unreadable_ends: tuple[int, ...] = ()
+    unreadable_runs: tuple[tuple[TaskKey, int], ...] = ()
--- a/spoolcrank/platform/runners.py
+++ b/spoolcrank/platform/runners.py
@@ -85,6 +85,11 @@
     number: _Number
 
 
+class _RunOnly(msgspec.Struct, array_like=True):
+    task: str
+    run: _Number
+
+
 class _HoldAnswer(msgspec.Struct):
     clock: _Clock = msgspec.field(name="clockMs")
     born: _Number | None = None
@@ -104,6 +109,7 @@
 _decode_hold_rows = raises_unreadable(msgspec.json.Decoder(_HoldRows).decode)
 _decode_running = msgspec.json.Decoder(_Running).decode
 _decode_ended = msgspec.json.Decoder(_Ended).decode
+_decode_run = msgspec.json.Decoder(_RunOnly).decode
 _decode_number = raises_unreadable(msgspec.json.Decoder(_NumberOnly).decode)
 _encode = msgspec.json.Encoder().encode
 
@@ -284,9 +290,8 @@
     unreadable = len(unreadable_runs) + len(unreadable_ends)
     complete = len(answer.ended) < MAX_ENDED_ROWS
     runner = _answering_runner(requested, answer.born)
-    return Report(
-        runner, answer.clock, running, ended, complete, unreadable, _decode_numbers(unreadable_ends)
-    )
+    numbers, present = _decode_numbers(unreadable_ends), _decode_runs(unreadable_runs)
+    return Report(runner, answer.clock, running, ended, complete, unreadable, numbers, present)
 
 
 def _answering_runner(requested: RunnerId, born: int | None) -> RunnerId:
@@ -328,3 +333,14 @@
 def _decode_numbers(raw_rows: list[bytes]) -> tuple[int, ...]:
     rows, _ = _decode_rows(_decode_number, raw_rows)
     return tuple(row.number for row in rows)
+
+
+@raises_unreadable
+def _decode_run_reference(raw: bytes) -> tuple[TaskKey, int]:
+    row = _decode_run(raw)
+    return _task_key(row.task), row.run
+
+
+def _decode_runs(raw_rows: list[bytes]) -> tuple[tuple[TaskKey, int], ...]:
+    runs, _ = _decode_rows(_decode_run_reference, raw_rows)
+    return runs
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -108,7 +108,7 @@
     for end in report.ended:
         _handle_end(state, runner, end, now)
     _skip_unreadable_ends(state, runner, report)
-    present = {(row.task, row.run) for row in report.running}
+    present = {(row.task, row.run) for row in report.running} | {*report.unreadable_runs}
     for row in report.running:
         _handle_running(state, runner, row, now)
     if report.whole:
@@ -139,7 +139,8 @@
 def _skip_unreadable_ends(state: Scheduler, runner: RunnerState, report: Report) -> None:
     """Let a runner forget ends that cannot be read, which it would otherwise send with each poll.
 
-    A run of this leader among them is no longer listed as running, and is released for that reason.
+    A run of this leader among them is no longer listed as running, and is released for that reason:
+    it has ended, and nothing shows that it is done.
     """
     if report.unreadable:
         state.log_event("rows-unreadable", runner=runner.id, rows=report.unreadable)
