--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -5,6 +5,7 @@
 still waits or has a newer run by then; a failure in such a run counts as one attempt of the task.
 """
 
+from spoolcrank.abandoned_runs import is_abandoned, settle, settle_failure
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import EndedRow, EndKind
@@ -37,7 +38,7 @@
         how=how.value,
         start_ms=round(max(0.0, run.since - run.bound_at) * 1000.0),
     )
-    task.saved = saved or task.saved
+    task.record_checkpoint(saved, run.number)
     job.idle_since = now
     step = job.rounds[key.round].steps[key.step]
     state.pending_writes.add_changed_job(job.id)
@@ -51,7 +52,7 @@
             task.not_before = max(task.not_before, now + LASTING_RETRY_DELAY_S)
     state.requeue_task(job, key, task)
     if how is EndKind.FAILED and not step.spec.lasting:
-        _count_failure(state, job, step.accountable(key.number), now)
+        _count_failure(state, job, key, run.number, now)
 
 
 def handle_late_end(state: Scheduler, runner: RunnerState, row: EndedRow, now: float) -> bool:
@@ -69,17 +70,18 @@
         state.pending_writes.add_changed_job(job.id)
         _finish_task(state, job, key, step, task, now)
         return True
-    if task.abandoned_run != row.run:
+    if not is_abandoned(job, key, row.run):
         return False
     _log_late_end(state, runner, row, task)
-    task.abandoned_run = 0
-    if task.phase is Phase.WAITING and row.saved:
-        task.saved = row.saved
-        state.pending_writes.add_changed_job(job.id)
+    state.pending_writes.add_changed_job(job.id)
+    if task.phase is Phase.WAITING:
+        task.record_checkpoint(row.saved, row.run)
     if row.how is EndKind.FAILED:
         task.refused_by = runner.id
-        state.pending_writes.add_changed_job(job.id)
-        _count_failure(state, job, step.accountable(key.number), now)
+        _count_failure(state, job, key, row.run, now)
+    elif not step.spec.gang:
+        # Another member of a gang may still list a failure of the same run.
+        settle(job, key, row.run)
     return True
 
 
@@ -112,7 +114,10 @@
         state.times.learn(job.record.route, step.spec.estimate_ms, run.worked_s(now) * 1000.0)
 
 
-def _count_failure(state: Scheduler, job: JobState, accountable: TaskState, now: float) -> None:
+def _count_failure(state: Scheduler, job: JobState, key: TaskKey, run: int, now: float) -> None:
+    if not settle_failure(job, key, run):
+        return
+    accountable = job.accountable(key)
     accountable.failures += 1
     if accountable.failures >= state.max_attempts(job):
         state.fail_job(job, now)
@@ -121,6 +126,7 @@
 def _finish_task(
     state: Scheduler, job: JobState, key: TaskKey, step: StepState, task: TaskState, now: float
 ) -> None:
+    job.abandoned.pop(job.accountable_key(key), None)
     if step.spec.gang:
         step.finish_all()
     else:
