Serve no dropped queue from a configuration that may be old

What callers saw: an instance that had lost the operator's log, but whose other calls to the store were served, told counts of a queue that a newer configuration had dropped, accepted jobs of it, and accepted jobs of a moved queue for its old service. A path of a new queue below the prefix of another one was answered with 400, which is final.

Cause: only the answer "no such queue" asked how old the configuration was.

Change: every request asks for a configuration read at most 1.7 s ago, or read again just then, before its queue is looked up. Without one, counts and new jobs are refused with 503, "not-run" and Retry-After. A job that was accepted exists whatever the configuration: its state, its cancellation and its repeated submission are answered all the same, so a zone that is cut off goes on. A request refused while the configuration is read is no longer handled when the read is answered: its client was told that its job has not run. A fresh copy is confirmed at once and sets no timer.

--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -106,9 +106,13 @@
         """Send no further records or queries to the store; answer only from the local copy."""
         self._ended = True
 
+    def knows(self, job: JobId) -> bool:
+        """Return whether the copy of the log has the accepted job."""
+        return self._index.phase(job) is not None
+
     def submit(self, job: JobId, record: JobRecord, done: Callable[[IntakeOutcome], None]) -> None:
         """Store a job; submitting the same id again refers to the same job."""
-        if self._index.phase(job) is not None:
+        if self.knows(job):
             done(IntakeOutcome.STORED)
             return
         if self._ended:
@@ -175,7 +179,10 @@
 
         An older copy is refreshed first, but no longer once intake has ended.
         """
-        if self._ended and not follower.is_fresh(age_s):
+        if follower.is_fresh(age_s):
+            done(None)
+            return
+        if self._ended:
             done(ErrorKind.LEAVING)
             return
         report = self._with_timeout(done)
--- a/spoolcrank/open_requests.py
+++ b/spoolcrank/open_requests.py
@@ -51,6 +51,9 @@
     def __len__(self) -> int:
         return len(self._requests)
 
+    def __contains__(self, request: OpenRequest) -> bool:
+        return request in self._requests
+
     def begin(self, request: OpenRequest) -> None:
         """Add a request that was read completely."""
         self._requests[request] = None
--- a/spoolcrank/platform/clients.py
+++ b/spoolcrank/platform/clients.py
@@ -63,43 +63,44 @@
         open_request.reply(answer)
 
     def _dispatch(self, open_request: OpenRequest) -> None:
-        req = open_request.request
-        table = self._routes()
-        if table is None:
+        if self._routes() is None:
             self._refuse(open_request, ErrorKind.NOT_READY, "no configuration was read yet")
             return
-        route = _route(table, req)
-        if route is None:
-            self._refuse_unknown_route(open_request)
-        else:
+        open_request.waits = WaitReason.READ
+        self._confirm(lambda failure: self._on_confirmed(open_request, failure))
+
+    def _on_confirmed(self, open_request: OpenRequest, failure: ErrorKind | None) -> None:
+        """Answer a request; `failure` says why the configuration may be old, None if it is not."""
+        if open_request not in self.open_requests:
+            # It was refused meanwhile: its job must not be stored any more.
+            return
+        req, table = open_request.request, self._routes()
+        route = _route(table, req) if table is not None else None
+        version = table.version if table is not None else 0
+        if route is not None and (failure is None or self._holds_in_any_version(req, route)):
             self._on_route(open_request, route)
+        elif failure is not None:
+            self._refuse(open_request, failure, f"version {version} of the queues may be old")
+        else:
+            self._refuse(open_request, ErrorKind.NO_SUCH_PATH, f"no queue in version {version}")
 
-    def _refuse_unknown_route(self, open_request: OpenRequest) -> None:
-        """Refuse a request for an unknown queue after checking for a newer configuration."""
-
-        def on_confirmed(failure: ErrorKind | None) -> None:
-            table = self._routes()
-            route = _route(table, open_request.request) if table is not None else None
-            if route is not None:
-                self._on_route(open_request, route)
-                return
-            version = table.version if table is not None else 0
-            caveat = "" if failure is None else ", which may be old"
-            self._refuse(
-                open_request,
-                failure or ErrorKind.NO_SUCH_PATH,
-                f"no queue in version {version}{caveat}",
-            )
+    def _holds_in_any_version(self, req: HttpRequest, route: Route) -> bool:
+        """Return whether the answer to a request is the same in every configuration.
 
-        open_request.waits = WaitReason.READ
-        self._confirm(on_confirmed)
+        An accepted job exists even if its queue was dropped, so it can be looked up, cancelled and
+        submitted again.
+        """
+        name = _job_name(req, route)
+        if not _is_job_id(name):
+            return False
+        return req.method in ("GET", "DELETE") or self._intake.knows(JobId(name))
 
     def _on_route(self, open_request: OpenRequest, route: Route) -> None:
         req = open_request.request
-        name = req.path[len(route.prefix) :]
+        name = _job_name(req, route)
         if not name and req.method == "GET":
             self._reply_waiting_count(open_request, route)
-        elif not name or not _HEX.issuperset(name):
+        elif not _is_job_id(name):
             self._refuse(open_request, ErrorKind.BAD_REQUEST, "the id must be hex digits")
         else:
             self._on_job(open_request, route, JobId(name))
@@ -233,4 +234,12 @@
     return table.match(req.headers.get("host", ""), req.path)
 
 
+def _job_name(req: HttpRequest, route: Route) -> str:
+    return req.path[len(route.prefix) :]
+
+
+def _is_job_id(name: str) -> bool:
+    return bool(name) and _HEX.issuperset(name)
+
+
 _RETRYABLE = frozenset({ErrorKind.NOT_READY, ErrorKind.LOG_UNAVAILABLE, ErrorKind.LEAVING})
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -46,7 +46,7 @@
 """Time without a store answer after which the instance reports itself not ready, seconds."""
 
 MAX_CONFIGURATION_AGE_S = 1.7
-"""Maximum age of the configuration for answering that a queue does not exist, seconds.
+"""Maximum age of the configuration from which requests are answered, seconds.
 
 An older one is read again first. The platform guarantees that a configuration is in force 2 s
 after it was acknowledged.
