Deny no job from a ledger that may be old

What callers saw: `GET` and `DELETE /jobs/{id}`, `cancel ID` and `why ID` answered 404 for a job that another instance had accepted, at an instance whose copy of the log was old: 0.3 s after the first look, from a ledger of any age, also while the log was down or before it had been read at all. A 404 is final; a caller who cancels a job and gets one believes that it does not run.

Cause: whether a job exists was told from the ledger with no look at its age.

Change: that a job does not exist is told only from a ledger read to the log's end at most 2.5 s ago. Else the answer is 503, "not-run", with Retry-After. Reads wait 0.5 s for records, so in normal operation nothing changes, and no answer takes longer. A job in the ledger is answered from a ledger of any age.

--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -67,6 +67,16 @@
         self._metrics.incr(f"refused.{refusal.kind.value}")
         reply(refusal_reply(refusal))
 
+    def refuse_unknown(self, detail: str, field: str, reply: Reply) -> None:
+        """Answer that a job does not exist, or, from an old ledger, that this is not known."""
+        core, now = self._controller.core, time.monotonic()
+        if core.is_ledger_fresh(now):
+            refusal = Refusal(ErrorKind.NO_SUCH_JOB, detail, field)
+        else:
+            detail += ", but newer records of the log have not been read"
+            refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, field, 1.0)
+        self.refuse(refusal, reply)
+
     def _submit(self, req: HttpRequest, reply: Reply) -> None:
         match parse_job(req.body):
             case Failure(refusal):
@@ -141,7 +151,7 @@
             if known_later is not None:
                 on_found(known_later)
             else:
-                self.refuse(Refusal(ErrorKind.NO_SUCH_JOB, f"no job {job!r}", "id"), reply)
+                self.refuse_unknown(f"no job {job!r}", "id", reply)
 
         self._timers.after(_LOOKUP_RETRY_S, look_up_again)
 
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -242,7 +242,7 @@
         answer = explain.why(self._core, name, answers)
         if answer is None:
             detail = f"unknown id {name!r}: no task, job or recent request has it"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_JOB, detail, name), reply)
+            self._jobs.refuse_unknown(detail, name, reply)
             return
         body = {
             "sentence": answer.sentence,
@@ -259,8 +259,7 @@
             jobs = [JobId(row["id"]) for row in rows if matches(row, command.filters)]
         unknown = [job for job in command.jobs if job not in ledger.jobs]
         if unknown and request.id not in ledger.verdicts:
-            detail = f"no job {unknown[0]!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_JOB, detail, unknown[0]), reply)
+            self._jobs.refuse_unknown(f"no job {unknown[0]!r}", unknown[0], reply)
             return
         if command.preview:
             rows = [summary(ledger, ledger.jobs[job]) for job in jobs]
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -25,6 +25,13 @@
 # Age of the last read to the log's end above which the log counts as unavailable.
 _LOG_TIMEOUT_S = 4.0
 
+MAX_LEDGER_AGE_S = 2.5
+"""Maximum age of the ledger for answering that a job does not exist, seconds.
+
+A read waits 0.5 s for a record, so the ledger is up to 1 s old, and 2 s if the log takes 0.5 s for
+an answer.
+"""
+
 
 class Handover(NamedTuple):
     """An action: notify a peer that it owns a server from now on.
@@ -104,6 +111,10 @@
         log_ok = now - self.log_ok_at <= _LOG_TIMEOUT_S and self.log_ok_at > self.log_failed_at
         return LogStatus(log_ok, self.log_ok_at)
 
+    def is_ledger_fresh(self, now: float) -> bool:
+        """Return whether the ledger has every record that was written `MAX_LEDGER_AGE_S` ago."""
+        return now - self.log_ok_at <= MAX_LEDGER_AGE_S
+
     def server_status(
         self,
         free_slots: Callable[[InstanceId], int],
