Report not ready while the configuration is too old to accept jobs

What callers saw: an instance that had lost the operator's log alone stayed ready, as its reads of the jobs were answered, and kept getting clients whose jobs it refused.

Cause: readiness asked for a read of either log in the last 1.5 s.

Change: a configuration older than 3 s makes the instance not ready as well. Usual reads leave it at most 1.7 s old, those of a store that takes 0.4 s for an answer 2.5 s.

Evidence: tests/test_configuration.py:: test_an_instance_with_an_old_configuration_gets_no_new_clients; its case of 3.5 s fails on the code before.

--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -52,6 +52,12 @@
 after it was acknowledged.
 """
 
+READY_CONFIGURATION_AGE_S = 3.0
+"""Age of the configuration from which the instance reports itself not ready, seconds.
+
+It refuses new jobs then. A store that takes 0.4 s for an answer leaves it 2.5 s old.
+"""
+
 
 class PlatformDaemon:
     """One instance, which accepts jobs and schedules them while it is the leader."""
@@ -212,8 +218,9 @@
         """Return whether the load balancer should send clients to this instance."""
         contacted_at = max(self.follower.copy.read_at, self._configuration.copy.read_at)
         store_answers = time.monotonic() - contacted_at <= STORE_CONTACT_TIMEOUT_S
+        accepts_jobs = self._configuration.is_fresh(READY_CONFIGURATION_AGE_S)
         loaded = self.follower.copy.loaded and self._routes is not None
-        return loaded and store_answers and not self._stopping
+        return loaded and store_answers and accepts_jobs and not self._stopping
 
     def _stop(self, finish: Callable[[], None]) -> None:
         self._stopping = True
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,6 +1,7 @@
 """An unreadable configuration leaves the whole previous configuration in force."""
 
 import json
+import time
 from pathlib import Path
 
 import pytest
@@ -49,3 +50,18 @@
     newer = json.dumps({"version": 9, "routes": [ROUTE]}).encode()
     daemon._on_operator_records([KeyedRecord("config", newer, 3)])
     assert _version(daemon) == 9
+
+
+@pytest.mark.parametrize(("age_s", "ready"), [(2.5, True), (3.5, False)])
+def test_an_instance_with_an_old_configuration_gets_no_new_clients(
+    age_s: float, ready: bool, tmp_path: Path
+) -> None:
+    """It refuses new jobs, though the store answers its reads of the jobs."""
+    daemon = _daemon(tmp_path)
+    first = json.dumps({"version": 7, "routes": [ROUTE]}).encode()
+    daemon._on_operator_records([KeyedRecord("config", first, 1)])
+    now = time.monotonic()
+    daemon.follower.copy.loaded = True
+    daemon.follower.copy.read_at = now
+    daemon._configuration.copy.read_at = now - age_s
+    assert daemon.ready is ready
