Say how old an answer from an old ledger is

What callers and operators saw: the states of jobs, the pages of `ctl show`, `why` and `config`, a preview of `cancel` and `GET /config` looked the same whether the instance had read the log just now or minutes ago.

Cause: no answer carried the age of the copy that it came from.

They are still given: a zone that is cut off shows what it knows. Answers from a fresh ledger are as before.

--- a/spoolcrank/ctl.py
+++ b/spoolcrank/ctl.py
@@ -89,6 +89,14 @@
             console.print(f"{name}: {body[name]}", highlight=False)
     if body.get("not_asked"):
         console.print(f"not asked: zones {', '.join(body['not_asked'])}", style="yellow")
+    if "log_read_s_ago" in body:
+        console.print(_describe_age(body["log_read_s_ago"]), style="yellow")
+
+
+def _describe_age(age_s: float | None) -> str:
+    if age_s is None:
+        return "may be old: the instance has not read the log yet"
+    return f"may be old: the instance read the log {age_s:g} s ago"
 
 
 def _render_rows(rows: list[dict[str, Any]], console: Console) -> None:
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -1,5 +1,6 @@
 """Serve the jobs API: submit, look up and cancel jobs."""
 
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import AnyRecord, JobAccepted, JobsCancelled
 from spoolcrank.routing_stop import LEAVING
+from spoolcrank.state import Core
 
 CONFIRM_TIMEOUT_S = 5.0
 """Time limit for an appended record to be applied, in seconds; then its request is refused."""
@@ -52,16 +54,20 @@
             self._submit(req, reply)
         elif not job and req.method == "GET":
             jobs = [summary(self._ledger, listed) for listed in self._ledger.jobs.values()]
-            reply(json_reply(200, {"jobs": jobs}))
+            reply(json_reply(200, {"jobs": jobs, **self._age()}))
         elif job and req.method == "GET":
-            self._look_up(
-                job, lambda known: reply(json_reply(200, show(self._ledger, known))), reply
-            )
+            self._look_up(job, lambda known: self._show(known, reply), reply)
         elif job and req.method == "DELETE":
             self._look_up(job, lambda known: self._cancel(known, reply), reply)
         else:
             self.refuse(Refusal(ErrorKind.METHOD_NOT_ALLOWED, f"{req.method} is not served"), reply)
 
+    def _show(self, job: Job, reply: Reply) -> None:
+        reply(json_reply(200, show(self._ledger, job) | self._age()))
+
+    def _age(self) -> dict[str, Any]:
+        return ledger_age(self._controller.core, time.monotonic())
+
     def refuse(self, refusal: Refusal, reply: Reply) -> None:
         """Answer a request with an error and count it."""
         self._metrics.incr(f"refused.{refusal.kind.value}")
@@ -166,6 +172,17 @@
         self.record(JobsCancelled(jobs=[job.id], command=command, by="caller"), on_applied, reply)
 
 
+def ledger_age(core: Core, now: float) -> dict[str, Any]:
+    """Return the field `log_read_s_ago` for an answer from an old ledger, none for a fresh one.
+
+    It is the age of the last read to the log's end in seconds, None before the first.
+    """
+    if core.is_ledger_fresh(now):
+        return {}
+    age_s = now - core.log_ok_at
+    return {"log_read_s_ago": round(age_s, 1) if math.isfinite(age_s) else None}
+
+
 def summary(ledger: Ledger, job: Job) -> dict[str, Any]:
     """Return the main fields of a job, with its number of tasks per state."""
     counts: dict[str, int] = {}
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -17,7 +17,7 @@
 from spoolcrank.fleet import Role
 from spoolcrank.ids import CommandId, InstanceId, JobId, unique
 from spoolcrank.jobs import TaskState, refusal_of
-from spoolcrank.jobs_api import JobsApi, summary
+from spoolcrank.jobs_api import JobsApi, ledger_age, summary
 from spoolcrank.language import (
     Cancel,
     ConfigCommand,
@@ -117,13 +117,14 @@
             case Set():
                 self._set(command, request, reply)
             case ConfigCommand():
-                reply(json_reply(200, {"rows": self._config_rows(command.what)}))
+                reply(json_reply(200, {"rows": self._config_rows(command.what), **self._age()}))
 
     def serve_config(self, req: HttpRequest, reply: Reply) -> None:
         """Serve `GET /config`, `POST /config` and `POST /config/check`."""
         if req.method == "GET":
             config = self._controller.config
-            reply(json_reply(200, {"version": config.version, "toml": config.toml}))
+            body = {"version": config.version, "toml": config.toml}
+            reply(json_reply(200, body | self._age()))
             return
         text = req.body.decode("utf-8", "replace")
         match policy.parse(text):
@@ -148,7 +149,14 @@
 
     def _show(self, command: Show, reply: Reply) -> None:
         rows = [row for row in self._rows(command.what) if matches(row, command.filters)]
-        reply(json_reply(200, {"rows": rows, "not_asked": self._unreachable_zones()}))
+        reply(json_reply(200, {"rows": rows, **self._limits()}))
+
+    def _limits(self) -> dict[str, Any]:
+        """Return what an answer may lack: zones without contact, and the newest records."""
+        return {"not_asked": self._unreachable_zones(), **self._age()}
+
+    def _age(self) -> dict[str, Any]:
+        return ledger_age(self._core, time.monotonic())
 
     def _unreachable_zones(self) -> list[str]:
         now = time.monotonic()
@@ -247,7 +255,7 @@
         body = {
             "sentence": answer.sentence,
             "facts": answer.facts,
-            "not_asked": self._unreachable_zones(),
+            **self._limits(),
         }
         reply(json_reply(200, body))
 
@@ -263,7 +271,8 @@
             return
         if command.preview:
             rows = [summary(ledger, ledger.jobs[job]) for job in jobs]
-            reply(json_reply(200, {"rows": rows, "detail": f"would cancel {len(rows)} jobs"}))
+            detail = f"would cancel {len(rows)} jobs"
+            reply(json_reply(200, {"rows": rows, "detail": detail, **self._limits()}))
             return
         record = JobsCancelled(jobs=jobs, command=request.id, by=request.by)
         self._record(record, request.id, reply)
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_old_ledger.py
@@ -1,13 +1,16 @@
-"""The answer about a job that is not in the ledger of an instance whose log copy may be old."""
+"""Answers about jobs from the ledger of an instance that may have read the log long ago."""
 
 import json
 import time
+from io import StringIO
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
+from rich.console import Console
 
 from spoolcrank._web import HttpReply, HttpRequest
+from spoolcrank.ctl import Response, render
 from spoolcrank.decisions import DecisionHistory
 from spoolcrank.ids import AvailabilityZone, Incarnation, InstanceId, JobId, Offset
 from spoolcrank.jobs import JobSpec
@@ -70,6 +73,19 @@
         self._jobs.serve(HttpRequest(method, f"/jobs/{JOB}", {}, {}, b"", ""), answers.append)
         return answers[0]
 
+    def list_jobs(self) -> HttpReply:
+        """Return the list of all jobs."""
+        answers: list[HttpReply] = []
+        self._jobs.serve(HttpRequest("GET", "/jobs", {}, {}, b"", ""), answers.append)
+        return answers[0]
+
+    def read_config(self) -> HttpReply:
+        """Return the configuration in force."""
+        answers: list[HttpReply] = []
+        req = HttpRequest("GET", "/config", {}, {}, b"", "")
+        self._operators.serve_config(req, answers.append)
+        return answers[0]
+
     def command(self, text: str) -> HttpReply:
         """Return the answer to an operator's command."""
         answers: list[HttpReply] = []
@@ -81,6 +97,10 @@
 def _answer(instance: Instance, request: str) -> HttpReply:
     if request in ("GET", "DELETE"):
         return instance.ask(request)
+    if request == "list":
+        return instance.list_jobs()
+    if request == "config":
+        return instance.read_config()
     return instance.command(request)
 
 
@@ -114,3 +134,39 @@
     instance = Instance(OLD_S)
     instance.timers.before_fire = instance.accept
     assert instance.ask("GET").status == 200
+
+
+def _body(answer: HttpReply) -> Any:
+    return json.loads(answer.body)
+
+
+LISTS = [
+    "show jobs",
+    "show config",
+    "config history",
+    "show workers",
+    "show instances",
+    f"why {JOB}",
+    "cancel where team=x preview",
+]
+
+
+@pytest.mark.parametrize("request_text", ["GET", "list", "config", *LISTS])
+def test_an_answer_from_an_old_ledger_says_how_old_it_is(request_text: str) -> None:
+    """An operator took the page of an instance without a log for the present."""
+    for age_s, shown in ((OLD_S, OLD_S), (NEVER_S, None)):
+        instance = Instance(age_s)
+        instance.accept()
+        assert _body(_answer(instance, request_text))["log_read_s_ago"] == shown
+    instance = Instance(MAX_LEDGER_AGE_S / 2)
+    instance.accept()
+    assert "log_read_s_ago" not in _body(_answer(instance, request_text))
+
+
+@pytest.mark.parametrize(
+    ("age_s", "line"), [(3.5, "read the log 3.5 s ago"), (None, "not read the log")]
+)
+def test_the_command_line_shows_that_an_answer_may_be_old(age_s: float | None, line: str) -> None:
+    console = Console(file=StringIO(), width=100)
+    render(Response(200, {"rows": [], "log_read_s_ago": age_s}), console)
+    assert line in cast(StringIO, console.file).getvalue()
