Refuse no job for good by a list of instances that may be old

What callers saw: a job that fits on no listed server was refused for good by an instance that could no longer read the platform's list, although a server that is large enough had been added since.

Cause: the poller said nothing of failed reads, so the last list counted for ever.

Change: a failed or unreadable read of the list is reported to the core (and traced for replays), and until a read succeeds no job is refused as impossible; it waits. The next good read is reported even if the list is unchanged. Missed deadlines are refused as before.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -52,7 +52,8 @@
         if ownership.preferred(job.id, alive) != core.members.me:
             continue
         reason = _missed_deadline(job.spec.deadline_s, job.at, wall)
-        reason = reason or placement.never_fits(job.spec, backends, core.policy)
+        if not reason and core.members.list_ok:
+            reason = placement.never_fits(job.spec, backends, core.policy)
         if reason:
             core.refusals_sent[job.id] = now
             actions.append(Append(JobRefused(job=job.id, reason=reason)))
--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -14,7 +14,7 @@
 from spoolcrank._wire import Answer, Frame, HandoverMessage, Query
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import InstanceId
-from spoolcrank.interference import ClassUseEstimate, ModelSnapshot, PairEstimate
+from spoolcrank.interference import parse_model
 from spoolcrank.log_link import ConfigEntry, LogLink, Snapshot, dump_snapshot, parse_snapshot
 from spoolcrank.logs import log
 from spoolcrank.membership import Heartbeat
@@ -223,6 +223,11 @@
         self.peers.update_addresses(addresses)
         self.log_link.interval_s = max(1, entries) / MAX_APPENDS_PER_S
 
+    @handler("fleet_list_failed", channel="*")
+    def _on_fleet_list_failed(self) -> None:
+        self._trace_input(time.monotonic(), {"kind": "list-failed"})
+        membership.on_list_failed(self.core.members)
+
     @handler("worker_reported", channel="*")
     def _on_worker_reported(self, server: InstanceId, report: Report, sent_at: float) -> None:
         now = time.monotonic()
@@ -279,7 +284,8 @@
 
     def _send_periodic_heartbeat(self) -> None:
         self._timers.after(self.core.policy.membership.heartbeat_s, self._send_periodic_heartbeat)
-        far_interval = max(1, round(self._far_ratio()))
+        members = self.core.policy.membership
+        far_interval = max(1, round(members.far_heartbeat_s / members.heartbeat_s))
         self._send_heartbeat(all_zones=self._seq % far_interval == 0)
 
     def _send_heartbeat(self, all_zones: bool) -> None:
@@ -292,10 +298,6 @@
             (near if same_zone else far).append(instance.id)
         self.peers.broadcast(near + (far if all_zones else []), heartbeat)
 
-    def _far_ratio(self) -> float:
-        members = self.core.policy.membership
-        return members.far_heartbeat_s / members.heartbeat_s
-
     def _heartbeat(self, now: float) -> Heartbeat:
         members = self.core.members
         return Heartbeat(
@@ -320,11 +322,7 @@
         self.peers.broadcast(peers, Query(0, WHAT_LEARNED, text))
 
     def _merge_learned(self, text: str) -> str:
-        pairs, uses = json.loads(text)
-        snapshot = ModelSnapshot(
-            [PairEstimate(*pair) for pair in pairs], [ClassUseEstimate(*use) for use in uses]
-        )
-        self.core.interference_model.merge_snapshot(snapshot, time.monotonic())
+        self.core.interference_model.merge_snapshot(parse_model(text), time.monotonic())
         return ""
 
     def ask(self, to: InstanceId, what: str, text: str, done: Callable[[str | None], None]) -> None:
--- a/spoolcrank/events.py
+++ b/spoolcrank/events.py
@@ -23,6 +23,10 @@
     """The platform's instance list arrived: `(instances: list[Instance],)`."""
 
 
+class fleet_list_failed(Event):
+    """The platform's instance list could not be read: `()`."""
+
+
 class peer_heard(Event):
     """A message from a peer arrived: `(frame: Frame,)`."""
 
--- a/spoolcrank/instance_poller.py
+++ b/spoolcrank/instance_poller.py
@@ -5,7 +5,7 @@
 
 from spoolcrank._http import HttpCall, HttpClient, HttpResult
 from spoolcrank._timers import Timers
-from spoolcrank.events import fleet_listed
+from spoolcrank.events import fleet_list_failed, fleet_listed
 from spoolcrank.fleet import parse_list
 from spoolcrank.ids import Address
 from spoolcrank.metrics import Metrics
@@ -15,7 +15,11 @@
 
 
 class InstancePoller(BaseComponent):
-    """A poller of the instance list, which fires `fleet_listed` whenever the list changes."""
+    """A poller of the instance list.
+
+    It fires `fleet_listed` when the list has changed and after a failed read, and
+    `fleet_list_failed` for each failed read.
+    """
 
     channel = "instances"
 
@@ -37,14 +41,19 @@
     def _on_result(self, result: HttpResult) -> None:
         self._timers.after(_POLL_INTERVAL_S, self.begin)
         if not result.ok:
-            self._metrics.incr("instances.failed")
+            self._fail("failed")
             return
         if result.body == self._last_body:
             return
         try:
             instances = parse_list(result.body)
         except ValidationError:
-            self._metrics.incr("instances.unreadable")
+            self._fail("unreadable")
             return
         self._last_body = result.body
         self.fire(fleet_listed(instances))
+
+    def _fail(self, why: str) -> None:
+        self._metrics.incr(f"instances.{why}")
+        self._last_body = b""
+        self.fire(fleet_list_failed())
--- a/spoolcrank/interference.py
+++ b/spoolcrank/interference.py
@@ -6,6 +6,7 @@
 are undone step by step.
 """
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -81,6 +82,14 @@
     uses: list[ClassUseEstimate]
 
 
+def parse_model(text: str) -> ModelSnapshot:
+    """Return the snapshot from its JSON text."""
+    pairs, uses = json.loads(text)
+    return ModelSnapshot(
+        [PairEstimate(*pair) for pair in pairs], [ClassUseEstimate(*use) for use in uses]
+    )
+
+
 class Estimate(NamedTuple):
     """The learned slowdown caused by one task, and when it was last confirmed."""
 
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -74,7 +74,11 @@
 
 @dataclass
 class Members:
-    """What one entry instance knows of the fleet."""
+    """What one entry instance knows of the fleet.
+
+    Attributes:
+        list_ok: Whether the last read of the platform's list succeeded.
+    """
 
     me: InstanceId
     incarnation: Incarnation
@@ -82,6 +86,7 @@
     started_at: float
     listed: dict[InstanceId, Instance] = field(default_factory=dict)
     listed_at: float | None = None
+    list_ok: bool = True
     peers: dict[InstanceId, Peer] = field(default_factory=dict)
     witness_at: float = float("-inf")
     leaving: bool = False
@@ -91,6 +96,12 @@
     """Replace the listed instances by the platform's list."""
     members.listed = {instance.id: instance for instance in instances}
     members.listed_at = now
+    members.list_ok = True
+
+
+def on_list_failed(members: Members) -> None:
+    """Record that the platform's list could not be read, so the listed instances may be old."""
+    members.list_ok = False
 
 
 def on_heartbeat(members: Members, heartbeat: Heartbeat, now: float) -> bool:
--- a/spoolcrank/replay.py
+++ b/spoolcrank/replay.py
@@ -119,6 +119,8 @@
         case "list":
             listed = [Instance.model_validate(instance) for instance in trace_input["instances"]]
             membership.on_list(core.members, listed, now)
+        case "list-failed":
+            membership.on_list_failed(core.members)
         case "beat":
             frame = _wire.FrameReader().feed(base64.b64decode(trace_input["frame"]))[0]
             if isinstance(frame.message, Heartbeat):
