Deny no service or instance by a list that may be old

What callers saw: a call of a service that the platform's list had named only since an instance lost it got 404, which is final; so did `drain` and `declare-lost` of a server added since.

Cause: that something is not listed was told from a list of any age.

Change: while the list can't be read, the answer is 503, "not-run", with Retry-After. While it can, answers are as before.

Evidence: tests/test_old_list.py; its 3 cases of these answers fail on the code before. The stub of an instance's jobs API and commands moves from tests/test_old_ledger.py to tests/entry_api.py, as both files use it.

--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -18,7 +18,7 @@
 from spoolcrank.ids import Caller, InstanceId, RequestId, ServiceName, unique
 from spoolcrank.keyed_requests import REQUEST_ID_HEADER, KeyedRequests
 from spoolcrank.logs import log
-from spoolcrank.membership import Heartbeat, other_entries
+from spoolcrank.membership import Heartbeat, other_entries, refuse_unlisted
 from spoolcrank.metrics import Metrics
 from spoolcrank.owned_server import Phase
 from spoolcrank.records import join_key
@@ -156,7 +156,8 @@
         if req.method == "HEAD":
             return Refusal(ErrorKind.METHOD_NOT_ALLOWED, "HEAD is not served", "method")
         if not self._is_listed(service):
-            return Refusal(ErrorKind.NO_SUCH_SERVICE, f"no service {service!r}", "service")
+            kind, detail = ErrorKind.NO_SUCH_SERVICE, f"no service {service!r}"
+            return refuse_unlisted(self._core.members, kind, detail, "service")
         return parse_headers(request, service, req, self._core.policy.routing.deadline_ms, now)
 
     def _is_listed(self, service: ServiceName) -> bool:
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -16,6 +16,7 @@
 from spoolcrank.jobs import JobSpec, TaskState, parse_job
 from spoolcrank.ledger import Job, Ledger, Task, job_state
 from spoolcrank.logs import log
+from spoolcrank.membership import refuse_unlisted
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import AnyRecord, JobAccepted, JobsCancelled
 from spoolcrank.routing_stop import LEAVING
@@ -83,6 +84,12 @@
             refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, field, 1.0)
         self.refuse(refusal, reply)
 
+    def refuse_unlisted(self, detail: str, field: str, reply: Reply) -> None:
+        """Answer that an instance does not exist, or, from an old list, that this is not known."""
+        members = self._controller.core.members
+        refusal = refuse_unlisted(members, ErrorKind.NO_SUCH_INSTANCE, detail, field)
+        self.refuse(refusal, reply)
+
     def _submit(self, req: HttpRequest, reply: Reply) -> None:
         match parse_job(req.body):
             case Failure(refusal):
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -9,12 +9,16 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import AvailabilityZone, ConfigVersion, Epoch, Incarnation, InstanceId, Rack
 from spoolcrank.ledger import Ledger
 from spoolcrank.policy import Policy
 from spoolcrank.resources import Resources
 
+RETRY_AFTER_S = 1.0
+"""Time to wait before a retry while the platform's list cannot be read: two polls, in seconds."""
+
 
 class ServerStatus(NamedTuple):
     """The status of one backend server as its owner sends it to its peers.
@@ -255,3 +259,14 @@
     """Return the rack of an instance, empty if it is not listed."""
     listed = members.listed.get(instance)
     return listed.rack if listed else Rack("")
+
+
+def refuse_unlisted(members: Members, kind: ErrorKind, detail: str, field: str) -> Refusal:
+    """Return the refusal of a request for something that is not on the platform's list.
+
+    It is of the given kind, or, while the list cannot be read, one that asks for a retry.
+    """
+    if members.list_ok:
+        return Refusal(kind, detail, field)
+    detail += ", but the list of instances may be old"
+    return Refusal(ErrorKind.NOT_READY, detail, field, RETRY_AFTER_S)
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -282,7 +282,7 @@
         racks = {instance.rack for instance in listed.values()}
         if command.target not in listed and command.target not in racks:
             detail = f"no instance or rack {command.target!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_INSTANCE, detail, command.target), reply)
+            self._jobs.refuse_unlisted(detail, command.target, reply)
             return
         record = Drained(target=command.target, on=command.on, command=request.id, by=request.by)
         self._record(record, request.id, reply)
@@ -299,7 +299,7 @@
         )
         if row is None:
             detail = f"no backend server {server!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_INSTANCE, detail, server), reply)
+            self._jobs.refuse_unlisted(detail, server, reply)
             return
         if row["ready"]:
             detail = f"{server} answers its owner {row['owner']}; it is not lost"
--- a/tests/test_old_ledger.py
+++ b/tests/test_old_ledger.py
@@ -1,100 +1,22 @@
 """Answers about jobs from the ledger of an instance that may have read the log long ago."""
 
 import json
-import time
 from io import StringIO
-from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 from rich.console import Console
 
-from spoolcrank._web import HttpReply, HttpRequest
+from spoolcrank._web import HttpReply
 from spoolcrank.ctl import Response, render
-from spoolcrank.decisions import DecisionHistory
-from spoolcrank.ids import AvailabilityZone, Incarnation, InstanceId, JobId, Offset
-from spoolcrank.jobs import JobSpec
-from spoolcrank.jobs_api import JobsApi
-from spoolcrank.ledger_records import apply
-from spoolcrank.membership import Members
-from spoolcrank.metrics import Metrics
-from spoolcrank.operators import Operators
-from spoolcrank.published_config import PublishedConfig
-from spoolcrank.records import Envelope, JobAccepted
-from spoolcrank.state import MAX_LEDGER_AGE_S, Core, new_core
+from spoolcrank.state import MAX_LEDGER_AGE_S
+from tests.entry_api import JOB, EntryApi
 
 OLD_S = MAX_LEDGER_AGE_S + 1.0
 NEVER_S = float("inf")
-JOB = JobId("job-1")
-
-
-class ImmediateTimers:
-    """Timers that fire at once, after the action that a test has set."""
-
-    def __init__(self) -> None:
-        self.before_fire = lambda: None
-
-    def after(self, delay_s: float, action: Any) -> None:
-        self.before_fire()
-        action()
-
-
-class Instance:
-    """The jobs API and the operators' commands of one instance, over a ledger of a given age."""
-
-    def __init__(self, age_s: float) -> None:
-        now = time.monotonic()
-        members = Members(
-            InstanceId("entry-a1"), Incarnation("entry-a1-1"), AvailabilityZone("a"), now
-        )
-        self.core: Core = new_core(members)
-        self.core.log_ok_at = now - age_s
-        self.timers = ImmediateTimers()
-        untyped: Any = (
-            SimpleNamespace(core=self.core, config=PublishedConfig(), responders={}),
-            self.timers,
-        )
-        controller, timers = untyped
-        self._jobs = JobsApi(controller, timers, Metrics())
-        self._operators = Operators(controller, self._jobs, DecisionHistory(), timers, Metrics())
-
-    def accept(self) -> None:
-        """Apply the record of a job."""
-        record = JobAccepted(job=JOB, spec=JobSpec(name="x"))
-        apply(
-            self.core.ledger,
-            Offset(0),
-            Envelope(writer=Incarnation("w"), seq=1, at=1.0, record=record),
-        )
-
-    def ask(self, method: str) -> HttpReply:
-        """Return the answer about the job."""
-        answers: list[HttpReply] = []
-        self._jobs.serve(HttpRequest(method, f"/jobs/{JOB}", {}, {}, b"", ""), answers.append)
-        return answers[0]
-
-    def list_jobs(self) -> HttpReply:
-        """Return the list of all jobs."""
-        answers: list[HttpReply] = []
-        self._jobs.serve(HttpRequest("GET", "/jobs", {}, {}, b"", ""), answers.append)
-        return answers[0]
-
-    def read_config(self) -> HttpReply:
-        """Return the configuration in force."""
-        answers: list[HttpReply] = []
-        req = HttpRequest("GET", "/config", {}, {}, b"", "")
-        self._operators.serve_config(req, answers.append)
-        return answers[0]
-
-    def command(self, text: str) -> HttpReply:
-        """Return the answer to an operator's command."""
-        answers: list[HttpReply] = []
-        body = json.dumps({"text": text}).encode()
-        self._operators.serve(HttpRequest("POST", "/commands", {}, {}, body, ""), answers.append)
-        return answers[0]
-
-
-def _answer(instance: Instance, request: str) -> HttpReply:
+
+
+def _answer(instance: EntryApi, request: str) -> HttpReply:
     if request in ("GET", "DELETE"):
         return instance.ask(request)
     if request == "list":
@@ -111,7 +33,7 @@
 @pytest.mark.parametrize("age_s", [OLD_S, NEVER_S])
 def test_an_old_ledger_denies_no_job(request_text: str, age_s: float) -> None:
     """An instance whose log was down denied, for good, a job that another one had accepted."""
-    answer = _answer(Instance(age_s), request_text)
+    answer = _answer(EntryApi(age_s), request_text)
     assert answer.status == 503
     assert "Retry-After" in answer.headers
     assert answer.headers["Spoolcrank-Outcome"] == "not-run"
@@ -119,19 +41,19 @@
 
 @pytest.mark.parametrize("request_text", REQUESTS)
 def test_a_fresh_ledger_denies_an_unknown_job(request_text: str) -> None:
-    assert _answer(Instance(MAX_LEDGER_AGE_S / 2), request_text).status == 404
+    assert _answer(EntryApi(MAX_LEDGER_AGE_S / 2), request_text).status == 404
 
 
 def test_an_old_ledger_answers_for_the_jobs_that_it_has() -> None:
     """A zone that is cut off goes on with what it knows."""
-    instance = Instance(OLD_S)
+    instance = EntryApi(OLD_S)
     instance.accept()
     assert instance.ask("GET").status == 200
     assert instance.command(f"why {JOB}").status == 200
 
 
 def test_a_job_that_is_read_while_it_is_looked_up_is_found() -> None:
-    instance = Instance(OLD_S)
+    instance = EntryApi(OLD_S)
     instance.timers.before_fire = instance.accept
     assert instance.ask("GET").status == 200
 
@@ -155,10 +77,10 @@
 def test_an_answer_from_an_old_ledger_says_how_old_it_is(request_text: str) -> None:
     """An operator took the page of an instance without a log for the present."""
     for age_s, shown in ((OLD_S, OLD_S), (NEVER_S, None)):
-        instance = Instance(age_s)
+        instance = EntryApi(age_s)
         instance.accept()
         assert _body(_answer(instance, request_text))["log_read_s_ago"] == shown
-    instance = Instance(MAX_LEDGER_AGE_S / 2)
+    instance = EntryApi(MAX_LEDGER_AGE_S / 2)
     instance.accept()
     assert "log_read_s_ago" not in _body(_answer(instance, request_text))
 
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -1,10 +1,15 @@
 """Decisions and answers of an instance that can no longer read the platform's list of instances."""
 
 import json
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from spoolcrank import assignment, membership
 from spoolcrank._http import CallFailure, HttpCall, HttpResult
+from spoolcrank._web import HttpReply, HttpRequest
+from spoolcrank.callers import Callers
 from spoolcrank.fleet import Instance, Role, dump_list
 from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId
 from spoolcrank.instance_poller import InstancePoller
@@ -15,6 +20,7 @@
 from spoolcrank.owned_server import Append
 from spoolcrank.records import Envelope, JobAccepted, JobRefused
 from spoolcrank.state import Core, new_core
+from tests.entry_api import EntryApi
 
 ZONE = AvailabilityZone("a")
 ME = InstanceId("entry-a1")
@@ -85,6 +91,9 @@
     def after(self, delay_s: float, action: Any) -> None:
         """Poll no further."""
 
+    def every(self, period_s: float, action: Any) -> None:
+        """Do nothing periodically."""
+
 
 def test_a_failed_read_of_the_list_is_reported_and_so_is_the_next_good_one() -> None:
     """An unchanged list is reported once only, but again after a failure."""
@@ -100,3 +109,35 @@
         http.result = result
         poller.begin()
     assert fired == ["fleet_listed", "fleet_list_failed", "fleet_listed", "fleet_list_failed"]
+
+
+def _call_service(list_ok: bool) -> HttpReply:
+    """Return the answer to a call of a service that no listed instance has."""
+    core = new_core(Members(ME, Incarnation("entry-a1-1"), ZONE, 0.0))
+    membership.on_list(core.members, SMALL_FLEET, 0.0)
+    core.members.list_ok = list_ok
+    controller = SimpleNamespace(core=core, ready=True, config=SimpleNamespace(version=1))
+    untyped: Any = (controller, _Http(), _NoTimers())
+    callers = Callers(*untyped, Metrics())
+    answers: list[HttpReply] = []
+    req = HttpRequest("POST", "/services/new/x", {}, {}, b"", "")
+    callers.serve(req, answers.append)
+    return answers[0]
+
+
+def test_an_old_list_denies_no_service() -> None:
+    """An instance that had lost the list denied, for good, a service added since."""
+    assert _call_service(list_ok=True).status == 404
+    answer = _call_service(list_ok=False)
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    assert answer.headers["Spoolcrank-Outcome"] == "not-run"
+
+
+@pytest.mark.parametrize("command", ["drain backend-a9", "declare-lost backend-a9"])
+def test_an_old_list_denies_no_instance(command: str) -> None:
+    api = EntryApi()
+    membership.on_list(api.core.members, SMALL_FLEET, 0.0)
+    assert api.command(command).status == 404
+    membership.on_list_failed(api.core.members)
+    assert api.command(command).status == 503
