Count an owner that an old list lacks as one that may act

What could happen: tasks of a server that never obeyed us were declared lost, and started elsewhere, while an owner that had started since we lost the platform's list still renewed their leases behind a cut.

Cause: "not on the list" counted as "gone for good" with a list of any age, and only listed instances were asked about.

Change: while the list can't be read, an unlisted instance from which we have heard is one that may act, until its peers' echoes show that it has stopped. With a list that is read, nothing changes.

Evidence: tests/test_old_list.py:: test_no_task_is_declared_lost_beside_an_owner_that_an_old_list_lacks fails on the code before.

--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -216,6 +216,24 @@
     ]
 
 
+def possible_owners(members: Members) -> list[InstanceId]:
+    """Return the other entry instances of our zone that may command its servers.
+
+    While the list cannot be read, unlisted ones from which we ever heard are among them.
+    """
+    listed = [
+        entry.id for entry in other_entries(members) if entry.availability_zone == members.zone
+    ]
+    if members.list_ok:
+        return listed
+    unlisted = [
+        peer.heartbeat.sender
+        for peer in members.peers.values()
+        if peer.heartbeat.zone == members.zone and peer.heartbeat.sender not in members.listed
+    ]
+    return listed + unlisted
+
+
 def unwitnessed_for_s(
     members: Members, instance: InstanceId, incarnation: Incarnation, policy: Policy, now: float
 ) -> float:
@@ -223,12 +241,13 @@
 
     Every listed entry instance must have sent us its echoes. One whose heartbeats we do not
     receive could still be a witness, so its silence makes the result 0. A process that was
-    replaced by a new incarnation, or is no longer listed, is gone permanently.
+    replaced by a new incarnation, or is no longer listed, is gone permanently. While the list
+    cannot be read, an unlisted process may have started since.
     """
     peer = members.peers.get(instance)
     if peer is not None and peer.heartbeat.incarnation != incarnation:
         return float("inf")
-    if instance not in members.listed and members.listed_at is not None:
+    if instance not in members.listed and members.listed_at is not None and members.list_ok:
         return float("inf")
     unwitnessed_s = now - peer.last_heartbeat_at if peer is not None else now - members.started_at
     for other in other_entries(members):
--- a/spoolcrank/ownership.py
+++ b/spoolcrank/ownership.py
@@ -16,8 +16,8 @@
     is_alive,
     is_drained,
     is_incarnation_alive,
-    other_entries,
     owners_of_zone,
+    possible_owners,
     unwitnessed_for_s,
 )
 from spoolcrank.policy import Policy
@@ -114,13 +114,11 @@
         return False
     if contacted:
         return True
-    for other in other_entries(members):
-        if other.availability_zone != members.zone:
+    for other in possible_owners(members):
+        if is_alive(members, other, policy, now):
             continue
-        if is_alive(members, other.id, policy, now):
-            continue
-        incarnation = incarnation_of(members, other.id)
-        unwitnessed_s = unwitnessed_for_s(members, other.id, incarnation, policy, now)
+        incarnation = incarnation_of(members, other)
+        unwitnessed_s = unwitnessed_for_s(members, other, incarnation, policy, now)
         if unwitnessed_s <= leases.fence_s + lapse_s:
             return False
     return True
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -6,18 +6,26 @@
 
 import pytest
 
-from spoolcrank import assignment, membership
+from spoolcrank import assignment, membership, ownership
 from spoolcrank._http import CallFailure, HttpCall, HttpResult
 from spoolcrank._web import HttpReply, HttpRequest
 from spoolcrank.callers import Callers
 from spoolcrank.fleet import Instance, Role, dump_list
-from spoolcrank.ids import Address, AvailabilityZone, Incarnation, InstanceId, JobId
+from spoolcrank.ids import (
+    Address,
+    AvailabilityZone,
+    ConfigVersion,
+    Incarnation,
+    InstanceId,
+    JobId,
+)
 from spoolcrank.instance_poller import InstancePoller
 from spoolcrank.jobs import JobSpec, Size
 from spoolcrank.ledger_records import apply
-from spoolcrank.membership import Members
+from spoolcrank.membership import Echo, Heartbeat, Members
 from spoolcrank.metrics import Metrics
 from spoolcrank.owned_server import Append
+from spoolcrank.policy import DEFAULT
 from spoolcrank.records import Envelope, JobAccepted, JobRefused
 from spoolcrank.state import Core, new_core
 from tests.entry_api import EntryApi
@@ -141,3 +149,50 @@
     assert api.command(command).status == 404
     membership.on_list_failed(api.core.members)
     assert api.command(command).status == 503
+
+
+NEW_OWNER = InstanceId("entry-a2")
+WITNESS = InstanceId("entry-b1")
+
+
+def _beat(sender: InstanceId, zone: str, *echoes: Echo) -> Heartbeat:
+    return Heartbeat(
+        sender=sender,
+        incarnation=Incarnation(f"{sender}-1"),
+        zone=AvailabilityZone(zone),
+        seq=1,
+        sent_at=0.0,
+        leaving=False,
+        ready=True,
+        config_version=ConfigVersion(0),
+        ledger_offset=0,
+        log_ok=True,
+        servers=(),
+        echoes=echoes,
+    )
+
+
+def _may_declare_lost(list_ok: bool, witnessed_ago_s: float) -> bool:
+    """Return whether tasks are declared lost on a server that never obeyed us.
+
+    An owner that is not on our list, and from which we hear no more, is heard by a third instance.
+    """
+    members = Members(ME, Incarnation("entry-a1-1"), ZONE, 0.0)
+    far = _instance(WITNESS, Role.ENTRY).model_copy(update={"availability_zone": "b"})
+    membership.on_list(members, [*SMALL_FLEET, far], 0.0)
+    members.list_ok = list_ok
+    membership.on_heartbeat(members, _beat(NEW_OWNER, "a"), 1.0)
+    now = 100.0
+    echo = Echo(NEW_OWNER, Incarnation(f"{NEW_OWNER}-1"), 0.0, witnessed_ago_s)
+    membership.on_heartbeat(members, _beat(WITNESS, "b", echo), now)
+    return ownership.may_declare_lost(members, False, 1.0, DEFAULT, now)
+
+
+def test_no_task_is_declared_lost_beside_an_owner_that_an_old_list_lacks() -> None:
+    """An owner that started after the list was lost may still renew leases behind a cut."""
+    assert not _may_declare_lost(list_ok=False, witnessed_ago_s=0.5)
+    assert _may_declare_lost(list_ok=False, witnessed_ago_s=60.0)
+
+
+def test_an_owner_that_a_readable_list_lacks_is_gone() -> None:
+    assert _may_declare_lost(list_ok=True, witnessed_ago_s=0.5)
