Deny no configuration version by a log that was read long ago

What operators saw: `set KEY=VALUE if-version N` answered 409, which is final, at an instance that had not read version N itself.

Cause: that a version is not the one in force was told whatever the age of what was read of the log.

(Such an instance can publish nothing anyway.)

Evidence: tests/test_old_ledger.py:: test_an_instance_that_is_behind_denies_no_version_of_the_configuration fails on the code before.

--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -74,11 +74,11 @@
         self._metrics.incr(f"refused.{refusal.kind.value}")
         reply(refusal_reply(refusal))
 
-    def refuse_unknown(self, detail: str, field: str, reply: Reply) -> None:
-        """Answer that a job does not exist, or, from an old ledger, that this is not known."""
+    def refuse_by_log(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
+        """Refuse a request by what was read of the log, or, if that is old, ask for a retry."""
         core, now = self._controller.core, time.monotonic()
         if core.is_ledger_fresh(now):
-            refusal = Refusal(ErrorKind.NO_SUCH_JOB, detail, field)
+            refusal = Refusal(kind, detail, field)
         else:
             detail += ", but newer records of the log have not been read"
             refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, field, 1.0)
@@ -164,7 +164,8 @@
             if known_later is not None:
                 on_found(known_later)
             else:
-                self.refuse_unknown(f"no job {job!r}", "id", reply)
+                detail = f"no job {job!r}"
+                self.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, "id", reply)
 
         self._timers.after(_LOOKUP_RETRY_S, look_up_again)
 
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -250,7 +250,7 @@
         answer = explain.why(self._core, name, answers)
         if answer is None:
             detail = f"unknown id {name!r}: no task, job or recent request has it"
-            self._jobs.refuse_unknown(detail, name, reply)
+            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, name, reply)
             return
         body = {
             "sentence": answer.sentence,
@@ -267,7 +267,8 @@
             jobs = [JobId(row["id"]) for row in rows if matches(row, command.filters)]
         unknown = [job for job in command.jobs if job not in ledger.jobs]
         if unknown and request.id not in ledger.verdicts:
-            self._jobs.refuse_unknown(f"no job {unknown[0]!r}", unknown[0], reply)
+            detail = f"no job {unknown[0]!r}"
+            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, unknown[0], reply)
             return
         if command.preview:
             rows = [summary(ledger, ledger.jobs[job]) for job in jobs]
@@ -332,7 +333,7 @@
             last = config.history[-1] if config.history else None
             changed_by = f", last changed by {last.command} of {last.by}" if last else ""
             detail = f"the version is {config.version}{changed_by}, not {command.if_version}"
-            self._jobs.refuse(Refusal(ErrorKind.STALE_VERSION, detail, "if-version"), reply)
+            self._jobs.refuse_by_log(ErrorKind.STALE_VERSION, detail, "if-version", reply)
             return
         match policy.with_value(config.toml, command.key, command.value):
             case Failure(refusal):
--- a/tests/test_old_ledger.py
+++ b/tests/test_old_ledger.py
@@ -92,3 +92,12 @@
     console = Console(file=StringIO(), width=100)
     render(Response(200, {"rows": [], "log_read_s_ago": age_s}), console)
     assert line in cast(StringIO, console.file).getvalue()
+
+
+def test_an_instance_that_is_behind_denies_no_version_of_the_configuration() -> None:
+    """It answered, for good, that a version was wrong that it had not read itself."""
+    command = "set routing.deadline_ms=900 if-version 6"
+    assert EntryApi(MAX_LEDGER_AGE_S / 2).command(command).status == 409
+    answer = EntryApi(OLD_S).command(command)
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
