--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -1,5 +1,6 @@
 """Serve the jobs API: submit, look up and cancel jobs."""
 
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -15,9 +16,11 @@
 from spoolcrank.jobs import JobSpec, TaskState, parse_job
 from spoolcrank.ledger import Job, Ledger, Task, job_state
 from spoolcrank.logs import log
+from spoolcrank.membership import refuse_unlisted
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import AnyRecord, JobAccepted, JobsCancelled
 from spoolcrank.routing_stop import LEAVING
+from spoolcrank.state import Core
 
 CONFIRM_TIMEOUT_S = 5.0
 """Time limit for an appended record to be applied, in seconds; then its request is refused."""
@@ -52,21 +55,41 @@
             self._submit(req, reply)
         elif not job and req.method == "GET":
             jobs = [summary(self._ledger, listed) for listed in self._ledger.jobs.values()]
-            reply(json_reply(200, {"jobs": jobs}))
+            reply(json_reply(200, {"jobs": jobs, **self._age()}))
         elif job and req.method == "GET":
-            self._look_up(
-                job, lambda known: reply(json_reply(200, show(self._ledger, known))), reply
-            )
+            self._look_up(job, lambda known: self._show(known, reply), reply)
         elif job and req.method == "DELETE":
             self._look_up(job, lambda known: self._cancel(known, reply), reply)
         else:
             self.refuse(Refusal(ErrorKind.METHOD_NOT_ALLOWED, f"{req.method} is not served"), reply)
 
+    def _show(self, job: Job, reply: Reply) -> None:
+        reply(json_reply(200, show(self._ledger, job) | self._age()))
+
+    def _age(self) -> dict[str, Any]:
+        return ledger_age(self._controller.core, time.monotonic())
+
     def refuse(self, refusal: Refusal, reply: Reply) -> None:
         """Answer a request with an error and count it."""
         self._metrics.incr(f"refused.{refusal.kind.value}")
         reply(refusal_reply(refusal))
 
+    def refuse_by_log(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
+        """Refuse a request by what was read of the log, or, if that is old, ask for a retry."""
+        core, now = self._controller.core, time.monotonic()
+        if core.is_ledger_fresh(now):
+            refusal = Refusal(kind, detail, field)
+        else:
+            detail += ", but newer records of the log have not been read"
+            refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, field, 1.0)
+        self.refuse(refusal, reply)
+
+    def refuse_unlisted(self, detail: str, field: str, reply: Reply) -> None:
+        """Answer that an instance does not exist, or, from an old list, that this is not known."""
+        members = self._controller.core.members
+        refusal = refuse_unlisted(members, ErrorKind.NO_SUCH_INSTANCE, detail, field)
+        self.refuse(refusal, reply)
+
     def _submit(self, req: HttpRequest, reply: Reply) -> None:
         match parse_job(req.body):
             case Failure(refusal):
@@ -141,7 +164,8 @@
             if known_later is not None:
                 on_found(known_later)
             else:
-                self.refuse(Refusal(ErrorKind.NO_SUCH_JOB, f"no job {job!r}", "id"), reply)
+                detail = f"no job {job!r}"
+                self.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, "id", reply)
 
         self._timers.after(_LOOKUP_RETRY_S, look_up_again)
 
@@ -156,6 +180,17 @@
         self.record(JobsCancelled(jobs=[job.id], command=command, by="caller"), on_applied, reply)
 
 
+def ledger_age(core: Core, now: float) -> dict[str, Any]:
+    """Return the field `log_read_s_ago` for an answer from an old ledger, none for a fresh one.
+
+    It is the age of the last read to the log's end in seconds, None before the first.
+    """
+    if core.is_ledger_fresh(now):
+        return {}
+    age_s = now - core.log_ok_at
+    return {"log_read_s_ago": round(age_s, 1) if math.isfinite(age_s) else None}
+
+
 def summary(ledger: Ledger, job: Job) -> dict[str, Any]:
     """Return the main fields of a job, with its number of tasks per state."""
     counts: dict[str, int] = {}
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -9,12 +9,16 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import AvailabilityZone, ConfigVersion, Epoch, Incarnation, InstanceId, Rack
 from spoolcrank.ledger import Ledger
 from spoolcrank.policy import Policy
 from spoolcrank.resources import Resources
 
+RETRY_AFTER_S = 1.0
+"""Time to wait before a retry while the platform's list cannot be read: two polls, in seconds."""
+
 
 class ServerStatus(NamedTuple):
     """The status of one backend server as its owner sends it to its peers.
@@ -74,7 +78,11 @@
 
 @dataclass
 class Members:
-    """What one entry instance knows of the fleet."""
+    """What one entry instance knows of the fleet.
+
+    Attributes:
+        list_ok: Whether the last read of the platform's list succeeded.
+    """
 
     me: InstanceId
     incarnation: Incarnation
@@ -82,6 +90,7 @@
     started_at: float
     listed: dict[InstanceId, Instance] = field(default_factory=dict)
     listed_at: float | None = None
+    list_ok: bool = True
     peers: dict[InstanceId, Peer] = field(default_factory=dict)
     witness_at: float = float("-inf")
     leaving: bool = False
@@ -91,6 +100,12 @@
     """Replace the listed instances by the platform's list."""
     members.listed = {instance.id: instance for instance in instances}
     members.listed_at = now
+    members.list_ok = True
+
+
+def on_list_failed(members: Members) -> None:
+    """Record that the platform's list could not be read, so the listed instances may be old."""
+    members.list_ok = False
 
 
 def on_heartbeat(members: Members, heartbeat: Heartbeat, now: float) -> bool:
@@ -201,6 +216,24 @@
     ]
 
 
+def possible_owners(members: Members) -> list[InstanceId]:
+    """Return the other entry instances of our zone that may command its servers.
+
+    While the list cannot be read, unlisted ones from which we ever heard are among them.
+    """
+    listed = [
+        entry.id for entry in other_entries(members) if entry.availability_zone == members.zone
+    ]
+    if members.list_ok:
+        return listed
+    unlisted = [
+        peer.heartbeat.sender
+        for peer in members.peers.values()
+        if peer.heartbeat.zone == members.zone and peer.heartbeat.sender not in members.listed
+    ]
+    return listed + unlisted
+
+
 def unwitnessed_for_s(
     members: Members, instance: InstanceId, incarnation: Incarnation, policy: Policy, now: float
 ) -> float:
@@ -208,12 +241,13 @@
 
     Every listed entry instance must have sent us its echoes. One whose heartbeats we do not
     receive could still be a witness, so its silence makes the result 0. A process that was
-    replaced by a new incarnation, or is no longer listed, is gone permanently.
+    replaced by a new incarnation, or is no longer listed, is gone permanently. While the list
+    cannot be read, an unlisted process may have started since.
     """
     peer = members.peers.get(instance)
     if peer is not None and peer.heartbeat.incarnation != incarnation:
         return float("inf")
-    if instance not in members.listed and members.listed_at is not None:
+    if instance not in members.listed and members.listed_at is not None and members.list_ok:
         return float("inf")
     unwitnessed_s = now - peer.last_heartbeat_at if peer is not None else now - members.started_at
     for other in other_entries(members):
@@ -244,3 +278,14 @@
     """Return the rack of an instance, empty if it is not listed."""
     listed = members.listed.get(instance)
     return listed.rack if listed else Rack("")
+
+
+def refuse_unlisted(members: Members, kind: ErrorKind, detail: str, field: str) -> Refusal:
+    """Return the refusal of a request for something that is not on the platform's list.
+
+    It is of the given kind, or, while the list cannot be read, one that asks for a retry.
+    """
+    if members.list_ok:
+        return Refusal(kind, detail, field)
+    detail += ", but the list of instances may be old"
+    return Refusal(ErrorKind.NOT_READY, detail, field, RETRY_AFTER_S)
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -17,7 +17,7 @@
 from spoolcrank.fleet import Role
 from spoolcrank.ids import CommandId, InstanceId, JobId, unique
 from spoolcrank.jobs import TaskState, refusal_of
-from spoolcrank.jobs_api import JobsApi, summary
+from spoolcrank.jobs_api import JobsApi, ledger_age, summary
 from spoolcrank.language import (
     Cancel,
     ConfigCommand,
@@ -117,13 +117,14 @@
             case Set():
                 self._set(command, request, reply)
             case ConfigCommand():
-                reply(json_reply(200, {"rows": self._config_rows(command.what)}))
+                reply(json_reply(200, {"rows": self._config_rows(command.what), **self._age()}))
 
     def serve_config(self, req: HttpRequest, reply: Reply) -> None:
         """Serve `GET /config`, `POST /config` and `POST /config/check`."""
         if req.method == "GET":
             config = self._controller.config
-            reply(json_reply(200, {"version": config.version, "toml": config.toml}))
+            body = {"version": config.version, "toml": config.toml}
+            reply(json_reply(200, body | self._age()))
             return
         text = req.body.decode("utf-8", "replace")
         match policy.parse(text):
@@ -148,7 +149,14 @@
 
     def _show(self, command: Show, reply: Reply) -> None:
         rows = [row for row in self._rows(command.what) if matches(row, command.filters)]
-        reply(json_reply(200, {"rows": rows, "not_asked": self._unreachable_zones()}))
+        reply(json_reply(200, {"rows": rows, **self._limits()}))
+
+    def _limits(self) -> dict[str, Any]:
+        """Return what an answer may lack: zones without contact, and the newest records."""
+        return {"not_asked": self._unreachable_zones(), **self._age()}
+
+    def _age(self) -> dict[str, Any]:
+        return ledger_age(self._core, time.monotonic())
 
     def _unreachable_zones(self) -> list[str]:
         now = time.monotonic()
@@ -242,12 +250,12 @@
         answer = explain.why(self._core, name, answers)
         if answer is None:
             detail = f"unknown id {name!r}: no task, job or recent request has it"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_JOB, detail, name), reply)
+            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, name, reply)
             return
         body = {
             "sentence": answer.sentence,
             "facts": answer.facts,
-            "not_asked": self._unreachable_zones(),
+            **self._limits(),
         }
         reply(json_reply(200, body))
 
@@ -260,11 +268,12 @@
         unknown = [job for job in command.jobs if job not in ledger.jobs]
         if unknown and request.id not in ledger.verdicts:
             detail = f"no job {unknown[0]!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_JOB, detail, unknown[0]), reply)
+            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, unknown[0], reply)
             return
         if command.preview:
             rows = [summary(ledger, ledger.jobs[job]) for job in jobs]
-            reply(json_reply(200, {"rows": rows, "detail": f"would cancel {len(rows)} jobs"}))
+            detail = f"would cancel {len(rows)} jobs"
+            reply(json_reply(200, {"rows": rows, "detail": detail, **self._limits()}))
             return
         record = JobsCancelled(jobs=jobs, command=request.id, by=request.by)
         self._record(record, request.id, reply)
@@ -274,7 +283,7 @@
         racks = {instance.rack for instance in listed.values()}
         if command.target not in listed and command.target not in racks:
             detail = f"no instance or rack {command.target!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_INSTANCE, detail, command.target), reply)
+            self._jobs.refuse_unlisted(detail, command.target, reply)
             return
         record = Drained(target=command.target, on=command.on, command=request.id, by=request.by)
         self._record(record, request.id, reply)
@@ -291,7 +300,7 @@
         )
         if row is None:
             detail = f"no backend server {server!r}"
-            self._jobs.refuse(Refusal(ErrorKind.NO_SUCH_INSTANCE, detail, server), reply)
+            self._jobs.refuse_unlisted(detail, server, reply)
             return
         if row["ready"]:
             detail = f"{server} answers its owner {row['owner']}; it is not lost"
@@ -324,7 +333,7 @@
             last = config.history[-1] if config.history else None
             changed_by = f", last changed by {last.command} of {last.by}" if last else ""
             detail = f"the version is {config.version}{changed_by}, not {command.if_version}"
-            self._jobs.refuse(Refusal(ErrorKind.STALE_VERSION, detail, "if-version"), reply)
+            self._jobs.refuse_by_log(ErrorKind.STALE_VERSION, detail, "if-version", reply)
             return
         match policy.with_value(config.toml, command.key, command.value):
             case Failure(refusal):
