--- a/tests/fleet_runners.py
+++ b/tests/fleet_runners.py
@@ -115,6 +115,7 @@
         self.highest_run[key] = max(task.run, self.highest_run.get(key, 0))
         self.ended.append(EndedRow(self.ends, key, task.run, how, ""))
         self.ended_at[self.ends] = self.world.now
+        self.world.failed_runs[key] += how is EndKind.FAILED
 
     def crash(self) -> None:
         self.alive = False
@@ -202,6 +203,8 @@
                 self._record_done(row)
             if row.number <= order.seen and row.how is EndKind.FAILED:
                 self.world.failed[row.task].append(self.ended_at[row.number])
+                in_lease = self.lease_lapsed_at <= self.ended_at[row.number]
+                self.world.failures_to_count[row.task] += in_lease
                 self.world.check_attempts(row.task)
         self.ended = [row for row in self.ended if row.number > order.seen]
         running = tuple(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -85,6 +85,8 @@
         self.failing: dict[str, float] = {}
         self.attempts: dict[str, int] = {}
         self.failed: dict[TaskKey, list[float]] = defaultdict(list)
+        self.failed_runs: Counter[TaskKey] = Counter()
+        self.failures_to_count: Counter[TaskKey] = Counter()
         self.hanging: set[str] = set()
         self.crashes: dict[TaskKey, list[float]] = defaultdict(list)
         self.asked: Counter[str] = Counter()
