Load the log again only if it ends before the offset that a read asked for

What callers saw: nothing by itself. While a copy is loaded anew, its instance refuses refreshes (so states of jobs that it doesn't know are answered as unavailable) and can't claim. Cause: an answer whose end of the log was before the copy's next offset counted as a log that had lost records. A read that another one overtook looks the same: a long poll and a refresh are in flight at one time, each over a connection of its own, and a busy instance or a slow link takes their answers in any order. Change: compare with the offset that this very read asked for. Records lost after that are found by the next read, which asks from the copy's next offset.

--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -164,16 +164,16 @@
             self._schedule(LAZY_READ_DELAY_S, self._read)
             return
         generation = self._generation
-        asked_at = self._clock()
+        asked_at, from_offset = self._clock(), self.copy.next_offset
         self._reading = True
 
         def on_answer(answer: Records) -> None:
             if generation == self._generation:
                 self._reading = False
-                self._on_read(answer, asked_at)
+                self._on_read(answer, from_offset, asked_at)
                 self._start_joined_refresh(answer.outcome)
 
-        self._log.read(self.copy.next_offset, wait_ms, on_answer)
+        self._log.read(from_offset, wait_ms, on_answer)
 
     def _start_joined_refresh(self, outcome: ReadOutcome) -> None:
         """Start a refresh that waited for a read, once that read has reached the end of the log."""
@@ -185,9 +185,9 @@
         else:
             self._start_refresh()
 
-    def _on_read(self, answer: Records, asked_at: float) -> None:
+    def _on_read(self, answer: Records, from_offset: int, asked_at: float) -> None:
         generation = self._generation
-        if not self._apply_read(answer, asked_at):
+        if not self._apply_read(answer, from_offset, asked_at):
             return
         if generation != self._generation:
             return
@@ -201,11 +201,15 @@
         else:
             self._schedule(LAZY_READ_DELAY_S if answer.records else 0.0, self._read)
 
-    def _apply_read(self, answer: Records, asked_at: float) -> bool:
-        """Apply the result of a read and return whether the copy is still valid."""
+    def _apply_read(self, answer: Records, from_offset: int, asked_at: float) -> bool:
+        """Apply the result of a read from an offset; return whether the copy is still valid.
+
+        Another read may have overtaken this one, so that the log's end in this answer is before
+        `next_offset`. Only an end before `from_offset` shows that the log lost records.
+        """
         self._update_contact(answer.outcome is not ReadOutcome.FAILED, answer.detail)
         if answer.outcome is ReadOutcome.EXPIRED or (
-            answer.outcome is ReadOutcome.OK and answer.end < self.copy.next_offset
+            answer.outcome is ReadOutcome.OK and answer.end < from_offset
         ):
             self.begin()
             return False
@@ -228,10 +232,11 @@
 
     def _read_to_end(self, requests: list[RefreshHandler], asked_at: float) -> None:
         """Read, in several parts if needed, up to the end of the log."""
+        from_offset = self.copy.next_offset
 
         def on_answer(answer: Records) -> None:
             ok = answer.outcome is ReadOutcome.OK
-            if self.copy.loaded and self._apply_read(answer, asked_at):
+            if self.copy.loaded and self._apply_read(answer, from_offset, asked_at):
                 if ok and answer.records and answer.end > self.copy.next_offset:
                     self._read_to_end(requests, asked_at)
                     return
@@ -241,7 +246,7 @@
             if self._refresh_requests:
                 self._start_refresh()
 
-        self._log.read(self.copy.next_offset, 0, on_answer)
+        self._log.read(from_offset, 0, on_answer)
 
     def _schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         generation = self._generation
