FAILING: test a refresh whose answer comes while the log is loaded again

Fails on this commit: the refresh reports success, though its answer was not applied, because a long poll in flight was answered 'expired' before it and began a new load. A caller who asked for the state of a job that was accepted at another instance is then told that there is no such job (job_intake.state), instead of that the log is unavailable. Cause: log_follower._read_to_end takes 'ok' from the outcome of the read alone; it is also true where copy.loaded is not set, and where _apply_read returned False. The fix would be: ok only if the answer was applied. Not made here.

--- a/tests/test_age_of_loads.py
+++ b/tests/test_age_of_loads.py
@@ -5,7 +5,7 @@
 
 from spoolcrank.keyed_log import KeyedRecord
 from spoolcrank.log_follower import LogFollower
-from spoolcrank.store_port import Append, NewestPage, Records
+from spoolcrank.store_port import Append, NewestPage, ReadOutcome, Records
 
 FIRST = KeyedRecord("j/1", b"x", 0)
 SECOND = KeyedRecord("j/2", b"x", 1)
@@ -59,3 +59,18 @@
     assert follower.copy.loaded
     assert follower.copy.next_offset == 1
     assert follower.copy.read_at == BEGUN_AT
+
+
+def test_a_refresh_fails_whose_answer_comes_while_the_log_is_loaded_again() -> None:
+    """Guards against denying an accepted job from a copy that its record was not read into."""
+    log, clock = _Log(), _Clock()
+    follower = _follow(log, clock)
+    follower.begin()
+    log.pages.pop()(NewestPage(True, (FIRST,), False, 1))
+    results: list[bool] = []
+    follower.refresh(results.append)
+    long_poll, refresh = log.reads
+    long_poll(Records(ReadOutcome.EXPIRED))
+    refresh(Records(ReadOutcome.OK, (SECOND,), 2))
+    assert SECOND.key not in follower.copy.newest
+    assert results == [False]
