Force takeovers at each moment between a run's end and its acknowledgement

Moments: the end is listed, its record sent, stored, the acknowledgement sent, carried out. The leader then dies, freezes for 3 s, resigns, has its writes carried out late, or hears no answer to them; the others' copies are up to date, behind, or being loaded while a claim is carried out; the runner is near, cut off for less or more than its lease, or from the old leader only; one task, failing (one attempt), cancelled, two steps, a gang, two rounds: 1,800 orders, 95 of them by default. Checks: no violation, each job ends as it must, and, unless the runner is cut off for longer than its lease, its task starts once.

--- a/tests/fleet_runners.py
+++ b/tests/fleet_runners.py
@@ -203,8 +203,8 @@
                 self._record_done(row)
             if row.number <= order.seen and row.how is EndKind.FAILED:
                 self.world.failed[row.task].append(self.ended_at[row.number])
-                in_lease = self.lease_lapsed_at <= self.ended_at[row.number]
-                self.world.failures_to_count[row.task] += in_lease
+                if self.lease_lapsed_at <= self.ended_at[row.number]:
+                    self.world.noted_failures[row.task].append(self.ended_at[row.number])
                 self.world.check_attempts(row.task)
         self.ended = [row for row in self.ended if row.number > order.seen]
         running = tuple(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -86,7 +86,7 @@
         self.attempts: dict[str, int] = {}
         self.failed: dict[TaskKey, list[float]] = defaultdict(list)
         self.failed_runs: Counter[TaskKey] = Counter()
-        self.failures_to_count: Counter[TaskKey] = Counter()
+        self.noted_failures: dict[TaskKey, list[float]] = defaultdict(list)
         self.hanging: set[str] = set()
         self.crashes: dict[TaskKey, list[float]] = defaultdict(list)
         self.asked: Counter[str] = Counter()
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -319,7 +319,7 @@
             key = TaskKey(JobId(job), 0, 0, 0)
             stored = newest.get(progress_key(key.job), b"")
             for failures in recorded_failures(stored):
-                acknowledged = self.world.failures_to_count[key]
+                acknowledged = len(self.world.noted_failures[key])
                 ended = self.world.failed_runs[key]
                 assert acknowledged <= failures <= ended, (
                     f"{key}: {failures} recorded, {acknowledged} acknowledged, {ended} ended"
