Count a loaded copy as read when its first page was asked for

Cause: a copy loaded in pages counted as read at its last page, but it is complete only up to the log's end at the first. Freshness of the configuration, of counts and of the list of runners is judged by that time. Change: the time of a load is that at which its first page was asked for. Why it works: whatever was written before the first page was asked for is in it or in a later page; nothing more is claimed.

--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -69,6 +69,7 @@
         self._on_contact = on_contact
         self._generation = 0
         self._page_end = -1
+        self._load_began_at = -1.0
         self._reading = False
         self._refreshing = False
         self._refresh_after_read = False
@@ -146,14 +147,15 @@
             self._schedule(RETRY_DELAY_S, lambda: self._load(after_key))
             return
         if self._page_end < 0:
-            self._page_end = page.end
+            # Later pages are newer, but the copy is complete only up to this end of the log.
+            self._page_end, self._load_began_at = page.end, asked_at
         records = self.copy.load_page(page.records)
         if page.more and page.records:
             self._notify(records)
             self._load(page.records[-1].key)
             return
         self.copy.finish_load(self._page_end)
-        self.copy.read_at = max(self.copy.read_at, asked_at)
+        self.copy.read_at = max(self.copy.read_at, self._load_began_at)
         self._notify(records)
         self._read()
 
