Take a refresh that a new load has overtaken for a failed one

What callers could see: 410, final, for a job that another instance had accepted. Cause: a refresh reported success by the outcome of its read alone, also when the log was being loaded anew meanwhile and the answer was not applied. Read from before the load, its records could also have been applied behind a gap. Change: an answer counts only for the load in whose copy it was asked; otherwise the refresh fails, and the client is told to come back. Evidence: test_a_refresh_fails_whose_answer_comes_while_the_log_is_loaded_again fails on the code before; 63 tests of following, counts and claims pass.

--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -234,14 +234,16 @@
 
     def _read_to_end(self, requests: list[RefreshHandler], asked_at: float) -> None:
         """Read, in several parts if needed, up to the end of the log."""
-        from_offset = self.copy.next_offset
+        from_offset, generation = self.copy.next_offset, self._generation
 
         def on_answer(answer: Records) -> None:
-            ok = answer.outcome is ReadOutcome.OK
-            if self.copy.loaded and self._apply_read(answer, from_offset, asked_at):
-                if ok and answer.records and answer.end > self.copy.next_offset:
-                    self._read_to_end(requests, asked_at)
-                    return
+            # An answer that a new load has overtaken says nothing of the copy that is loaded now.
+            is_current = generation == self._generation and self.copy.loaded
+            applied = is_current and self._apply_read(answer, from_offset, asked_at)
+            ok = applied and answer.outcome is ReadOutcome.OK
+            if ok and answer.records and answer.end > self.copy.next_offset:
+                self._read_to_end(requests, asked_at)
+                return
             self._refreshing = False
             for done in requests:
                 done(ok)
