Report the keys that a load no longer has as deleted

Cause: a load removed such keys from the copy without telling anybody, and the index that answers clients hears only of records. Change: a load ends with a deleting record for each key that it removed.

--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -98,16 +98,22 @@
             self._listed.add(record.key)
         return page
 
-    def finish_load(self, end: int) -> None:
+    def finish_load(self, end: int) -> list[KeyedRecord]:
         """Mark the copy as complete up to `end`, the end of the log at the first page.
 
         Remove keys that were not listed and have no later record: the log no longer has them.
+        Return a deleting record for each of them that had a value.
         """
-        for key, record in list(self.newest.items()):
-            if key not in self._listed and record.offset < end:
-                del self.newest[key]
+        removed = [
+            record
+            for key, record in self.newest.items()
+            if key not in self._listed and record.offset < end
+        ]
+        for record in removed:
+            del self.newest[record.key]
         self.loaded = True
         self.next_offset = end
+        return [record._replace(value=b"") for record in removed if record.value]
 
     def extend(
         self, records: Iterable[KeyedRecord], end: int, asked_at: float
--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -154,9 +154,9 @@
             self._notify(records)
             self._load(page.records[-1].key)
             return
-        self.copy.finish_load(self._page_end)
+        removed = self.copy.finish_load(self._page_end)
         self.copy.read_at = max(self.copy.read_at, self._load_began_at)
-        self._notify(records)
+        self._notify(records + removed)
         self._read()
 
     # Reading after the load
