Let no older checkpoint replace a stored one of a newer run

What callers would see: work done twice between two checkpoints. Run 1 given up, run 2 stopped with a newer checkpoint, the leader changes, and run 1's end with its older one is heard. Cause: which run a checkpoint is of is known in one leader's term only. Change: with a late end, a checkpoint counts only if its run is the newest of the task, or if none is stored.

--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -74,7 +74,8 @@
         return False
     _log_late_end(state, runner, row, task)
     state.pending_writes.add_changed_job(job.id)
-    if task.phase is Phase.WAITING:
+    if task.phase is Phase.WAITING and (row.run == task.run or not task.saved):
+        # The checkpoint that is stored may be of a newer run, under an earlier leader too.
         task.record_checkpoint(row.saved, row.run)
     if row.how is EndKind.FAILED:
         task.refused_by = runner.id
