Have runners keep the ends of jobs that the leader cannot read

A leader of an older version that cannot read a job's stored progress leaves the job alone, but dropped the ends of its runs and let their runners forget them; the next leader that can read it started finished work again. Cause: that an end is of no use was judged though nothing is known of its job. Change: such an end, and with it all later ones, is not acknowledged to its runner under this leader. Line `end-withheld`.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -21,9 +21,9 @@
 def take_batch(state: Scheduler) -> Batch | None:
     """Return the pending writes, or None if there are none; a later batch waits for this one."""
     seen = {
-        runner.id: runner.last_handled_end
+        runner.id: runner.acknowledgeable_end
         for runner in state.runners.values()
-        if runner.last_handled_end > runner.seen
+        if runner.acknowledgeable_end > runner.seen
     }
     pending_writes = state.pending_writes
     if not (pending_writes.jobs or pending_writes.other_records or seen):
--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -56,8 +56,14 @@
 
 
 def handle_unknown_end(state: Scheduler, runner: RunnerState, row: EndedRow, now: float) -> None:
-    """Handle an end of a run that this leader does not have: a late one, or one of no use."""
-    if not handle_late_end(state, runner, row, now):
+    """Handle an end of a run that this leader does not have: a late one, or one of no use.
+
+    The end of a job that cannot be read may be of use to a leader of a newer version.
+    """
+    if row.task.job in state.unreadable_jobs:
+        runner.withhold_end(row.number)
+        state.log_event("end-withheld", task=row.task, run=row.run, runner=runner.id)
+    elif not handle_late_end(state, runner, row, now):
         _log_unknown_end(state, runner, row)
 
 
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -124,7 +124,9 @@
             lease.
         earlier_grants_known: whether `granted_ms` also covers the grants of earlier leaders.
         seen: number of the last end that is stored; the runner may forget its ends up to it.
-        last_handled_end: value of `seen` once the pending writes are stored.
+        last_handled_end: number of the last end that was handled.
+        first_withheld_end: number of the first end that the runner must not forget, because its job
+            cannot be read; 0 if there is none.
         silent_since: time at which it stopped answering; None while it answers.
         ids_at_address: ids of other entries with its address, about which it has been polled.
         evacuated: whether its zone is evacuated, so that nothing more may start there.
@@ -156,6 +158,7 @@
     earlier_grants_known: bool = False
     seen: int = 0
     last_handled_end: int = 0
+    first_withheld_end: int = 0
     silent_since: float | None = None
     ids_at_address: frozenset[RunnerId] = NO_RUNNERS
     evacuated: bool = False
@@ -203,6 +206,17 @@
             self.polled_at = -1.0
         self.ids_at_address = ids_at_address
 
+    @property
+    def acknowledgeable_end(self) -> int:
+        """Return the value of `seen` once the pending writes are stored."""
+        if not self.first_withheld_end:
+            return self.last_handled_end
+        return min(self.last_handled_end, self.first_withheld_end - 1)
+
+    def withhold_end(self, number: int) -> None:
+        """Have the runner keep an end, and with it all later ones."""
+        self.first_withheld_end = self.first_withheld_end or number
+
     def clock_lower(self, now: float) -> float:
         """Return the lowest time that the runner's clock may show, in ms."""
         return self.clock_ms + (now - self.clock_at) * 1000.0 * (1.0 - CLOCK_DRIFT)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -82,6 +82,7 @@
         hold_watch: what was logged of jobs that wait beside free capacity.
         held_fillers_at: time of the last search for held fillers, monotonic seconds.
         ended: ended jobs whose records are still stored, with the time of their end.
+        unreadable_jobs: jobs whose records cannot be read, so that they are not in `jobs`.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
         self.ended: list[tuple[float, JobId]] = []
+        self.unreadable_jobs: set[JobId] = set()
         self.recurring_jobs: dict[JobId, None] = {}
         self.learned_state_stored_at = now
         self.backlog_logged_at = -math.inf
--- a/spoolcrank/takeover.py
+++ b/spoolcrank/takeover.py
@@ -55,6 +55,7 @@
     try:
         resumed = restore_job(scheduler, copy, record, now, time_of_day_ms)
     except Unreadable as exc:
+        scheduler.unreadable_jobs.add(job_of_key(record.key))
         log_unreadable_record(telemetry, record, str(exc))
         return
     if not (resumed and taking_over):
