Read what has arrived before a call counts as unanswered

Cause: the event loop runs overdue timers before it reads its sockets. When a process was busy for longer than a call's time limit, each answer that had arrived meanwhile was discarded unread, its connection closed, and the runner counted as silent: the busier the leader, the more calls it had to repeat. Change: at its time limit, and before it is sent again, a call first takes what has arrived. Only what has not come by then is missing. Why it works: an answer counts by its arrival, not by when a busy process looks.

--- a/spoolcrank/_dialer.py
+++ b/spoolcrank/_dialer.py
@@ -53,6 +53,10 @@
         """Send bytes, once the connection is established."""
         self._owner.enqueue(self, data)
 
+    def read(self) -> bool:
+        """Pass on at once what has arrived; return whether there was anything."""
+        return self._owner.read(self)
+
     def close(self) -> None:
         """Close the connection at once without notifying its observer."""
         self._owner.drop(self)
@@ -128,19 +132,25 @@
     @handler("_read")
     def _on_read(self, sock: socket.socket) -> None:
         conn = self._conns.get(sock)
-        if conn is None or not conn.connected:
-            return
+        if conn is not None:
+            self.read(conn)
+
+    def read(self, conn: Connection) -> bool:
+        """Pass on bytes that have arrived on a connection, or its loss; return whether any had."""
+        if not conn.connected:
+            return False
         try:
-            data = sock.recv(_READ_BYTES)
+            data = conn.sock.recv(_READ_BYTES)
         except BlockingIOError:
-            return
+            return False
         except OSError as exc:
             self._fail(conn, str(exc))
-            return
+            return False
         if data:
             conn.observer.on_data(data)
         else:
             self._fail(conn, "connection closed by the other side")
+        return bool(data)
 
     @handler("_write")
     def _on_write(self, sock: socket.socket) -> None:
--- a/spoolcrank/_http.py
+++ b/spoolcrank/_http.py
@@ -174,7 +174,21 @@
             failed = CallFailure.CUT if self._sent else CallFailure.NOT_SENT
             self._finish(HttpResult(failed, sent=self._sent), keep=False)
 
+    def read_arrived(self) -> None:
+        """Read what has arrived of the answer to the call in flight.
+
+        A busy process runs overdue timers before it reads its sockets. An answer that arrived in
+        time would then count as missing, and its connection would be closed.
+        """
+        call = self.call
+        while self.call is call and self.conn is not None and self.conn.read():
+            pass
+
     def _on_timeout(self) -> None:
+        call, timer = self.call, self._timer
+        self.read_arrived()
+        if self.call is not call or self._timer is not timer:
+            return
         failed = CallFailure.TIMED_OUT if self._sent else CallFailure.NOT_SENT
         if self._sent and not self.answer_started:
             self._pool.close_idle_without_answer(self.address, self._started_at)
@@ -225,6 +239,8 @@
 
     def _resend(self, after_s: float) -> None:
         first = self._first
+        if first.call is self._call:
+            first.read_arrived()
         if self._on_done is None or first.answer_started or first.answered_at is None:
             return
         left_s = max(0.0, self._call.timeout_s - after_s)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -218,3 +218,50 @@
     assert result.failed is CallFailure.NOT_SENT
     assert not result.sent
     client.close()
+
+
+STANDSTILL_S = 0.6
+TIMEOUT_S = 0.2
+BODY = b"x" * 20_000
+
+
+@pytest.mark.parametrize("max_pause_s", [None, TIMEOUT_S], ids=["whole", "parts"])
+def test_an_answer_that_arrives_in_time_counts_though_the_process_is_busy_until_later(
+    max_pause_s: float | None,
+) -> None:
+    """Guards against a busy leader that takes runners within reach for silent."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    runtime = Runtime()
+    results: list[HttpResult] = []
+    done, stands, answered = threading.Event(), threading.Event(), threading.Event()
+
+    def stand_still() -> None:
+        stands.set()
+        answered.wait(WAIT_S)
+        time.sleep(STANDSTILL_S)
+
+    def serve() -> None:
+        conn, _ = listener.accept()
+        with conn:
+            conn.recv(4096)
+            runtime.post(stand_still)
+            stands.wait(WAIT_S)
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY)
+            answered.set()
+
+    def on_result(result: HttpResult) -> None:
+        results.append(result)
+        done.set()
+
+    server = threading.Thread(target=serve, daemon=True)
+    server.start()
+    address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+    call = HttpCall(address, "GET", "/", {}, b"", TIMEOUT_S, max_pause_s)
+    stop = runtime.run_in_thread()
+    runtime.post(lambda: runtime.http.send(call, on_result) and None)
+    assert done.wait(WAIT_S)
+    stop()
+    listener.close()
+    server.join(WAIT_S)
+    assert results[0].failed is None
+    assert results[0].body == BODY
