Ask the age of the configuration, which is another stream

Cause: the age asked was that of the control stream. Failed reads of the stream of configurations were passed over, and nothing noted when it was last read to its end.

The change: each read that reaches the end of that stream notes when it was sent; a refusal for good by the configuration needs such a read of the last 2.5 s, and the age shown beside a configuration is that of its stream. It is read like the control stream (a wait of 0.5 s and a limit of 3 s, before 5 s and 8 s), as otherwise a copy would count as new for more than 10 s. Failed reads are counted (`config.read-failed`). Reading goes on after the records that the log has dropped, as the end could not be reached otherwise. Two lines moved from the controller to `replay.tick_input`.

Traces hold these reads and name their format, 2; one of format 1 replays as before, with a configuration that is never old.

--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -108,16 +108,10 @@
         for server, owned in self.core.owned.items():
             owned.waiting = self._workers.outstanding(server)
         wall = time.time()
-        traced = self._tick_input(wall) if self.recorder else {}
+        traced = replay.tick_input(self.core, wall) if self.recorder else {}
         self._carry_out(now, traced, decisions.tick(self.core, now, wall))
         self._query_state(now)
 
-    def _tick_input(self, wall: float) -> dict[str, Any]:
-        waiting = {server: owned.waiting for server, owned in self.core.owned.items()}
-        rates = replay.service_rates(self.core)
-        busy = {server: self.core.busy_slots(server) for server in self.core.owned}
-        return {"kind": "tick", "wall": wall, "waiting": waiting, "rates": rates, "busy": busy}
-
     def _carry_out(self, now: float, traced: dict[str, Any], actions: list[CoreAction]) -> None:
         """Carry out the actions decided on an input; record both if a trace is written."""
         if self.recorder is not None:
@@ -194,10 +188,13 @@
             self.log_link.confirm_applied(writer.seq)
 
     @handler("config_read", channel="*")
-    def _on_config_read(self, records: list[ConfigEntry]) -> None:
+    def _on_config_read(self, records: list[ConfigEntry], asked_at: float, at_end: bool) -> None:
         for entry in records:
             if self.config.apply_entry(entry):
                 self._apply_config()
+        if at_end:
+            self._trace_input(time.monotonic(), {"kind": "config-read", "asked_at": asked_at})
+            decisions.on_config_read(self.core, asked_at)
 
     def _apply_config(self) -> None:
         self.core.policy = policy.parse(self.config.toml).value_or(self.core.policy)
--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -46,6 +46,11 @@
     core.log_ok_at = max(core.log_ok_at, asked_at)
 
 
+def on_config_read(core: Core, asked_at: float) -> None:
+    """Record that a request sent at `asked_at` read the stream of configurations to its end."""
+    core.config_read_at = max(core.config_read_at, asked_at)
+
+
 def on_log_failed(core: Core, now: float) -> None:
     """Record that the log did not answer."""
     core.log_failed_at = now
--- a/spoolcrank/events.py
+++ b/spoolcrank/events.py
@@ -12,7 +12,10 @@
 
 
 class config_read(Event):
-    """Configuration records arrived: `(records: list[ConfigEntry],)`."""
+    """Configuration records arrived.
+
+    `(records: list[ConfigEntry], asked_at: float, at_end: bool)`
+    """
 
 
 class snapshot_read(Event):
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -76,12 +76,18 @@
 
     def refuse_by_log(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
         """Refuse a request by what was read of the log, or, if that is old, ask for a retry."""
-        core, now = self._controller.core, time.monotonic()
-        if core.is_ledger_fresh(now):
-            refusal = Refusal(kind, detail, field)
-        else:
-            detail += ", but newer records of the log have not been read"
-            refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, field, 1.0)
+        is_fresh = self._controller.core.is_ledger_fresh(time.monotonic())
+        self._refuse_by_copy(is_fresh, Refusal(kind, detail, field), reply)
+
+    def refuse_by_config(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
+        """Refuse a request by the configuration, or, if that is old, ask for a retry."""
+        is_fresh = self._controller.core.is_config_fresh(time.monotonic())
+        self._refuse_by_copy(is_fresh, Refusal(kind, detail, field), reply)
+
+    def _refuse_by_copy(self, is_fresh: bool, refusal: Refusal, reply: Reply) -> None:
+        if not is_fresh:
+            detail = refusal.detail + ", but newer records of the log have not been read"
+            refusal = Refusal(ErrorKind.LOG_UNAVAILABLE, detail, refusal.field, 1.0)
         self.refuse(refusal, reply)
 
     def refuse_unlisted(self, detail: str, field: str, reply: Reply) -> None:
@@ -185,9 +191,19 @@
 
     It is the age of the last read to the log's end in seconds, None before the first.
     """
-    if core.is_ledger_fresh(now):
-        return {}
-    age_s = now - core.log_ok_at
+    return {} if core.is_ledger_fresh(now) else _age_field(now - core.log_ok_at)
+
+
+def config_age(core: Core, now: float) -> dict[str, Any]:
+    """Return the field `log_read_s_ago` for an answer from an old configuration, else none.
+
+    It is the age of the last read of the configurations to their end in seconds, None before the
+    first.
+    """
+    return {} if core.is_config_fresh(now) else _age_field(now - core.config_read_at)
+
+
+def _age_field(age_s: float) -> dict[str, Any]:
     return {"log_read_s_ago": round(age_s, 1) if math.isfinite(age_s) else None}
 
 
--- a/spoolcrank/log_link.py
+++ b/spoolcrank/log_link.py
@@ -38,8 +38,6 @@
 _APPEND_TIMEOUT_S = 2.0
 _READ_WAIT_S = 0.5
 _READ_TIMEOUT_S = 3.0
-_CONFIG_WAIT_S = 5.0
-_CONFIG_TIMEOUT_S = 8.0
 _INITIAL_RETRY_S = 0.2
 _MAX_RETRY_S = 1.0
 _BACKOFF_FACTOR = 1.5
@@ -249,16 +247,19 @@
         self._timers.after(0.0, self._read)
 
     def _read_config(self) -> None:
-        query = f"from={self._next_config_offset}&max={_MAX_READ_RECORDS}&wait_s={_CONFIG_WAIT_S}"
-        call = self._read_call(CONFIG_STREAM, query, _CONFIG_TIMEOUT_S)
-        self._http.send(call, self._on_config)
+        asked_at = time.monotonic()
+        query = f"from={self._next_config_offset}&max={_MAX_READ_RECORDS}&wait_s={_READ_WAIT_S}"
+        call = self._read_call(CONFIG_STREAM, query, _READ_TIMEOUT_S)
+        self._http.send(call, lambda result: self._on_config(asked_at, result))
 
-    def _on_config(self, result: HttpResult) -> None:
+    def _on_config(self, asked_at: float, result: HttpResult) -> None:
         page = _parse_page(result)
         if page is None:
+            self._metrics.incr("config.read-failed")
             self._timers.after(_MAX_RETRY_S, self._read_config)
             return
         config_entries = []
+        self._next_config_offset = max(self._next_config_offset, int(page["first"]))
         for item in page["records"]:
             self._next_config_offset = int(item["offset"]) + 1
             try:
@@ -267,7 +268,8 @@
                 self._metrics.incr("config.unreadable")
                 continue
             config_entries.append(ConfigEntry(int(item["offset"]) + 1, record))
-        self.fire(config_read(config_entries))
+        at_end = self._next_config_offset >= int(page["next"])
+        self.fire(config_read(config_entries, asked_at, at_end))
         self._timers.after(0.0, self._read_config)
 
     def publish(self, record: ConfigRecord, done: Callable[[int | None], None]) -> None:
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -17,7 +17,7 @@
 from spoolcrank.fleet import Role
 from spoolcrank.ids import CommandId, InstanceId, JobId, unique
 from spoolcrank.jobs import TaskState, refusal_of
-from spoolcrank.jobs_api import JobsApi, ledger_age, summary
+from spoolcrank.jobs_api import JobsApi, config_age, ledger_age, summary
 from spoolcrank.language import (
     Cancel,
     ConfigCommand,
@@ -117,14 +117,15 @@
             case Set():
                 self._set(command, request, reply)
             case ConfigCommand():
-                reply(json_reply(200, {"rows": self._config_rows(command.what), **self._age()}))
+                rows = self._config_rows(command.what)
+                reply(json_reply(200, {"rows": rows, **self._config_age()}))
 
     def serve_config(self, req: HttpRequest, reply: Reply) -> None:
         """Serve `GET /config`, `POST /config` and `POST /config/check`."""
         if req.method == "GET":
             config = self._controller.config
             body = {"version": config.version, "toml": config.toml}
-            reply(json_reply(200, body | self._age()))
+            reply(json_reply(200, body | self._config_age()))
             return
         text = req.body.decode("utf-8", "replace")
         match policy.parse(text):
@@ -149,7 +150,8 @@
 
     def _show(self, command: Show, reply: Reply) -> None:
         rows = [row for row in self._rows(command.what) if matches(row, command.filters)]
-        reply(json_reply(200, {"rows": rows, **self._limits()}))
+        age = self._config_age() if command.what == "config" else self._age()
+        reply(json_reply(200, {"rows": rows, "not_asked": self._unreachable_zones(), **age}))
 
     def _limits(self) -> dict[str, Any]:
         """Return what an answer may lack: zones without contact, and the newest records."""
@@ -158,6 +160,9 @@
     def _age(self) -> dict[str, Any]:
         return ledger_age(self._core, time.monotonic())
 
+    def _config_age(self) -> dict[str, Any]:
+        return config_age(self._core, time.monotonic())
+
     def _unreachable_zones(self) -> list[str]:
         now = time.monotonic()
         members = self._core.members
@@ -333,7 +338,7 @@
             last = config.history[-1] if config.history else None
             changed_by = f", last changed by {last.command} of {last.by}" if last else ""
             detail = f"the version is {config.version}{changed_by}, not {command.if_version}"
-            self._jobs.refuse_by_log(ErrorKind.STALE_VERSION, detail, "if-version", reply)
+            self._jobs.refuse_by_config(ErrorKind.STALE_VERSION, detail, "if-version", reply)
             return
         match policy.with_value(config.toml, command.key, command.value):
             case Failure(refusal):
--- a/spoolcrank/replay.py
+++ b/spoolcrank/replay.py
@@ -20,7 +20,7 @@
 from spoolcrank.membership import Heartbeat, Members
 from spoolcrank.records import Entry, parse_envelope
 from spoolcrank.state import Core, CoreAction, new_core
-from spoolcrank.trace import describe_action
+from spoolcrank.trace import FORMAT, describe_action
 from spoolcrank.worker import Refused, Report
 
 
@@ -72,7 +72,10 @@
         AvailabilityZone(header["zone"]),
         header["started_at"],
     )
-    return new_core(members)
+    core = new_core(members)
+    if header.get("format", 1) < FORMAT:
+        core.config_read_at = float("inf")
+    return core
 
 
 def _apply_input(core: Core, now: float, trace_input: dict[str, Any]) -> list[CoreAction]:
@@ -127,6 +130,8 @@
                 decisions.on_heartbeat(core, frame.message, now)
         case "read":
             decisions.on_log_read(core, trace_input["asked_at"])
+        case "config-read":
+            decisions.on_config_read(core, trace_input["asked_at"])
         case "log-failed":
             decisions.on_log_failed(core, now)
         case "silent":
@@ -142,6 +147,14 @@
             raise ValueError(f"unknown kind of trace input: {other!r}")
 
 
+def tick_input(core: Core, wall: float) -> dict[str, Any]:
+    """Return the input for a tick; `wall` is the time of day in seconds."""
+    waiting = {server: owned.waiting for server, owned in core.owned.items()}
+    rates = service_rates(core)
+    busy = {server: core.busy_slots(server) for server in core.owned}
+    return {"kind": "tick", "wall": wall, "waiting": waiting, "rates": rates, "busy": busy}
+
+
 def service_rates(core: Core) -> dict[str, float]:
     """Return the request rate of every service of a listed instance, by service name.
 
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -32,6 +32,10 @@
 an answer.
 """
 
+MAX_CONFIG_AGE_S = 2.5
+"""Maximum age of the configuration for a final refusal by it, seconds; its stream is read in the
+same way as the ledger's."""
+
 
 class Handover(NamedTuple):
     """An action: notify a peer that it owns a server from now on.
@@ -70,6 +74,8 @@
         owned: The servers that we command.
         relinquished: The servers that we stopped commanding and have not owned again since.
         log_ok_at: When the last request was sent that read the log to its end.
+        config_read_at: When the last request was sent that read the stream of configurations to its
+            end.
         acting: Whether we may command our servers, as found at the last tick.
         first_seen: When we first saw each waiting task.
         claims_sent: When we last appended a claim of each server.
@@ -90,6 +96,7 @@
     relinquished: dict[InstanceId, Relinquished] = field(default_factory=dict)
     log_ok_at: float = float("-inf")
     log_failed_at: float = float("-inf")
+    config_read_at: float = float("-inf")
     ticked_at: float = float("-inf")
     acting: bool = False
     first_seen: dict[TaskId, float] = field(default_factory=dict)
@@ -115,6 +122,10 @@
         """Return whether the ledger has every record that was written `MAX_LEDGER_AGE_S` ago."""
         return now - self.log_ok_at <= MAX_LEDGER_AGE_S
 
+    def is_config_fresh(self, now: float) -> bool:
+        """Return whether the configuration is at most `MAX_CONFIG_AGE_S` old."""
+        return now - self.config_read_at <= MAX_CONFIG_AGE_S
+
     def server_status(
         self,
         free_slots: Callable[[InstanceId], int],
--- a/spoolcrank/trace.py
+++ b/spoolcrank/trace.py
@@ -20,6 +20,10 @@
 from spoolcrank.state import CoreAction, Handover, LogEvent
 from spoolcrank.worker import Refused, Report
 
+FORMAT = 2
+"""Format of the traces written; one of format 1, which its header does not name, has no reads of
+configurations."""
+
 _SUBJECT_FIELDS = ("task", "job", "server", "key", "target")
 """Fields of a record that name its subject, in order of preference."""
 
@@ -47,6 +51,7 @@
         self._file = open(path, "w", encoding="utf-8", buffering=1)  # noqa: SIM115
         self._write(
             {
+                "format": FORMAT,
                 "me": members.me,
                 "incarnation": members.incarnation,
                 "zone": members.zone,
--- a/tests/entry_api.py
+++ b/tests/entry_api.py
@@ -33,15 +33,19 @@
 
 
 class EntryApi:
-    """The jobs API and the operators' commands of one instance, over a ledger of a given age."""
+    """The jobs API and the operators' commands of one instance, over a ledger of a given age.
 
-    def __init__(self, age_s: float = 0.0) -> None:
+    The configuration is as old as the ledger unless its age is given, too.
+    """
+
+    def __init__(self, age_s: float = 0.0, config_age_s: float | None = None) -> None:
         now = time.monotonic()
         members = Members(
             InstanceId("entry-a1"), Incarnation("entry-a1-1"), AvailabilityZone("a"), now
         )
         self.core: Core = new_core(members)
         self.core.log_ok_at = now - age_s
+        self.core.config_read_at = now - (age_s if config_age_s is None else config_age_s)
         self.timers = ImmediateTimers()
         untyped: Any = (
             SimpleNamespace(core=self.core, config=PublishedConfig(), responders={}),
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -7,6 +7,7 @@
 import pytest
 
 from spoolcrank import assignment, membership, ownership
+from spoolcrank import core as decisions
 from spoolcrank._http import CallFailure, HttpCall, HttpResult
 from spoolcrank._web import HttpReply, HttpRequest
 from spoolcrank.callers import Callers
@@ -54,6 +55,7 @@
     """Return the state of an instance with a job that is too large for the listed server."""
     core = new_core(Members(ME, Incarnation("entry-a1-1"), ZONE, 0.0))
     membership.on_list(core.members, SMALL_FLEET, 0.0)
+    decisions.on_config_read(core, 4.0)
     spec = JobSpec(name="large", size=Size(processors=30.0, memory_mb=1000.0))
     record = JobAccepted(job=JobId("job-1"), spec=spec)
     apply(core.ledger, 0, Envelope(writer=Incarnation("w"), seq=1, at=1.0, record=record))
--- a/tests/world.py
+++ b/tests/world.py
@@ -190,6 +190,7 @@
                 actions += decisions.on_entry(core, Entry(Offset(offset), self.log[offset]), now)
             owner.next_offset = len(self.log)
             decisions.on_log_read(core, now)
+            decisions.on_config_read(core, now)
         else:
             decisions.on_log_failed(core, now)
             self.take_peer_ledger(name)
