Deny nothing by a list of instances not read yet, or read long ago

Callers saw: an instance that had only just started answered `drain` and `declare-lost` with a final 404 before it had read the platform's list. One that woke from a freeze, or whose read hung (for up to 2 s), denied services and instances by the list from before, refused jobs for good by it, and took an owner that it lacked for gone.

Cause: `Members.list_ok` told whether the last read had failed; it was True before the first read, and knew no age.

The change: `list_read_at` is the time at which the request was sent that last read the list, changed or not (`fleet_list_read`), and -inf before the first and after a failed read. The list counts as present for `MAX_LIST_AGE_S`, a poll interval plus the time limit of a read. Traces hold these reads; in one of format 1 the list is never old, as before.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -52,7 +52,7 @@
         if ownership.preferred(job.id, alive) != core.members.me:
             continue
         reason = _missed_deadline(job.spec.deadline_s, job.at, wall)
-        if not reason and core.members.list_ok and core.is_config_fresh(now):
+        if not reason and membership.is_list_fresh(core.members, now) and core.is_config_fresh(now):
             reason = placement.never_fits(job.spec, backends, core.policy)
         if reason:
             core.refusals_sent[job.id] = now
--- a/spoolcrank/callers.py
+++ b/spoolcrank/callers.py
@@ -157,7 +157,7 @@
             return Refusal(ErrorKind.METHOD_NOT_ALLOWED, "HEAD is not served", "method")
         if not self._is_listed(service):
             kind, detail = ErrorKind.NO_SUCH_SERVICE, f"no service {service!r}"
-            return refuse_unlisted(self._core.members, kind, detail, "service")
+            return refuse_unlisted(self._core.members, kind, detail, "service", now)
         return parse_headers(request, service, req, self._core.policy.routing.deadline_ms, now)
 
     def _is_listed(self, service: ServiceName) -> bool:
--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -220,6 +220,11 @@
         self.peers.update_addresses(addresses)
         self.log_link.interval_s = max(1, entries) / MAX_APPENDS_PER_S
 
+    @handler("fleet_list_read", channel="*")
+    def _on_fleet_list_read(self, asked_at: float) -> None:
+        self._trace_input(time.monotonic(), {"kind": "list-read", "asked_at": asked_at})
+        membership.on_list_read(self.core.members, asked_at)
+
     @handler("fleet_list_failed", channel="*")
     def _on_fleet_list_failed(self) -> None:
         self._trace_input(time.monotonic(), {"kind": "list-failed"})
--- a/spoolcrank/events.py
+++ b/spoolcrank/events.py
@@ -26,6 +26,10 @@
     """The platform's instance list arrived: `(instances: list[Instance],)`."""
 
 
+class fleet_list_read(Event):
+    """The platform's instance list was read, the same as before or new: `(asked_at: float,)`."""
+
+
 class fleet_list_failed(Event):
     """The platform's instance list could not be read: `()`."""
 
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -92,8 +92,8 @@
 
     def refuse_unlisted(self, detail: str, field: str, reply: Reply) -> None:
         """Answer that an instance does not exist, or, from an old list, that this is not known."""
-        members = self._controller.core.members
-        refusal = refuse_unlisted(members, ErrorKind.NO_SUCH_INSTANCE, detail, field)
+        members, now = self._controller.core.members, time.monotonic()
+        refusal = refuse_unlisted(members, ErrorKind.NO_SUCH_INSTANCE, detail, field, now)
         self.refuse(refusal, reply)
 
     def _submit(self, req: HttpRequest, reply: Reply) -> None:
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -16,6 +16,15 @@
 from spoolcrank.policy import Policy
 from spoolcrank.resources import Resources
 
+LIST_POLL_INTERVAL_S = 0.5
+"""Time from a read of the platform's list to the next, in seconds."""
+
+LIST_TIMEOUT_S = 2.0
+"""Time limit of one read of the platform's list, in seconds."""
+
+MAX_LIST_AGE_S = LIST_POLL_INTERVAL_S + LIST_TIMEOUT_S
+"""Maximum age of the list for a decision that needs the present one, in seconds."""
+
 RETRY_AFTER_S = 1.0
 """Time to wait before a retry while the platform's list cannot be read: two polls, in seconds."""
 
@@ -81,7 +90,8 @@
     """What one entry instance knows of the fleet.
 
     Attributes:
-        list_ok: Whether the last read of the platform's list succeeded.
+        list_read_at: When the last request was sent that read the platform's list; -inf after a
+            failed read.
     """
 
     me: InstanceId
@@ -90,7 +100,7 @@
     started_at: float
     listed: dict[InstanceId, Instance] = field(default_factory=dict)
     listed_at: float | None = None
-    list_ok: bool = True
+    list_read_at: float = float("-inf")
     peers: dict[InstanceId, Peer] = field(default_factory=dict)
     witness_at: float = float("-inf")
     leaving: bool = False
@@ -100,12 +110,21 @@
     """Replace the listed instances by the platform's list."""
     members.listed = {instance.id: instance for instance in instances}
     members.listed_at = now
-    members.list_ok = True
+
+
+def on_list_read(members: Members, asked_at: float) -> None:
+    """Record that a request sent at `asked_at` read the list, which is the listed instances."""
+    members.list_read_at = asked_at
 
 
 def on_list_failed(members: Members) -> None:
     """Record that the platform's list could not be read, so the listed instances may be old."""
-    members.list_ok = False
+    members.list_read_at = float("-inf")
+
+
+def is_list_fresh(members: Members, now: float) -> bool:
+    """Return whether the listed instances are at most `MAX_LIST_AGE_S` old."""
+    return now - members.list_read_at <= MAX_LIST_AGE_S
 
 
 def on_heartbeat(members: Members, heartbeat: Heartbeat, now: float) -> bool:
@@ -216,15 +235,15 @@
     ]
 
 
-def possible_owners(members: Members) -> list[InstanceId]:
+def possible_owners(members: Members, now: float) -> list[InstanceId]:
     """Return the other entry instances of our zone that may command its servers.
 
-    While the list cannot be read, unlisted ones from which we ever heard are among them.
+    While the list may be old, unlisted ones from which we ever heard are among them.
     """
     listed = [
         entry.id for entry in other_entries(members) if entry.availability_zone == members.zone
     ]
-    if members.list_ok:
+    if is_list_fresh(members, now):
         return listed
     unlisted = [
         peer.heartbeat.sender
@@ -242,12 +261,13 @@
     Every listed entry instance must have sent us its echoes. One whose heartbeats we do not
     receive could still be a witness, so its silence makes the result 0. A process that was
     replaced by a new incarnation, or is no longer listed, is gone permanently. While the list
-    cannot be read, an unlisted process may have started since.
+    may be old, an unlisted process may have started since.
     """
     peer = members.peers.get(instance)
     if peer is not None and peer.heartbeat.incarnation != incarnation:
         return float("inf")
-    if instance not in members.listed and members.listed_at is not None and members.list_ok:
+    is_listing = members.listed_at is not None and is_list_fresh(members, now)
+    if instance not in members.listed and is_listing:
         return float("inf")
     unwitnessed_s = now - peer.last_heartbeat_at if peer is not None else now - members.started_at
     for other in other_entries(members):
@@ -280,12 +300,14 @@
     return listed.rack if listed else Rack("")
 
 
-def refuse_unlisted(members: Members, kind: ErrorKind, detail: str, field: str) -> Refusal:
+def refuse_unlisted(
+    members: Members, kind: ErrorKind, detail: str, field: str, now: float
+) -> Refusal:
     """Return the refusal of a request for something that is not on the platform's list.
 
-    It is of the given kind, or, while the list cannot be read, one that asks for a retry.
+    It is of the given kind, or, while the list may be old, one that asks for a retry.
     """
-    if members.list_ok:
+    if is_list_fresh(members, now):
         return Refusal(kind, detail, field)
     detail += ", but the list of instances may be old"
     return Refusal(ErrorKind.NOT_READY, detail, field, RETRY_AFTER_S)
--- a/spoolcrank/ownership.py
+++ b/spoolcrank/ownership.py
@@ -114,7 +114,7 @@
         return False
     if contacted:
         return True
-    for other in possible_owners(members):
+    for other in possible_owners(members, now):
         if is_alive(members, other, policy, now):
             continue
         incarnation = incarnation_of(members, other)
--- a/spoolcrank/replay.py
+++ b/spoolcrank/replay.py
@@ -74,7 +74,7 @@
     )
     core = new_core(members)
     if header.get("format", 1) < FORMAT:
-        core.config_read_at = float("inf")
+        core.config_read_at = core.members.list_read_at = float("inf")
     return core
 
 
@@ -122,6 +122,8 @@
         case "list":
             listed = [Instance.model_validate(instance) for instance in trace_input["instances"]]
             membership.on_list(core.members, listed, now)
+        case "list-read":
+            membership.on_list_read(core.members, trace_input["asked_at"])
         case "list-failed":
             membership.on_list_failed(core.members)
         case "beat":
--- a/spoolcrank/trace.py
+++ b/spoolcrank/trace.py
@@ -22,7 +22,7 @@
 
 FORMAT = 2
 """Format of the traces written; one of format 1, which its header does not name, has no reads of
-configurations."""
+configurations, and none of a list that has not changed."""
 
 _SUBJECT_FIELDS = ("task", "job", "server", "key", "target")
 """Fields of a record that name its subject, in order of preference."""
--- a/tests/test_old_config_stream.py
+++ b/tests/test_old_config_stream.py
@@ -116,6 +116,7 @@
     core, now = controller.core, time.monotonic()
     me = _server().model_copy(update={"id": ME, "role": Role.ENTRY})
     membership.on_list(core.members, [me, _server()], now)
+    membership.on_list_read(core.members, now)
     without_reserve = DEFAULT.model_copy(
         update={"placement": DEFAULT.placement.model_copy(update={"urgent_reserve": 0.0})}
     )
--- a/tests/test_refusals_in_traces.py
+++ b/tests/test_refusals_in_traces.py
@@ -56,13 +56,14 @@
 REFUSAL = "append refuse job-1"
 
 
-def test_a_refusal_in_a_trace_without_reads_of_configurations_replays() -> None:
+def test_a_refusal_in_a_trace_of_format_1_replays() -> None:
     """Guards against traces of earlier versions that replay to other decisions."""
     assert REFUSAL in _replayed(HEADER)
 
 
-@pytest.mark.parametrize("asked_at", [11.0, None])
-def test_a_refusal_depends_on_the_reads_of_configurations_in_a_trace(asked_at: Any) -> None:
+@pytest.mark.parametrize("missing", [None, "config-read", "list-read"])
+def test_a_refusal_depends_on_the_reads_in_a_trace(missing: str | None) -> None:
     header = {**HEADER, "format": trace.FORMAT}
-    reads = [] if asked_at is None else [{"kind": "config-read", "asked_at": asked_at}]
-    assert (REFUSAL in _replayed(header, *reads)) is (asked_at is not None)
+    kinds = [kind for kind in ("config-read", "list-read") if kind != missing]
+    reads = [{"kind": kind, "asked_at": 11.0} for kind in kinds]
+    assert (REFUSAL in _replayed(header, *reads)) is (missing is None)
--- a/tests/world.py
+++ b/tests/world.py
@@ -184,6 +184,7 @@
         now = self.now + owner.skew_s
         core = owner.core
         actions = []
+        membership.on_list_read(core.members, now)
         if self.log_up and (name, "log") not in self.cut:
             self._append(owner)
             for offset in range(owner.next_offset, len(self.log)):
