Deny a job only by a read of the log sent after the request

Callers saw: while a read of the log hung, an instance answered a final 404 for a job that another instance had accepted meanwhile, to `GET` and `DELETE /jobs/{id}`, `cancel` and `why`.

Cause: a ledger of up to 2.5 s counted as the present, so whatever was accepted in that time was denied.

The change: what the ledger lacks is looked up after each read that reaches the end of the log (`PendingLookups`), and is denied by the first of these that was sent after the request. An accepted job is on the log before its caller hears so, and so such a read finds it. If none ends within 2 s, the answer is 503 with Retry-After. No read is added: the loop's next one serves. A job unknown to an idle log is now denied after 0.5 to 1 s, before after 0.3 s; one that arrives is found by the read that brings it. `cancel` names a job that is missing when it answers. An instance that leaves refuses at once what it would have to look up.

Tests: test_a_fresh_ledger_denies_an_unknown_job asserted the fault, a 404 from a ledger of 1.25 s. Three take its place: no 404 by a ledger read 0 or 1.25 s before the request, nor by a read that was sent before it and ends after it; a 404 by a read sent after it, however old the ledger was.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -38,12 +38,7 @@
     backends = [
         instance for instance in core.members.listed.values() if instance.role is Role.BACKEND
     ]
-    alive = [
-        instance.id
-        for instance in core.members.listed.values()
-        if instance.role is Role.ENTRY
-        and membership.is_alive(core.members, instance.id, core.policy, now)
-    ]
+    alive = membership.alive_entries(core.members, core.policy, now)
     for task in core.ledger.waiting():
         first_seen_at = core.first_seen.setdefault(task.id, now)
         job = core.ledger.jobs[task.job]
--- a/spoolcrank/controller.py
+++ b/spoolcrank/controller.py
@@ -21,6 +21,7 @@
 from spoolcrank.metrics import Metrics
 from spoolcrank.owned_server import Append, Send
 from spoolcrank.peer_link import PeerLink
+from spoolcrank.pending_lookups import PendingLookups
 from spoolcrank.published_config import PublishedConfig
 from spoolcrank.records import Entry
 from spoolcrank.state import Core, CoreAction, Handover, LogEvent
@@ -62,6 +63,7 @@
         self.log_link = log_link
         self.peers = peers
         self.config = PublishedConfig()
+        self.lookups = PendingLookups(timers)
         self.recorder: trace.Recorder | None = None
         self.free_slots: FreeSlots = lambda server: 0
         self.latency_s: LatencyOf = lambda server: 0.0
@@ -162,6 +164,7 @@
             self._trace_input(now, {"kind": "read", "asked_at": asked_at})
             decisions.on_log_read(self.core, asked_at)
             self._caught_up = True
+            self.lookups.on_log_read(asked_at)
 
     @handler("log_failed", channel="*")
     def _on_log_failed(self) -> None:
@@ -387,12 +390,7 @@
             return
         if not self.ready or not self.core.ledger.offset:
             return
-        alive = [
-            entry.id
-            for entry in self.core.members.listed.values()
-            if entry.role is Role.ENTRY
-            and membership.is_alive(self.core.members, entry.id, self.core.policy, now)
-        ]
+        alive = membership.alive_entries(self.core.members, self.core.policy, now)
         if ownership.preferred("snapshot", alive) == self.core.members.me:
             self._snapshot_at = now
             self._metrics.incr("snapshot.written")
--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -25,9 +25,6 @@
 CONFIRM_TIMEOUT_S = 5.0
 """Time limit for an appended record to be applied, in seconds; then its request is refused."""
 
-_LOOKUP_RETRY_S = 0.3
-"""Delay before a job that is not in the ledger is looked up once more, in seconds."""
-
 _HTTP_ACCEPTED = 202
 
 
@@ -74,10 +71,27 @@
         self._metrics.incr(f"refused.{refusal.kind.value}")
         reply(refusal_reply(refusal))
 
-    def refuse_by_log(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
-        """Refuse a request by what was read of the log, or, if that is old, ask for a retry."""
-        is_fresh = self._controller.core.is_ledger_fresh(time.monotonic())
-        self._refuse_by_copy(is_fresh, Refusal(kind, detail, field), reply)
+    def look_up(
+        self,
+        look: Callable[[], bool],
+        unknown: Callable[[], Refusal],
+        reply: Reply,
+        since: float,
+    ) -> None:
+        """Look in the ledger until `look` returns True, which it does once it has answered.
+
+        Refuse the request as `unknown` says after a read of the log that was sent after `since`, in
+        monotonic seconds; ask for a retry if no such read ends in time or the instance leaves.
+        """
+        if self.closing:
+            if not look():
+                self.refuse(LEAVING, reply)
+            return
+
+        def on_missing(is_certain: bool) -> None:
+            self._refuse_by_copy(is_certain, unknown(), reply)
+
+        self._controller.lookups.start(look, on_missing, since)
 
     def refuse_by_config(self, kind: ErrorKind, detail: str, field: str, reply: Reply) -> None:
         """Refuse a request by the configuration, or, if that is old, ask for a retry."""
@@ -157,23 +171,14 @@
         self._timers.after(CONFIRM_TIMEOUT_S, expire)
 
     def _look_up(self, job: JobId, on_found: Callable[[Job], None], reply: Reply) -> None:
-        known = self._ledger.jobs.get(job)
-        if known is not None:
-            on_found(known)
-            return
-        if self.closing:
-            self.refuse(LEAVING, reply)
-            return
-
-        def look_up_again() -> None:
-            known_later = self._ledger.jobs.get(job)
-            if known_later is not None:
-                on_found(known_later)
-            else:
-                detail = f"no job {job!r}"
-                self.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, "id", reply)
-
-        self._timers.after(_LOOKUP_RETRY_S, look_up_again)
+        def look() -> bool:
+            known = self._ledger.jobs.get(job)
+            if known is not None:
+                on_found(known)
+            return known is not None
+
+        unknown = Refusal(ErrorKind.NO_SUCH_JOB, f"no job {job!r}", "id")
+        self.look_up(look, lambda: unknown, reply, time.monotonic())
 
     def _cancel(self, job: Job, reply: Reply) -> None:
         command = CommandId(unique("cmd"))
--- a/spoolcrank/language.py
+++ b/spoolcrank/language.py
@@ -6,7 +6,7 @@
 import difflib
 from functools import lru_cache
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from lark import Lark, Token, Transformer
 from lark.exceptions import LarkError, UnexpectedCharacters, UnexpectedInput, UnexpectedToken
@@ -30,6 +30,19 @@
     value: str
 
 
+def matches(row: dict[str, Any], filters: tuple[Filter, ...]) -> bool:
+    """Return whether a row meets every condition; a missing field counts as empty text."""
+    return all(
+        _matches_value(str(row.get(condition.field, "")), condition.value) for condition in filters
+    )
+
+
+def _matches_value(value: str, pattern: str) -> bool:
+    if pattern.endswith("*"):
+        return value.startswith(pattern[:-1])
+    return value == pattern
+
+
 class Show(NamedTuple):
     """List the rows of `what`, such as jobs or workers, that meet all filters."""
 
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -161,6 +161,15 @@
     return peer is not None and now - peer.last_heartbeat_at <= policy.membership.dead_after_s
 
 
+def alive_entries(members: Members, policy: Policy, now: float) -> list[InstanceId]:
+    """Return the listed entry instances that send heartbeats, ourselves among them."""
+    return [
+        instance.id
+        for instance in members.listed.values()
+        if instance.role is Role.ENTRY and is_alive(members, instance.id, policy, now)
+    ]
+
+
 def is_incarnation_alive(
     members: Members, instance: InstanceId, incarnation: Incarnation, policy: Policy, now: float
 ) -> bool:
--- a/spoolcrank/operators.py
+++ b/spoolcrank/operators.py
@@ -2,7 +2,8 @@
 
 import json
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -22,12 +23,12 @@
     Cancel,
     ConfigCommand,
     DrainCommand,
-    Filter,
     Lost,
     Parsed,
     Set,
     Show,
     Why,
+    matches,
     parse,
 )
 from spoolcrank.membership import is_alive
@@ -220,6 +221,7 @@
                 self._core.members, peer.heartbeat.sender, self._core.policy, time.monotonic()
             )
         ]
+        asked_at = time.monotonic()
         answers = [json.loads(self._local_answer_json(command.name))]
         waiting = len(peers)
         answered = False
@@ -229,7 +231,11 @@
             if answered:
                 return
             answered = True
-            self._answer_why(command.name, [facts for facts in answers if facts], reply)
+            detail = f"unknown id {command.name!r}: no task, job or recent request has it"
+            unknown = Refusal(ErrorKind.NO_SUCH_JOB, detail, command.name)
+            facts = [answer for answer in answers if answer]
+            look = partial(self._answer_why, command.name, facts, reply)
+            self._jobs.look_up(look, lambda: unknown, reply, asked_at)
 
         def on_answer(text: str | None) -> None:
             nonlocal waiting
@@ -251,37 +257,41 @@
             return json.dumps({"decision": decision._asdict(), "by": self._core.members.me})
         return json.dumps(explain.local_facts(self._core, name, time.monotonic()))
 
-    def _answer_why(self, name: str, answers: list[dict[str, Any]], reply: Reply) -> None:
+    def _answer_why(self, name: str, answers: list[dict[str, Any]], reply: Reply) -> bool:
+        """Answer and return True, or return False if the id is unknown."""
         answer = explain.why(self._core, name, answers)
         if answer is None:
-            detail = f"unknown id {name!r}: no task, job or recent request has it"
-            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, name, reply)
-            return
-        body = {
-            "sentence": answer.sentence,
-            "facts": answer.facts,
-            **self._limits(),
-        }
+            return False
+        body = {"sentence": answer.sentence, "facts": answer.facts, **self._limits()}
         reply(json_reply(200, body))
+        return True
 
     def _cancel(self, command: Cancel, request: CommandRequest, reply: Reply) -> None:
+        def unknown() -> Refusal:
+            name = next(name for name in command.jobs if name not in self._core.ledger.jobs)
+            return Refusal(ErrorKind.NO_SUCH_JOB, f"no job {name!r}", name)
+
+        look = partial(self._cancel_known, command, request, reply)
+        self._jobs.look_up(look, unknown, reply, time.monotonic())
+
+    def _cancel_known(self, command: Cancel, request: CommandRequest, reply: Reply) -> bool:
+        """Cancel and return True, or return False if a job is unknown."""
         ledger = self._core.ledger
+        unknown = any(name not in ledger.jobs for name in command.jobs)
+        if unknown and request.id not in ledger.verdicts:
+            return False
         jobs = [JobId(name) for name in command.jobs]
         if command.filters:
             rows = [summary(ledger, job) for job in ledger.jobs.values() if job.open]
             jobs = [JobId(row["id"]) for row in rows if matches(row, command.filters)]
-        unknown = [job for job in command.jobs if job not in ledger.jobs]
-        if unknown and request.id not in ledger.verdicts:
-            detail = f"no job {unknown[0]!r}"
-            self._jobs.refuse_by_log(ErrorKind.NO_SUCH_JOB, detail, unknown[0], reply)
-            return
         if command.preview:
             rows = [summary(ledger, ledger.jobs[job]) for job in jobs]
             detail = f"would cancel {len(rows)} jobs"
             reply(json_reply(200, {"rows": rows, "detail": detail, **self._limits()}))
-            return
+            return True
         record = JobsCancelled(jobs=jobs, command=request.id, by=request.by)
         self._record(record, request.id, reply)
+        return True
 
     def _drain(self, command: DrainCommand, request: CommandRequest, reply: Reply) -> None:
         listed = self._core.members.listed
@@ -382,18 +392,5 @@
             detail = "the change was not read back from the log in time; it may still take effect"
             reply(refusal_reply(Refusal(ErrorKind.LOG_ANSWER_UNKNOWN, detail)))
         else:
-            retry: Callable[[], None] = lambda: self._await_change(command, deadline, reply)  # noqa: E731
+            retry = partial(self._await_change, command, deadline, reply)
             self._timers.after(_CHECK_INTERVAL_S, retry)
-
-
-def matches(row: Row, filters: tuple[Filter, ...]) -> bool:
-    """Return whether a row meets every condition; a missing field counts as empty text."""
-    return all(
-        _matches_value(str(row.get(condition.field, "")), condition.value) for condition in filters
-    )
-
-
-def _matches_value(value: str, pattern: str) -> bool:
-    if pattern.endswith("*"):
-        return value.startswith(pattern[:-1])
-    return value == pattern
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -26,7 +26,7 @@
 _LOG_TIMEOUT_S = 4.0
 
 MAX_LEDGER_AGE_S = 2.5
-"""Maximum age of the ledger for answering that a job does not exist, seconds.
+"""Maximum age of the ledger for showing it as the present, seconds.
 
 A read waits 0.5 s for a record, so the ledger is up to 1 s old, and 2 s if the log takes 0.5 s for
 an answer.
--- a/tests/entry_api.py
+++ b/tests/entry_api.py
@@ -14,6 +14,7 @@
 from spoolcrank.membership import Members
 from spoolcrank.metrics import Metrics
 from spoolcrank.operators import Operators
+from spoolcrank.pending_lookups import PendingLookups
 from spoolcrank.published_config import PublishedConfig
 from spoolcrank.records import Envelope, JobAccepted
 from spoolcrank.state import Core, new_core
@@ -47,8 +48,12 @@
         self.core.log_ok_at = now - age_s
         self.core.config_read_at = now - (age_s if config_age_s is None else config_age_s)
         self.timers = ImmediateTimers()
+        none: Any = self.timers
+        self.lookups = PendingLookups(none)
         untyped: Any = (
-            SimpleNamespace(core=self.core, config=PublishedConfig(), responders={}),
+            SimpleNamespace(
+                core=self.core, config=PublishedConfig(), responders={}, lookups=self.lookups
+            ),
             self.timers,
         )
         controller, timers = untyped
