--- a/spoolcrank/abandoned_runs.py
+++ b/spoolcrank/abandoned_runs.py
@@ -4,6 +4,9 @@
 to another leader. The failure of the run still counts as an attempt of its task, once. The runs are
 therefore part of the job's stored progress until their ends are known. Several members of a gang
 may list a failure of one run, which counts once too.
+
+They are kept by the accountable task, which records the failures: the first one of a gang,
+otherwise the task itself.
 """
 
 import msgspec
@@ -13,8 +16,9 @@
 
 
 def abandon(job: JobState, key: TaskKey, run: int) -> None:
-    """Add a run whose end is not known; beyond MAX_ABANDONED_RUNS the oldest run is dropped.
+    """Add a run whose end is not known.
 
+    Beyond MAX_ABANDONED_RUNS the oldest run is dropped, and a late failure of it does not count.
     A run of a gang whose failure was counted is left out.
     """
     entry = _entry(job, key)
@@ -28,7 +32,7 @@
 
 
 def settle(job: JobState, key: TaskKey, run: int) -> None:
-    """Remove a run whose end is known now; do nothing if it was not given up."""
+    """Remove a run that is known now to have ended without a failure, if it was given up."""
     entry = _entry(job, key)
     _put(job, entry, _without(entry, run))
 
--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -72,7 +72,7 @@
         """
         if not self.leadership.leads:
             return False
-        if self._follower.copy.contains(self._claim_offset):
+        if self._follower.copy.is_complete_to(self._claim_offset):
             return True
         self._log_wait()
         return False
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -136,7 +136,7 @@
             self.read_at = max(self.read_at, asked_at)
         return new_records
 
-    def contains(self, offset: int) -> bool:
+    def is_complete_to(self, offset: int) -> bool:
         """Return whether the copy is complete up to and including the record at an offset."""
         return self.loaded and self.next_offset > offset
 
