Measure the capacity again: one record is applied by ledger_records

What users saw: `make capacity` ended with an AttributeError. Cause: `apply` had moved to spoolcrank.ledger_records; bench/ is not type-checked and no test ran the measurement.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,7 +13,7 @@
 from rich.table import Table
 
 from bench.processes import Fleet, call, plan_backends, wait_for
-from spoolcrank import _wire, core, load, membership, servers
+from spoolcrank import _wire, core, ledger_records, load, membership, servers
 from spoolcrank import ledger as ledgers
 from spoolcrank.fleet import Instance, Role
 from spoolcrank.ids import (
@@ -254,7 +254,7 @@
         epoch=Epoch(1024 * (offset + 1)),
     )
     env = Envelope(writer=Incarnation("w2"), seq=offset + 1, at=10.0, record=record)
-    ledgers.apply(owner_core.ledger, offset, env)
+    ledger_records.apply(owner_core.ledger, offset, env)
 
 
 def record_bytes() -> float:
