Split the tests of other writers and of the dispatcher by what they test

Cause: two files of 637 and 524 lines; `phase` and `settle` stood in both, letter for letter, and other files imported them from tests. Nothing but places changes.

--- a/tests/test_crashes_together.py
+++ b/tests/test_crashes_together.py
@@ -8,8 +8,8 @@
 from spoolcrank.ids import JobId
 from spoolcrank.workflow import JobPhase, Step, TaskKey
 from tests.fleet_world import World, small_world
+from tests.runner_entries import entry
 from tests.test_crashing_tasks import MAX_STARTS, ONE
-from tests.test_other_writers import entry
 
 RUNNERS = 12
 JOBS = ("0001", "0002", "0003", "0004")
--- a/tests/test_preassignment.py
+++ b/tests/test_preassignment.py
@@ -20,8 +20,8 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
+from tests.fleet_jobs import phase, settle
 from tests.fleet_world import ROUTE, SERVICE, World, small_world
-from tests.test_dispatch import phase, settle
 
 FIRST = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=600)
 NEXT = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=600, after=(0,))
