Report waits beside free capacity across leaders, and jobs no leader names

An operator could see from `task-waits` lines that a task waits now, and each leader counts such a wait from its own takeover: a task that stood for 25 s under four leaders showed four short waits. `spoolcrank report` now joins the lines of all leaders and lists the waits by what held the task and what kept runners from it, with the longest one, its end and its task; and the jobs without an end that no line names after the last takeover, by their last event.

--- a/spoolcrank/cli.py
+++ b/spoolcrank/cli.py
@@ -22,6 +22,8 @@
 from spoolcrank.resources import Resources
 from spoolcrank.serve_args import DEFAULT_METRICS_PORT
 from spoolcrank.settings import check_entry
+from spoolcrank.wait_report import unknown_job_table, wait_table
+from spoolcrank.wait_times import unknown_jobs, waits
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 standin = typer.Typer(no_args_is_help=True, help="Run a stand-in of the platform.")
@@ -226,9 +228,10 @@
     logs: Annotated[list[Path], typer.Argument(help="log files of all instances")],
     plot: Annotated[str, typer.Option(help="PNG file for a plot (extra `plots`)")] = "",
 ) -> None:
-    """Report from the logs of the instances how the jobs of each queue spent their time."""
+    """Report from the logs of the instances how jobs spent their time and for what they waited."""
     texts = [text for path in logs for text in path.read_text(encoding="utf-8").splitlines()]
-    jobs = job_times(parse_lines(texts))
+    lines = list(parse_lines(texts))
+    jobs = job_times(lines)
     if not jobs:
         _ERROR_CONSOLE.print(
             "the logs show no completed or unfinished job that was accepted and read by a leader"
@@ -237,6 +240,9 @@
     console = Console(width=200)
     console.print(report_table(jobs))
     console.print(image_table(jobs))
+    begin_s = min(line.at for line in lines)
+    console.print(wait_table(waits(lines), begin_s))
+    console.print(unknown_job_table(unknown_jobs(lines), begin_s))
     if plot:
         draw_report(jobs, plot)
 
