Reset a connection that closes with an unread request

What callers saw: a stopping instance closed connections over which a request had come that it had not read. The client read the end of the connection without a reset, as if its request had been read and given up (LOST; the record: sent 4.598 s after the signal, closed with no answer at 5.023 s).

Cause: circuits calls shutdown() before close(). The end goes out first; the reset of the unread bytes follows, but a client whose connection has ended reads the end, never the reset.

The clients of the tests took the error that the reset leaves on the socket, 10 ms after the end, for a reset; the busy neighbours of that process kept it from its close() for longer, so one of 197 counted as dropped.

Why this works: close() alone lets the kernel decide at one moment: an end if all was read, else a reset. Answers that were sent before can still be read.

The new test failed before in each of its three cases, and does with this change alone switched off. Checks made stricter: for the clients of tests and soaks, an end without a reset more than 0.2 s after the last byte says that the request was read, whatever error the socket has later.

--- a/spoolcrank/_web_sockets.py
+++ b/spoolcrank/_web_sockets.py
@@ -181,8 +181,15 @@
             self.close(sock)
 
     def _close(self, sock: socket.socket) -> None:
-        if sock in self._clients and _has_unread_bytes(sock):
-            self.closed_unread += 1
+        """Close a connection; the kernel resets it if it has unread bytes.
+
+        Behind a `shutdown`, which circuits calls first, the client sees the end of a connection
+        whose bytes were all read, and takes its request for one that was given up.
+        """
+        if sock in self._clients:
+            self.closed_unread += _has_unread_bytes(sock)
+            self._poller.discard(sock)
+            sock.close()
         super()._close(sock)
 
 
--- a/tests/leaving_callers.py
+++ b/tests/leaving_callers.py
@@ -2,12 +2,12 @@
 
 A request counts as dropped if its connection ends without a complete answer although the instance
 has received every byte of it. If the instance closes a connection with unread bytes, the connection
-is reset or reports an error: such a request was never read, and its client sends it to another
-instance.
+is reset: such a request was never read, and its client sends it to another instance.
 """
 
 import itertools
 import json
+import select
 import socket
 import threading
 import time
@@ -16,6 +16,9 @@
 from typing import NamedTuple
 
 ANSWER_TIMEOUT_S = 20.0
+LOSS_SLACK_S = 0.2
+"""Time after the last byte of a request up to which its connection may end, in seconds."""
+
 JOB = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 500, "estimateMs": 100}]}).encode()
 
 
@@ -37,18 +40,27 @@
     closes: bool = False
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Return whether the other side's end of a connection, or a reset, has arrived."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Connection:
     """A client connection that carries one request after the other."""
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self._sock = socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S)
+        self._open_at = 0.0
 
     def send(self, raw: bytes) -> bool:
         try:
             self._sock.sendall(raw)
         except OSError:
             return False
+        self._open_at = 0.0 if has_ended(self._sock) else time.monotonic()
         return True
 
     def ask(self, raw: bytes) -> SentRequest:
@@ -85,8 +97,11 @@
     def _outcome_of_close(self, received: bytes) -> Outcome:
         """Return DROPPED if the instance read the request before it closed, else NOT_READ.
 
-        A close that discards unread bytes leaves an error on the socket.
+        A close that discards unread bytes resets the connection. Only what was sent while a close
+        came may be unread behind an end without a reset; it leaves an error on the socket.
         """
+        if self._open_at and time.monotonic() - self._open_at > LOSS_SLACK_S:
+            return Outcome.DROPPED
         time.sleep(0.01)
         socket_error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return Outcome.NOT_READ if socket_error and not received else Outcome.DROPPED
--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tests.leaving_callers import JOB, Outcome, render
+from tests.leaving_callers import JOB, LOSS_SLACK_S, Outcome, has_ended, render
 from tests.soak.fleet import HOST, PREFIX
 from tests.soak.stop_queues import Queues
 
@@ -82,6 +82,7 @@
         self._received = b""
         self._outcome: Outcome | None = None
         self._is_reset = False
+        self._open_at = 0.0
         self.opened_at = time.monotonic()
 
     def send(self, raw: bytes) -> bool:
@@ -92,6 +93,7 @@
             # The socket reports the reset only once.
             self._is_reset = True
             return False
+        self._open_at = 0.0 if has_ended(self._sock) else time.monotonic()
         return True
 
     def read(self) -> _Answer | Outcome:
@@ -130,7 +132,13 @@
         return _Answer(int(lines[0].split()[1]), fields.get("spoolcrank-error", ""), closes)
 
     def _outcome_of_close(self) -> Outcome:
-        """Return NOT_READ if the close left an error: it discarded bytes that had arrived."""
+        """Return what became of the requests on a connection that ended without a reset.
+
+        Such an end says that everything was read. Only what was sent while it came may be unread;
+        then the socket has an error.
+        """
+        if self._open_at and time.monotonic() - self._open_at > LOSS_SLACK_S:
+            return Outcome.DROPPED
         time.sleep(0.01)
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         is_reset = self._is_reset or error != 0
--- a/tests/test_web_stop.py
+++ b/tests/test_web_stop.py
@@ -252,3 +252,27 @@
     served.do(served.web.stop_reading)
     served.do(served.web.close_unanswerable)
     assert served.do(lambda: served.web.stop_counts.closed_unread) == 1
+
+
+# Guards against ending a connection with an unread request as if that request had been read.
+@pytest.mark.parametrize("ends", ["as unanswerable", "as idle", "with the loop"])
+def test_a_client_whose_request_was_not_read_sees_a_reset(
+    served: ServerInThread, ends: str
+) -> None:
+    conn = served.client()
+
+    def send_and_close() -> None:
+        served.web.read_until(time.monotonic())
+        conn.sendall(request("/now"))
+        if ends == "as idle":
+            served.web.close_idle()
+        elif ends == "as unanswerable":
+            served.web.stop_reading()
+            served.web.close_unanswerable()
+        else:
+            served.web.server.close()
+
+    served.do(send_and_close)
+    with pytest.raises(ConnectionResetError):
+        conn.recv(1)
+    assert served.requests == []
