Force the end of a stop only after its loop has run

What callers saw: a stopping process that had stood still for seconds dropped requests it had read.

Cause: the forced end came by the clock alone. After a standstill beyond it, the check that ended reading was followed by the one that ended the process, 20 to 50 ms later, while an answer takes several turns of the loop to reach the kernel, and each pipelined one as many again.

Why this works: while answers are unsent, the end waits until checks that came on time have covered 0.3 s, the time allowed for sending. Time up to a late check does not count. A process that is killed meanwhile has cut no more than the forced end would.

Both new tests failed before, and do with this change alone switched off.

--- a/spoolcrank/instance_stop.py
+++ b/spoolcrank/instance_stop.py
@@ -52,6 +52,7 @@
         self._started_at = clock()
         self._check_due_at = self._started_at
         self._longest_delay_s = 0.0
+        self._sending_s = 0.0
         self._state = StopState.SERVING
 
     def begin(self) -> None:
@@ -67,15 +68,21 @@
             # Schedule the next check first, so that an exception in this one does not end them.
             self._timers.after(CHECK_INTERVAL_S, self._check)
         now = self._clock()
-        self._longest_delay_s = max(self._longest_delay_s, now - self._check_due_at)
+        delay_s = now - self._check_due_at
+        self._longest_delay_s = max(self._longest_delay_s, delay_s)
         self._check_due_at = now + CHECK_INTERVAL_S
         since_s = now - self._started_at
         if self._state is StopState.REFUSING and since_s >= self._times.idle_end_s:
             self._web.close_idle()
         elif self._state is StopState.SENDING:
+            if delay_s <= CHECK_INTERVAL_S:
+                self._sending_s += CHECK_INTERVAL_S
             self._web.close_unanswerable()
         remaining = RemainingWork(
-            self._web.connections, self._is_leader(), self._web.connections_with_work
+            self._web.connections,
+            self._is_leader(),
+            self._web.connections_with_work,
+            self._sending_s,
         )
         state = next_state(self._state, self._times, since_s, remaining)
         if state is not self._state:
--- a/spoolcrank/planned_stop.py
+++ b/spoolcrank/planned_stop.py
@@ -10,7 +10,7 @@
   their answers.
 - sending: requests that the store did not answer in time are answered as unknown; nothing more is
   read, and the remaining answers are sent. While one of them is not sent yet, the state lasts up to
-  half a second longer.
+  half a second longer, and until the event loop has run for the time that sending may take.
 - ended: the process ends.
 """
 
@@ -88,11 +88,14 @@
         leads: whether the instance has not given up leadership yet.
         unanswered: number of connections with bytes or requests that were read and whose answers
             are not sent yet.
+        sending_s: for how long the event loop has run in the state of sending, in seconds; time up
+            to a check that came late does not count.
     """
 
     connections: int
     leads: bool
     unanswered: int = 0
+    sending_s: float = SEND_ALLOWANCE_S
 
 
 def stop_times(grace_s: float) -> StopTimes:
@@ -120,5 +123,7 @@
         return StopState.ENDED
     if current is StopState.REFUSING:
         return StopState.SENDING if since_s >= times.answers_end_s else current
-    end_s = times.latest_end_s if remaining.unanswered else times.end_s
-    return StopState.ENDED if since_s >= end_s else current
+    if not remaining.unanswered:
+        return StopState.ENDED if since_s >= times.end_s else current
+    may_end = since_s >= times.latest_end_s and remaining.sending_s >= SEND_ALLOWANCE_S
+    return StopState.ENDED if may_end else current
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -1,6 +1,7 @@
 """Requests that an instance reads late in a planned stop, and what they may still wait for."""
 
 import json
+import time
 from typing import Any, NamedTuple
 
 import pytest
@@ -10,12 +11,13 @@
 from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.open_requests import OpenRequests
-from spoolcrank.planned_stop import stop_times
+from spoolcrank.planned_stop import RemainingWork, StopState, StopTimes, next_state, stop_times
 from spoolcrank.platform.clients import ClientApi
 from spoolcrank.platform.documents import decode_configuration
 from spoolcrank.prometheus_metrics import PrometheusMetrics
 from spoolcrank.store_port import AppendOutcome
 from tests.test_stop_times import Instance, Log, Loop
+from tests.test_web_stop import ServerInThread, read_to_end, request
 
 USUAL_GRACE_S = 6.0
 AGE_S = 1.7
@@ -190,3 +192,48 @@
 def test_an_answer_that_is_never_sent_holds_the_stop_up_for_less_than_the_grace_period() -> None:
     ended_s, _ = stop_beside_an_answer(1000.0)
     assert ended_s < USUAL_GRACE_S
+
+
+# Guards against a forced end right after a standstill, before an answer given in it is sent.
+def test_an_answer_given_before_a_standstill_is_sent_before_the_forced_end() -> None:
+    served = ServerInThread()
+    lines, unanswered = Lines(), list[int]()
+    untyped: Any = (NoIntake(), lines)
+    intake, telemetry = untyped
+
+    def give_up() -> int:
+        served.answer_now(b"late")
+        time.sleep(0.3)
+        return 1
+
+    def stop() -> None:
+        InstanceStop(
+            StopTimes(0.0, 0.0, 0.1, 0.1, 0.2),
+            served.web,
+            intake,
+            OpenRequests(),
+            give_up,
+            lambda: False,
+            lambda: unanswered.append(served.web.unanswered),
+            served._runtime.timers,
+            telemetry,
+            time.monotonic,
+        ).begin()
+
+    try:
+        conn = served.client()
+        conn.sendall(request("/later"))
+        served.wait(lambda: served.web.unanswered == 1)
+        served.do(stop)
+        assert read_to_end(conn).endswith(b"late")
+        served.wait(lambda: bool(unanswered))
+    finally:
+        served.close()
+    assert unanswered == [0]
+    assert "given-up" not in lines.names
+
+
+@pytest.mark.parametrize(("sending_s", "state"), [(0.0, StopState.SENDING), (1.0, StopState.ENDED)])
+def test_the_forced_end_waits_until_the_loop_has_run(sending_s: float, state: StopState) -> None:
+    remaining = RemainingWork(1, False, 1, sending_s)
+    assert next_state(StopState.SENDING, stop_times(USUAL_GRACE_S), 20.0, remaining) is state
