Answer what waits at an entry instance though its loop stood past the end

What callers saw: an entry instance whose loop stood over both the end of answers (19 s) and the end of its stop (20 s) ended at its next check, and its waiting requests got no byte.

Cause: a check that came after the end ended the process before it gave up what waited; a state was skipped by the clock, as the forced end of the other interface did.

Evidence: by reading, after that fault; the new test forces the order of events in one process.

Why this works: the forced end needs six checks in time behind the end of reading, each with a turn of the loop in which answers are passed on, so what waits is always given up first.

The test failed before: its client read the end of the connection and no answer.

--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -26,6 +26,8 @@
 
 _METRICS_FLUSH_INTERVAL_S = 1.0
 _DRAIN_CHECK_INTERVAL_S = 0.05
+_MIN_SENDING_CHECKS = 6
+"""Checks in time that follow the end of reading before a forced end: 0.3 s for sending answers."""
 
 
 class DrainTimes(NamedTuple):
@@ -34,7 +36,8 @@
     Attributes:
         idle_end_s: time from which connections without a request are closed.
         answers_end_s: time at which requests without an answer get one, and reading ends.
-        end_s: end of the process.
+        end_s: end of the process; later after a standstill, until the event loop has run for long
+            enough to send the answers.
     """
 
     idle_end_s: float
@@ -51,6 +54,8 @@
     def __init__(self, runtime: Runtime, settings: EntrySettings) -> None:
         self._runtime = runtime
         self._settings = settings
+        self._check_due_at = 0.0
+        self._sending_checks = 0
         self.metrics = Metrics()
         if settings.statsd:
             self.metrics.send_to(settings.statsd)
@@ -135,18 +140,23 @@
         began_at = time.monotonic()
         check = partial(self._check_drained, began_at, finish)
         self._runtime.timers.after(DRAIN_TIMES.idle_end_s, check)
+        self._check_due_at = began_at + DRAIN_TIMES.idle_end_s
         self.callers.closing = True
         self.jobs.closing = True
         self.web.stop_listening()
 
     def _check_drained(self, began_at: float, finish: Callable[[], None]) -> None:
-        since_s = time.monotonic() - began_at
-        if since_s >= DRAIN_TIMES.end_s:
+        now = time.monotonic()
+        since_s = now - began_at
+        if since_s >= DRAIN_TIMES.end_s and self._sending_checks >= _MIN_SENDING_CHECKS:
             self._end(finish)
             return
         check = partial(self._check_drained, began_at, finish)
         timer = self._runtime.timers.after(_DRAIN_CHECK_INTERVAL_S, check)
+        in_time = now - self._check_due_at <= _DRAIN_CHECK_INTERVAL_S
+        self._check_due_at = now + _DRAIN_CHECK_INTERVAL_S
         if since_s >= DRAIN_TIMES.answers_end_s:
+            self._sending_checks += in_time
             self.web.stop_reading()
             self.callers.give_up()
             self.web.close_unanswerable()
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -12,9 +12,11 @@
 
 import pytest
 
+import spoolcrank.entry as entry_module
 from bench.processes import BackendPlan, Fleet
 from spoolcrank._runtime import Runtime
-from spoolcrank.entry import DRAIN_TIMES, Entry
+from spoolcrank._web import HttpReply, Reply
+from spoolcrank.entry import DRAIN_TIMES, DrainTimes, Entry
 from spoolcrank.jobs_api import CONFIRM_TIMEOUT_S
 from spoolcrank.settings import check_entry
 from tests.leaving_callers import Connection, Outcome, SentRequest, render
@@ -197,8 +199,7 @@
     assert DRAIN_TIMES.answers_end_s > CONFIRM_TIMEOUT_S
 
 
-def test_a_stop_goes_on_though_its_first_step_fails() -> None:
-    """The exception ended the stop: the process stayed, not ready, until it was killed."""
+def entry_without_a_fleet() -> tuple[Runtime, Entry]:
     runtime = Runtime()
     settings = check_entry(
         instance_id="entry-a1",
@@ -209,7 +210,12 @@
         instances="http://127.0.0.1:9",
         linger_s=0.1,
     )
-    entry = Entry(runtime, settings)
+    return runtime, Entry(runtime, settings)
+
+
+def test_a_stop_goes_on_though_its_first_step_fails() -> None:
+    """The exception ended the stop: the process stayed, not ready, until it was killed."""
+    runtime, entry = entry_without_a_fleet()
 
     def fail() -> None:
         raise OSError("no handover")
@@ -220,3 +226,31 @@
     ended = runtime._ended.wait(10.0)
     runtime.stop()
     assert ended
+
+
+# Guards against a process that ends right after a standstill, before it gives up what it has read.
+def test_what_waits_is_answered_though_the_loop_stood_past_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    runtime, entry = entry_without_a_fleet()
+    waiting: list[Reply] = []
+
+    def give_up() -> None:
+        for reply in waiting:
+            reply(HttpReply(503, {}, b"given up"))
+        waiting.clear()
+
+    def stand_still() -> None:
+        assert len(waiting) == 1
+        runtime.begin_stop()
+        runtime.timers.after(0.15, lambda: time.sleep(0.4))
+
+    monkeypatch.setattr(entry_module, "DRAIN_TIMES", DrainTimes(0.02, 0.2, 0.3))
+    entry.web._answer = lambda req, reply: waiting.append(reply)
+    entry.callers.give_up = give_up  # type: ignore[method-assign]
+    runtime.run_in_thread()
+    answer = ask(f"127.0.0.1:{entry.web.port}", render("GET", "a", "/services/x/"))
+    time.sleep(0.3)
+    runtime.post(stand_still)
+    assert answer().endswith(b"given up")
+    assert runtime._ended.wait(10.0)
