--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -5,17 +5,16 @@
 """
 
 import random
-import socket
 import threading
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tests.leaving_callers import JOB, LOSS_SLACK_S, Outcome, has_ended, render
+from tests.leaving_callers import JOB, Outcome, render
 from tests.soak.fleet import HOST, PREFIX
+from tests.soak.stop_connection import ANSWER_TIMEOUT_S, Answer, Connection
 from tests.soak.stop_queues import Queues
 
-ANSWER_TIMEOUT_S = 20.0
 CONNECT_RETRY_S = 0.05
 SMALL_RECEIVE_BUFFER = 2048
 MAX_SPEC_BYTES = (1 << 20) - 200
@@ -62,101 +61,6 @@
     error: str = ""
 
 
-class _Answer(NamedTuple):
-    status: int
-    error: str
-    closes: bool
-
-
-class _Connection:
-    """One connection, whose answers are read one after the other."""
-
-    def __init__(self, address: str, receive_buffer: int = 0) -> None:
-        host, _, port = address.rpartition(":")
-        self._sock = socket.socket()
-        if receive_buffer:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        self._sock.settimeout(ANSWER_TIMEOUT_S)
-        self._sock.connect((host, int(port)))
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._received = b""
-        self._outcome: Outcome | None = None
-        self._is_reset = False
-        self._open_at = 0.0
-        self.opened_at = time.monotonic()
-
-    def send(self, raw: bytes) -> bool:
-        """Send all bytes; return False if the connection has ended."""
-        try:
-            self._sock.sendall(raw)
-        except OSError:
-            # The socket reports the reset only once.
-            self._is_reset = True
-            return False
-        self._open_at = 0.0 if has_ended(self._sock) else time.monotonic()
-        return True
-
-    def read(self) -> _Answer | Outcome:
-        """Return the next answer, or what became of the request if the connection ended."""
-        while (answer := self._take()) is None:
-            if self._outcome is None:
-                self._outcome = self._receive()
-            if self._outcome is not None:
-                return self._outcome
-        return answer
-
-    def _receive(self) -> Outcome | None:
-        """Receive a block; return what became of unanswered requests if the connection ended."""
-        try:
-            block = self._sock.recv(65536)
-        except ConnectionError:
-            return Outcome.DROPPED if self._received else Outcome.NOT_READ
-        except TimeoutError:
-            return Outcome.DROPPED
-        self._received += block
-        return None if block else self._outcome_of_close()
-
-    def _take(self) -> _Answer | None:
-        head, separator, body = self._received.partition(b"\r\n\r\n")
-        if not separator:
-            return None
-        lines = head.decode("latin-1").split("\r\n")
-        fields = {
-            name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)
-        }
-        length = int(fields.get("content-length", "0"))
-        if len(body) < length:
-            return None
-        self._received = body[length:]
-        closes = fields.get("connection", "").lower() == "close"
-        return _Answer(int(lines[0].split()[1]), fields.get("spoolcrank-error", ""), closes)
-
-    def _outcome_of_close(self) -> Outcome:
-        """Return what became of the requests on a connection that ended without a reset.
-
-        Such an end says that everything was read. Only what was sent while it came may be unread;
-        then the socket has an error.
-        """
-        if self._open_at and time.monotonic() - self._open_at > LOSS_SLACK_S:
-            return Outcome.DROPPED
-        time.sleep(0.01)
-        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        is_reset = self._is_reset or error != 0
-        return Outcome.NOT_READ if is_reset and not self._received else Outcome.DROPPED
-
-    def read_to_end(self) -> None:
-        """Wait until the other side has ended the connection, and close it."""
-        try:
-            while self._sock.recv(65536):
-                pass
-        except OSError:
-            pass
-        self.close()
-
-    def close(self) -> None:
-        self._sock.close()
-
-
 class StopCallers:
     """The client threads of one stop of one instance.
 
@@ -177,7 +81,7 @@
         self._gone = threading.Event()
         self._threads: list[threading.Thread] = []
         self._submitted: list[Question] = []
-        self._connections: list[_Connection] = []
+        self._connections: list[Connection] = []
 
     def start(self, connections: int = 40) -> None:
         """Start all clients; `connections` of them send their first request after the signal."""
@@ -238,10 +142,10 @@
 
     # How it is asked
 
-    def _connect(self, receive_buffer: int = 0) -> _Connection | None:
+    def _connect(self, receive_buffer: int = 0) -> Connection | None:
         while not self._gone.is_set():
             try:
-                conn = _Connection(self.address, receive_buffer)
+                conn = Connection(self.address, receive_buffer)
             except OSError:
                 time.sleep(CONNECT_RETRY_S)
                 continue
@@ -254,12 +158,12 @@
         time.sleep(max(0.0, self.signal_at + since_signal_s - time.monotonic()))
 
     def _record(
-        self, conn: _Connection, way: str, question: Question, first_at: float, last_at: float
-    ) -> _Answer | None:
+        self, conn: Connection, way: str, question: Question, first_at: float, last_at: float
+    ) -> Answer | None:
         """Read the answer to a request and record its outcome; return None without an answer."""
         result = conn.read()
         now = time.monotonic()
-        answer = result if isinstance(result, _Answer) else None
+        answer = result if isinstance(result, Answer) else None
         outcome = result if isinstance(result, Outcome) else Outcome.ANSWERED
         status, error = (answer.status, answer.error) if answer else (0, "")
         if answer is None:
@@ -274,7 +178,7 @@
             self._submitted.append(question)
         return answer
 
-    def _ask(self, conn: _Connection, way: str, question: Question) -> _Answer | None:
+    def _ask(self, conn: Connection, way: str, question: Question) -> Answer | None:
         first_at = time.monotonic()
         if not conn.send(question.raw):
             return None
@@ -368,7 +272,7 @@
 
     def _reused(self, chance: random.Random) -> None:
         """Ask again and again over one connection, and over a new one when it has ended."""
-        conn: _Connection | None = None
+        conn: Connection | None = None
         while self._may_send():
             conn = conn or self._connect()
             answer = self._ask(conn, "reused", self._question(chance)) if conn is not None else None
