Play the standstills at the entry instance as well

The same clients over an entry instance's daemon whose loop stands over the end of answers and of the stop.

--- a/tests/test_stop_standstills.py
+++ b/tests/test_stop_standstills.py
@@ -13,12 +13,15 @@
 
 import pytest
 
+import spoolcrank.entry as entry_module
 from spoolcrank._web import HttpReply, HttpRequest, Reply
+from spoolcrank.entry import DrainTimes
 from spoolcrank.instance_stop import InstanceStop
 from spoolcrank.open_requests import OpenRequests
 from spoolcrank.planned_stop import StopTimes
 from tests.leaving_callers import Outcome
 from tests.soak.stop_connection import Connection
+from tests.test_entry_stop import entry_without_a_fleet
 from tests.test_stop_answers import Lines, NoIntake
 from tests.test_web_stop import ServerInThread, request
 
@@ -110,11 +113,23 @@
     ).begin()
 
 
-@pytest.mark.parametrize("seed", range(12 + FURTHER_SEEDS))
-def test_every_request_is_answered_or_its_connection_reset(seed: int) -> None:
-    chance = random.Random(seed)
-    served, ended, results = ServerInThread(), threading.Event(), list[Asked]()
-    store = Store(chance)
+class EntryInThread(ServerInThread):
+    """The entry instance's daemon without a fleet, and its stop, in a ninth of the usual times."""
+
+    def __init__(self, store: Store) -> None:
+        self.requests = []
+        self._runtime, entry = entry_without_a_fleet()
+        entry.callers.give_up = store.give_up  # type: ignore[method-assign,assignment]
+        self.web = entry.web
+        self._stop = self._runtime.run_in_thread()
+        self._clients = []
+
+
+def play(
+    seed: int, served: ServerInThread, store: Store, begin_stop: Callable[[], None]
+) -> list[Asked]:
+    """Stop a server whose loop stands still at times, and return what its clients saw."""
+    results = list[Asked]()
     served.do(lambda: setattr(served.web, "_answer", store.answer))
     conns = [Connection(f"127.0.0.1:{served.web.port}") for _ in range(CLIENTS)]
     served.wait(lambda: served.web.connections == CLIENTS)
@@ -126,14 +141,39 @@
     for thread in threads:
         thread.start()
     time.sleep(max(0.0, begun_at - time.monotonic()))
-    served.post(lambda: stand_still(served, chance))
-    served.post(lambda: stop(served, store.give_up, ended))
+    served.post(lambda: stand_still(served, random.Random(seed)))
+    served.post(begin_stop)
     for thread in threads:
         thread.join(20.0)
-    has_ended = ended.wait(20.0)
     for conn in conns:
         conn.close()
-    served.close()
-    assert has_ended
+    return results
+
+
+def check(results: list[Asked]) -> None:
     assert [asked for asked in results if Outcome.DROPPED in asked.outcomes] == []
     assert any(Outcome.ANSWERED in asked.outcomes for asked in results)
+
+
+@pytest.mark.parametrize("seed", range(12 + FURTHER_SEEDS))
+def test_every_request_is_answered_or_its_connection_reset(seed: int) -> None:
+    served, ended, store = ServerInThread(), threading.Event(), Store(random.Random(seed))
+    results = play(seed, served, store, lambda: stop(served, store.give_up, ended))
+    has_ended = ended.wait(20.0)
+    served.close()
+    assert has_ended
+    check(results)
+
+
+@pytest.mark.parametrize("seed", range(6 + FURTHER_SEEDS))
+def test_every_request_to_an_entry_instance_is_answered_or_its_connection_reset(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(entry_module, "DRAIN_TIMES", DrainTimes(0.05, 0.3, 0.5))
+    store = Store(random.Random(seed))
+    served = EntryInThread(store)
+    results = play(seed, served, store, served._runtime.begin_stop)
+    has_ended = served._runtime._ended.wait(20.0)
+    served.close()
+    assert has_ended
+    check(results)
