--- a/tests/test_stop_standstills.py
+++ b/tests/test_stop_standstills.py
@@ -155,6 +155,7 @@
     assert any(Outcome.ANSWERED in asked.outcomes for asked in results)
 
 
+# Guards against a request that is read and not answered, or not read and not reset.
 @pytest.mark.parametrize("seed", range(12 + FURTHER_SEEDS))
 def test_every_request_is_answered_or_its_connection_reset(seed: int) -> None:
     served, ended, store = ServerInThread(), threading.Event(), Store(random.Random(seed))
@@ -165,6 +166,7 @@
     check(results)
 
 
+# Guards against the same at the other interface.
 @pytest.mark.parametrize("seed", range(6 + FURTHER_SEEDS))
 def test_every_request_to_an_entry_instance_is_answered_or_its_connection_reset(
     seed: int, monkeypatch: pytest.MonkeyPatch
