Wait for an unreached runner's leases as long as its deployment grants them

What callers saw: after a loss of power of runners and instances, tasks whose runners did not come back under their ids stood for some 1.5 s longer than needed where runners shorten leases to 6 s.

Cause: the time after which a run at a runner that this leader never reached counts as over was computed from the longest lease of the product (7.5 s), although the dispatcher asks for no longer lease than the deployment's longest, and runners shorten each one to that.

The time is now computed from the leader's own lease: 9.48 s with leases of 7.5 s, as before, and 7.94 s with leases of 6 s. Nothing else is derived from the lease in a constant: the grants use the runner's lease, and the age from which unanswered runners are polled rarely (10 s) only has to be longer. Where runners allow 10 s the product still asks for 7.5 s, so nothing is too short.

The simulated fleet can now play a shorter longest lease: the state machine draws 10 s or 6 s, and the plays of losses of power and of restarts with killed leaders are played with both. The mutation that lets leases count as over too early now replaces the method, with the same 0.5 s.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -32,7 +32,7 @@
 )
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
-from spoolcrank.scheduler import MAX_INHERITED_RUN_S, Scheduler
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, JobPhase, Phase, TaskKey
 
 MAX_START_TRIES = 2
@@ -331,7 +331,8 @@
 
 
 def _check_leases(state: Scheduler, runner: RunnerState, now: float) -> None:
-    inherited_leases_expired = now - state.leases_run_from(runner.id) > MAX_INHERITED_RUN_S
+    inherited_for_s = now - state.leases_run_from(runner.id)
+    inherited_leases_expired = inherited_for_s > state.max_inherited_run_s
     never_reached = not runner.adopted and inherited_leases_expired
     if not never_reached and not runner.surely_ended(now):
         return
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -45,11 +45,6 @@
     TaskKey,
 )
 
-MAX_INHERITED_RUN_S = (SELF_FENCE_S + LEASE_MS / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
-"""Time after the last write of the previous leader at which a runner that this leader has never
-reached no longer runs anything, seconds. After that write the previous leader extends leases for
-at most SELF_FENCE_S, each by at most LEASE_MS; the factor allows for clock drift."""
-
 
 class RoutePolicy(NamedTuple):
     """Settings of one queue in the active configuration."""
@@ -274,6 +269,14 @@
         """Return the time from which leases of earlier leaders may run on a runner."""
         return self.inherited_since.get(runner, self.predecessor_wrote_at)
 
+    @property
+    def max_inherited_run_s(self) -> float:
+        """Return how long leases of an earlier leader may run after its last write, in seconds.
+
+        It extends leases for SELF_FENCE_S, each by one lease; the factor allows for clock drift.
+        """
+        return (SELF_FENCE_S + self.lease_ms / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
+
     def target(self, runner: RunnerState) -> Target:
         """Return the address and fence for orders to a runner."""
         fence = self.term * FENCES_PER_TERM + runner.rank
--- a/tests/fleet_runners.py
+++ b/tests/fleet_runners.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from tests.fleet_world import Instance, World
 
-MAX_LEASE_S = 10.0
+MAX_LEASE_MS = 10_000
 STOP_DURATION_S = 0.3
 CLOCK_RATE = 0.985
 ORDER_TIMEOUT_S = 0.6
@@ -165,7 +165,7 @@
         if not world.carried_out_late:
             world.timely_starts[key].append(world.now)
         world.check_attempts(key)
-        until = min(order.until_ms, self.clock_ms + MAX_LEASE_S * 1000)
+        until = min(order.until_ms, self.clock_ms + self.world.max_lease_ms)
         self.tasks[key] = Task(order.run, order.target.fence, until, self.work_s)
         crash_within_s = world.crashing.get(key, world.crashing.get(key.job, 0.0))
         if crash_within_s:
@@ -232,7 +232,7 @@
             self.world.violations.append(f"TWICE {row.task} was started again after it was done")
 
     def _extend(self, until_ms: float) -> None:
-        until_ms = min(until_ms, self.clock_ms + MAX_LEASE_S * 1000)
+        until_ms = min(until_ms, self.clock_ms + self.world.max_lease_ms)
         self.lease_ms = max(self.lease_ms, until_ms)
         for task in self.tasks.values():
             task.until_ms = max(task.until_ms, until_ms)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -22,9 +22,9 @@
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.orders import EndKind, OrderResult
 from spoolcrank.platform.documents import decode_runner_entry
-from spoolcrank.runner_state import RunnerEntry
+from spoolcrank.runner_state import LEASE_MS, RunnerEntry
 from spoolcrank.workflow import Demand, JobRecord, RouteName, Step, TaskKey, Workflow
-from tests.fleet_runners import Runner, RunnerPort
+from tests.fleet_runners import MAX_LEASE_MS, Runner, RunnerPort
 from tests.fleet_store import Store, StorePort
 
 SERVICE = ServiceName("pricing")
@@ -50,8 +50,9 @@
 class World:
     """The virtual clock, the simulated fleet, its faults, and the violations found so far."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, max_lease_ms: int = MAX_LEASE_MS) -> None:
         self.now = 100.0
+        self.max_lease_ms = max_lease_ms  # Runners shorten longer leases to it.
         self.random = random.Random(seed)
         self.violations: list[str] = []
         self.store = Store(self)
@@ -332,6 +333,7 @@
             logged,
             clock,
             clock,
+            min(LEASE_MS, world.max_lease_ms),
         )
 
     def begin(self) -> None:
@@ -383,9 +385,11 @@
         return outcomes
 
 
-def small_world(instances: int = 3, runners: int = 4, seed: int = 1) -> World:
+def small_world(
+    instances: int = 3, runners: int = 4, seed: int = 1, max_lease_ms: int = MAX_LEASE_MS
+) -> World:
     """Return a small simulated fleet that has elected a leader."""
-    world = World(seed)
+    world = World(seed, max_lease_ms)
     for number in range(runners):
         world.add_runner(f"10.0.0.{number}:80")
     for number in range(instances):
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -58,9 +58,10 @@
         seed=st.integers(0, 1 << 16),
         ends=st.sampled_from([500, 2]),
         clock_rate=st.sampled_from([0.985, 0.981, 1.0]),
+        max_lease_ms=st.sampled_from([10_000, 6_000]),
     )
-    def begin(self, seed: int, ends: int, clock_rate: float) -> None:
-        self.world: World = small_world(instances=3, runners=3, seed=seed)
+    def begin(self, seed: int, ends: int, clock_rate: float, max_lease_ms: int) -> None:
+        self.world: World = small_world(3, 3, seed, max_lease_ms)
         self.world.max_ends_per_answer = ends
         # A known fault: a restarted runner carries out a late order if no call has reached it yet.
         self.world.late_orders_outlive_restart = False
@@ -397,7 +398,11 @@
         _acknowledge_before_storing,
     ),
     "an unknown append counts as refused": (job_intake, "IntakeOutcome", None),
-    "leases count as over too early": (run_control, "MAX_INHERITED_RUN_S", 0.5),
+    "leases count as over too early": (
+        Scheduler,
+        "max_inherited_run_s",
+        property(lambda self: 0.5),
+    ),
     "an own earlier term is forgotten": (
         Leadership,
         "predecessor_wrote_at",
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -18,6 +18,7 @@
 from spoolcrank.job_intake import IntakeOutcome
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import FINAL, JobPhase, Step
+from tests.fleet_runners import MAX_LEASE_MS
 from tests.fleet_world import Instance, World, small_world
 
 SEEDS = int(os.environ.get("SPOOLCRANK_POWER_SEEDS", "8"))
@@ -168,10 +169,10 @@
     ]
 
 
-def play(seed: int, trouble: bool) -> list[str]:
+def play(seed: int, trouble: bool, max_lease_ms: int = MAX_LEASE_MS) -> list[str]:
     """Simulate one seed; return all violations."""
     chance = random.Random(seed)
-    world = small_world(instances=3, runners=4, seed=seed)
+    world = small_world(instances=3, runners=4, seed=seed, max_lease_ms=max_lease_ms)
     for runner in world.runners.values():
         runner.work_s = WORK_S
     world.lasting_jobs = {"aaaa"}
@@ -200,11 +201,12 @@
 
 
 @pytest.mark.parametrize("trouble", [False, True], ids=["alone", "beside trouble"])
+@pytest.mark.parametrize("max_lease_ms", [MAX_LEASE_MS, 6_000])
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_accepted_jobs_and_cancels_survive_a_power_loss_of_all_instances(
-    seed: int, trouble: bool
+    seed: int, max_lease_ms: int, trouble: bool
 ) -> None:
-    assert play(seed, trouble) == []
+    assert play(seed, trouble, max_lease_ms) == []
 
 
 _add_job = Scheduler.add_job
--- a/tests/test_runner_incarnations.py
+++ b/tests/test_runner_incarnations.py
@@ -11,6 +11,7 @@
 from spoolcrank.runner_ids import FenceRanks
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests import fleet_runners
+from tests.fleet_runners import MAX_LEASE_MS
 from tests.fleet_world import Instance, World, small_world
 
 LATE_SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "3"))
@@ -35,8 +36,8 @@
 class Play:
     """Simulation of jobs that are submitted while runners restart, with optional faults."""
 
-    def __init__(self, seed: int) -> None:
-        self.world = small_world(instances=INSTANCES, runners=RUNNERS, seed=seed)
+    def __init__(self, seed: int, max_lease_ms: int = MAX_LEASE_MS) -> None:
+        self.world = small_world(INSTANCES, RUNNERS, seed, max_lease_ms)
         self.world.keeps_id_share = 1.0
         self.kills = False
         self.all_at: tuple[int, ...] = ()
@@ -110,11 +111,12 @@
 
 
 # Guards against a leader that takes runs of an earlier incarnation for runs of the present one.
+@pytest.mark.parametrize("max_lease_ms", [MAX_LEASE_MS, 6_000])
 @pytest.mark.parametrize("seed", range(3))
 def test_runners_restarted_under_their_ids_while_leaders_are_killed_run_nothing_twice(
-    seed: int,
+    seed: int, max_lease_ms: int
 ) -> None:
-    play = Play(seed)
+    play = Play(seed, max_lease_ms)
     play.kills = True
     play.run()
     play.check()
--- a/tests/test_unreached_runners.py
+++ b/tests/test_unreached_runners.py
@@ -6,9 +6,8 @@
 from spoolcrank.ids import Incarnation, InstanceId, JobId
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.orders import Poll, Report
-from spoolcrank.run_control import poll_answered
-from spoolcrank.runner_state import CLOCK_DRIFT
-from spoolcrank.scheduler import MAX_INHERITED_RUN_S
+from spoolcrank.run_control import poll_answered, tick
+from spoolcrank.runner_state import CLOCK_DRIFT, LEASE_MS
 from spoolcrank.unreached_runners import begin_term, resignation
 from spoolcrank.workflow import Step, TaskKey
 from tests.fleet_world import World
@@ -19,6 +18,9 @@
 DOWN_S = 2.0
 MAX_DELAY_S = 1.0
 """Longest time, in seconds, from the end of all leases to the start of the tasks."""
+LEASES_S = {10_000: 9.48, 6_000: 7.94}
+"""Time after the last write of a leader for which its leases may run, in seconds, by the longest
+lease of runners, in ms."""
 
 
 def _lose_power(world: World) -> None:
@@ -31,9 +33,10 @@
 
 
 # Guards against work that waits for the leases of a lost runner once more after each handover.
+@pytest.mark.parametrize("max_lease_ms", LEASES_S)
 @pytest.mark.parametrize("seed", range(4))
-def test_handovers_after_a_loss_of_power_do_not_delay_work(seed: int) -> None:
-    world = World(seed)
+def test_handovers_after_a_loss_of_power_do_not_delay_work(seed: int, max_lease_ms: int) -> None:
+    world = World(seed, max_lease_ms)
     for number in range(4):
         world.add_runner(f"10.0.0.{number}:80")
     world.add_instance("small", POWERS["small"])
@@ -49,10 +52,27 @@
     world.run_until(lambda: bool(world.running_on[key]))
     last = world.leader()
     assert last is not None and last.name == "large"
-    assert world.now - led_at <= MAX_INHERITED_RUN_S + MAX_DELAY_S
+    assert world.now - led_at <= LEASES_S[max_lease_ms] + MAX_DELAY_S
     assert world.violations == []
 
 
+# Guards against work that waits for longer leases than the runners of a deployment grant.
+@pytest.mark.parametrize("max_lease_ms", LEASES_S)
+def test_runs_of_an_unreached_runner_wait_for_the_leases_of_its_deployment(
+    max_lease_ms: int,
+) -> None:
+    unreached = runner("i-1")
+    key = put(unreached, SHORT)
+    unreached.adopted = False
+    state = leader(unreached)
+    state.lease_ms = min(LEASE_MS, max_lease_ms)
+    state.predecessor_wrote_at = NOW
+    tick(state, NOW + LEASES_S[max_lease_ms] - 0.02)
+    assert key in unreached.runs
+    tick(state, NOW + LEASES_S[max_lease_ms] + 0.02)
+    assert key not in unreached.runs
+
+
 def _follower() -> Leadership:
     return Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
 
