Let the wait for leases of unreached runners go on from one killed leader to the next

Callers saw accepted tasks stand beside free runners after a loss of runners and then of all instances, for as long as leaders were killed within the wait: the runs stayed start-unconfirmed until every lease that an earlier leader may have granted had passed, counted from the previous leader's last write. Only a resignation handed on how long that wait had lasted.

Now each claim that a leader writes states the silent runners with runs that it has not reached, with the age from which leases may run there (128 at most, from 1 s after its takeover; added ones at most every 0.4 s, withdrawn ones at once). From the moment such a claim is sent the leader adopts no incarnation of a stated runner, so grants it no lease, until a later claim without it is stored. A successor has read every record up to its claim when it leads, and later records of the earlier term are refused, so it knows the last claim of that term. It forgets the list when a load of its copy, or a record that cannot be read, may have skipped a claim, and counts only that of the term right before. A polled runner that is withheld is polled as a silent one is, every 0.4 s, and at once when its withdrawal is stored.

No other order extends a lease before adoption: only polls and starts carry deadlines, polls only for adopted runners, and starts go out only to adopted ones.

That the age allows for clock drift is shown by a test of the claim alone, as simulated instances have no drift.

The stand-in follower of test_claiming gets the number of loads that claims now read.

--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from spoolcrank.decoding import Unreadable
 from spoolcrank.keyed_log import LEADER_KEY, OFFER_KEY, KeyedRecord
 from spoolcrank.leader_writer import FIRST_SEQUENCE
 from spoolcrank.leadership import Claim, Leadership, Offer, decode_claim, decode_offer
@@ -54,10 +55,22 @@
         self._newest_offer = -1
         self._claim_offset = -1
         self._wait_logged = False
+        self._generation = follower.generation
 
     def read_claim(self, record: KeyedRecord, now: float) -> Claim | None:
-        """Return the claim in a record if it differs from the newest one read before."""
-        claim = decode_claim(record.value)
+        """Return the claim in a record if it differs from the newest one read before.
+
+        Raise Unreadable if it cannot be read.
+        """
+        if self._follower.generation != self._generation:
+            # The claims before those of a load were not read.
+            self._generation = self._follower.generation
+            self.leadership.forget_unreached()
+        try:
+            claim = decode_claim(record.value)
+        except Unreadable:
+            self.leadership.forget_unreached()
+            raise
         if not self.leadership.read_claim(claim, now):
             return None
         self._claim_offset = record.offset
@@ -68,7 +81,9 @@
         """Return whether this instance leads and has read every record up to its claim.
 
         A claim may be read among the newest records of a copy that is being loaded. The copy may
-        then lack jobs that were accepted and begun before the claim.
+        then lack jobs that were accepted and begun before the claim. It also needs the last claim
+        of the leader before, whose later records the store refuses: an earlier one may state
+        runners as unreached that were adopted since.
         """
         if not self.leadership.leads:
             return False
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -58,7 +58,7 @@
     restore_state,
 )
 from spoolcrank.telemetry import Telemetry
-from spoolcrank.unreached_runners import begin_term, resignation
+from spoolcrank.unreached_runners import begin_term, claim_due, claim_stored, own_claim, resignation
 from spoolcrank.workflow import RouteName, encode
 
 TICK_S = 0.1
@@ -212,9 +212,7 @@
 
     def _take_over(self, term: int, now: float) -> None:
         self._follower.eager = True
-        self._writer = LeaderWriter(
-            self._log, self._timers, self._clock, term, self._on_writer_lost
-        )
+        self._writer = LeaderWriter(self._log, self._timers, self._clock, term, self._step_down)
         self._regrouping = Regrouping()
         self._monitor = LeadershipMonitor(now)
         self._successor = NO_SUCCESSOR
@@ -231,9 +229,6 @@
         self._guard(scheduler, restore)
         self._decide_soon()
 
-    def _on_writer_lost(self, why: str) -> None:
-        self._step_down(f"the store refused a write: {why}")
-
     def _step_down(self, why: str) -> None:
         if self.scheduler is None:
             return
@@ -312,7 +307,8 @@
             resigned = resignation(self.leadership, scheduler, self._successor, now)
             self._write_claim(writer, resigned)
             return
-        batch = take_batch(scheduler)
+        stating = claim_due(scheduler, now)
+        batch = None if stating else take_batch(scheduler)
         if batch is not None:
             self.leadership.wrote_at = now
             if not batch.records:
@@ -321,9 +317,9 @@
             append = Append(batch.records)
             then = partial(self._on_batch_stored, scheduler, batch)
             writer.write(PendingAppend(append, lambda timing: self._on_append_stored(timing, then)))
-        elif self.leadership.due_actions(now).heartbeat:
+        elif stating or self.leadership.due_actions(now).heartbeat:
             self.leadership.wrote_at = now
-            self._write_claim(writer, self.leadership.own_claim())
+            self._write_claim(writer, own_claim(self.leadership, scheduler, now))
 
     def _write_claim(
         self, writer: LeaderWriter, claim: Claim, then: Callable[[], None] | None = None
@@ -332,6 +328,8 @@
             if claim.resigned:
                 self._step_down("handed over")
             else:
+                if self.scheduler is not None and claim_stored(self.scheduler, claim):
+                    self._decide_soon()
                 self._on_append_stored(timing, then)
 
         writer.write(PendingAppend(Append([KeyedRecord(LEADER_KEY, encode(claim))]), on_stored))
@@ -351,7 +349,9 @@
         elif timing.repeated:
             # Others may have read the record after the first attempt and count this leader's leases
             # from then. Show by a new claim that it still leads before extending any lease.
-            self._write_claim(writer, self.leadership.own_claim(), then=then)
+            self._write_claim(
+                writer, own_claim(self.leadership, scheduler, self._clock()), then=then
+            )
         else:
             self._record_confirmed_write(scheduler, timing.sent_at)
             if then is not None:
--- a/spoolcrank/leader_writer.py
+++ b/spoolcrank/leader_writer.py
@@ -102,7 +102,7 @@
             self._timers.after(RETRY_S, lambda: self._send(pending, possibly_stored_since))
         else:
             self.closed = True
-            self._on_lost(result.outcome.value)
+            self._on_lost(f"the store refused a write: {result.outcome.value}")
 
 
 FIRST_SEQUENCE = 1
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -90,7 +90,7 @@
         resigned: the leader resigned, and other instances need not wait for its timeout.
         processors: its instance's capacity, in cores of the fleet's usual speed.
         successor: the incarnation that a resigned leader hands over to; empty for any.
-        unreached_ms: the runners with runs that a resigned leader never reached, each with the time
+        unreached_ms: the runners with runs that the leader has not reached, each with the time
             from which the leases of earlier leaders there may run, as its age in ms.
     """
 
@@ -142,8 +142,7 @@
         self._claimed_term = 0
         self.claimed_at = -1.0
         self._unread_claims = 0
-        self._unreached_term = 0
-        self._unreached_since: dict[str, float] = {}
+        self._unreached_since: dict[int, dict[str, float]] = {}
 
     @property
     def leads(self) -> bool:
@@ -151,17 +150,18 @@
         return self.claim.incarnation == self.incarnation and not self.claim.resigned
 
     def read_claim(self, claim: Claim, now: float) -> bool:
-        """Apply a claim read from the log; return whether it differs from the previous one."""
+        """Apply a claim read from the log; return whether it differs from the previous one.
+
+        The unreached runners do not count for that. Only the newest claim of a term counts for
+        them: a later one withdraws the runners that it does not state.
+        """
         if claim.term < self.claim.term:
             return False
         self._unread_claims = 0
         if claim.term == self._resigned_term and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
-        if claim.resigned:
-            self._unreached_term = claim.term
-            self._unreached_since = {
-                runner: now - age_ms / 1000.0 for runner, age_ms in claim.unreached_ms.items()
-            }
+        self._read_unreached(claim, now)
+        claim = msgspec.structs.replace(claim, unreached_ms={})
         changed = claim != self.claim
         self._largest_processors = max(self._largest_processors, claim.processors)
         if claim.term != self.claim.term:
@@ -172,6 +172,17 @@
             self.leader_wrote_at = now
         return changed
 
+    def _read_unreached(self, claim: Claim, now: float) -> None:
+        before = claim.term - 1
+        self._unreached_since = {before: self._unreached_since.get(before, {})}
+        self._unreached_since[claim.term] = {
+            runner: now - age_ms / 1000.0 for runner, age_ms in claim.unreached_ms.items()
+        }
+
+    def forget_unreached(self) -> None:
+        """Forget which runners earlier leaders stated; a later claim may have withdrawn them."""
+        self._unreached_since = {}
+
     def record_leader_write(self, now: float) -> None:
         """Record that a record was read that only a leader writes."""
         self.last_contact_at = now
@@ -232,7 +243,7 @@
         Each has the time from which leases of earlier leaders may run there, in monotonic seconds.
         Only the leader of the term right before is known to have reached none of them.
         """
-        return self._unreached_since if term == self._unreached_term + 1 else {}
+        return self._unreached_since.get(term - 1, {})
 
     @property
     def extends_until(self) -> float:
--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -76,6 +76,11 @@
         self._last_batch_at = -ACTIVE_LOG_S
         self._refresh_requests: list[RefreshHandler] = []
 
+    @property
+    def generation(self) -> int:
+        """Return a number that rises with each load, which skips records but the newest."""
+        return self._generation
+
     def begin(self) -> None:
         """Start to follow the log, or restart from a full load."""
         self.pause()
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -33,6 +33,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.unreached_runners import may_adopt
 from spoolcrank.workflow import FINAL, JobPhase, Phase, TaskKey
 
 MAX_START_TRIES = 2
@@ -90,12 +91,11 @@
     if runner is None or runner.gone:
         return
     runner.polling = False
-    if state.resigned and not runner.adopted:
-        # The resignation tells the successor that no lease was granted there.
-        return
     if not answers_for(report.runner, runner.id):
         other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
+    if not runner.adopted and not may_adopt(state, runner, now):
+        return
     was_silent = runner.silent_since
     runner.record_answer(report.clock_ms, asked_at, now)
     if was_silent is not None:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -33,6 +33,7 @@
 )
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.start_window import START_OVERHEAD_BYTES, StartWindow
+from spoolcrank.stated_runners import StatedRunners
 from spoolcrank.step_times import StepTimes
 from spoolcrank.workflow import (
     FINAL,
@@ -61,7 +62,7 @@
         without: mechanisms that are switched off.
         predecessor_wrote_at: time from which leases of an earlier leader may run, monotonic
             seconds.
-        inherited_since: the same time for runners that the leader before never reached.
+        stated: the runners that leaders have stated as never reached.
         resigned: whether this leader's resignation is being written.
         contention: model of how fillers slow serving tasks.
         times: model of the run times of tasks.
@@ -88,7 +89,7 @@
         self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
         self.predecessor_wrote_at = predecessor_wrote_at
-        self.inherited_since: dict[RunnerId, float] = {}
+        self.stated = StatedRunners()
         self.resigned = False
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
@@ -267,7 +268,7 @@
 
     def leases_run_from(self, runner: RunnerId) -> float:
         """Return the time from which leases of earlier leaders may run on a runner."""
-        return self.inherited_since.get(runner, self.predecessor_wrote_at)
+        return self.stated.inherited_since.get(runner, self.predecessor_wrote_at)
 
     @property
     def max_inherited_run_s(self) -> float:
--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -3,18 +3,40 @@
 A leader releases a run at a runner that it cannot reach once every lease that an earlier leader may
 have granted there has passed. An earlier leader that never reached the runner granted none itself:
 its successor counts from the leader before it. Otherwise each handover would start the count again,
-and after a loss of power, when small instances lead first, work would wait for all of them.
+and after a loss of power, when leaders follow one another, work would wait for all of them.
+
+A leader may end without a resignation, so each of its claims states the runners that it has not
+reached. From the moment such a claim is sent, it may be the newest one that a successor finds. The
+leader therefore adopts no stated runner, and grants it no lease, until a later claim without that
+runner is stored. A successor leads only once it has read every record up to its own claim, and the
+store refuses all records of earlier terms after that claim. It thus knows the last claim that the
+leader before stored, and if that claim states a runner, the leader never adopted it.
+
+This holds for all incarnations of a runner's name, because runs may move from one to a later one.
 """
 
+from collections.abc import Iterator
+from itertools import islice
+
 import msgspec
 
 from spoolcrank.ids import Incarnation
-from spoolcrank.leadership import Claim, Leadership
+from spoolcrank.leadership import HEARTBEAT_S, Claim, Leadership
 from spoolcrank.mechanisms import Mechanism
-from spoolcrank.runner_state import CLOCK_DRIFT
+from spoolcrank.runner_ids import name_of
+from spoolcrank.runner_state import CLOCK_DRIFT, RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
 
+FIRST_POLLS_S = 1.0
+"""Time after a takeover before a claim states any runner, in seconds. Runners that answer usually
+do so within it, and are then adopted without waiting for the store."""
+
+MAX_STATED_RUNNERS = 128
+"""Maximum number of runners that a claim states, unless it resigns. The record is written several
+times a second and takes about 30 bytes for each; for other runners a successor counts from the
+leader's last write."""
+
 
 def begin_term(
     leadership: Leadership, now: float, lease_ms: int, without: frozenset[Mechanism]
@@ -23,7 +45,7 @@
     term = leadership.claim.term
     state = Scheduler(term, now, leadership.predecessor_wrote_at, lease_ms)
     state.without = without
-    state.inherited_since = {
+    state.stated.inherited_since = {
         RunnerId(runner): since for runner, since in leadership.unreached_since(term).items()
     }
     return state
@@ -34,10 +56,80 @@
 ) -> Claim:
     """Return the claim by which a leader resigns; from then on it reaches no further runner."""
     state.resigned = True
-    unreached_ms = {
+    claim = leadership.own_claim(resigned=True, successor=successor)
+    return msgspec.structs.replace(claim, unreached_ms=_ages_ms(state, _unreached(state), now))
+
+
+def own_claim(leadership: Leadership, state: Scheduler, now: float) -> Claim:
+    """Return the claim of a leader that goes on to lead; it adopts no runner that this states."""
+    stated = list(_to_state(state, now))
+    state.stated.record_sent((runner.id for runner in stated), now)
+    unreached_ms = _ages_ms(state, iter(stated), now)
+    return msgspec.structs.replace(leadership.own_claim(), unreached_ms=unreached_ms)
+
+
+def claim_due(state: Scheduler, now: float) -> bool:
+    """Return whether to write a claim because the runners that it has to state changed."""
+    if state.stated.reached & state.stated.names:
+        return True
+    if now - state.stated.sent_at < HEARTBEAT_S:
+        return False
+    return any(runner.id not in state.stated.sent for runner in _to_state(state, now))
+
+
+def claim_stored(state: Scheduler, claim: Claim) -> bool:
+    """Record that a claim is stored; return whether it withdraws any runner.
+
+    The next answer of a withdrawn runner adopts it, and its next poll is due at once.
+    """
+    withdrawn = state.stated.record_stored(claim.unreached_ms)
+    if not withdrawn:
+        return False
+    for runner in state.runners.values():
+        if name_of(runner.id) in withdrawn and not runner.adopted:
+            runner.polled_at = -1.0
+    return True
+
+
+def may_adopt(state: Scheduler, runner: RunnerState, now: float) -> bool:
+    """Return whether a runner that answered may be adopted.
+
+    If a claim states it, that has to be withdrawn first, and until then it is polled as a silent
+    runner is.
+    """
+    if state.resigned:
+        # The resignation tells the successor that no lease was granted there.
+        return False
+    name = name_of(runner.id)
+    state.stated.reached.add(name)
+    if name not in state.stated.names:
+        return True
+    runner.record_no_answer(now)
+    return False
+
+
+def _ages_ms(state: Scheduler, runners: Iterator[RunnerState], now: float) -> dict[str, int]:
+    """Return how long ago leases may have begun to run on runners, in ms, at the least."""
+    return {
         runner.id: round((now - state.leases_run_from(runner.id)) * (1.0 - CLOCK_DRIFT) * 1000.0)
-        for runner in state.runners.values()
-        if runner.runs and not runner.adopted
+        for runner in runners
     }
-    claim = leadership.own_claim(resigned=True, successor=successor)
-    return msgspec.structs.replace(claim, unreached_ms=unreached_ms)
+
+
+def _unreached(state: Scheduler) -> Iterator[RunnerState]:
+    """Yield the runners with runs of which no incarnation has answered this leader."""
+    for runner in state.runners.values():
+        if runner.runs and not runner.adopted and name_of(runner.id) not in state.stated.reached:
+            yield runner
+
+
+def _to_state(state: Scheduler, now: float) -> Iterator[RunnerState]:
+    """Yield the runners that a claim states now; none that may be about to answer."""
+    if now - state.began_at < FIRST_POLLS_S:
+        return
+    silent = (
+        runner
+        for runner in _unreached(state)
+        if runner.silent_since is not None or not runner.entry.address
+    )
+    yield from islice(silent, MAX_STATED_RUNNERS)
--- a/tests/test_claiming.py
+++ b/tests/test_claiming.py
@@ -34,6 +34,7 @@
         self.copy = KeyedLog()
         self.copy.loaded = True
         self.eager = False
+        self.generation = 0
         self._on_read = on_read
 
     def refresh(self, done: Callable[[bool], None]) -> None:
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -39,6 +39,7 @@
     Step(count=3, millicores=1000, memory_mb=100, estimate_ms=600),
     Step(count=2, millicores=1000, memory_mb=100, estimate_ms=600, after=(0,)),
 )
+LASTING = Step(count=2, millicores=1000, memory_mb=100, lasting=True)
 CRASHING_JOB = "bad0"
 ONE_TASK = Step(count=1, millicores=1000, memory_mb=100, estimate_ms=600)
 CRASHES_WITHIN_S = 0.5
@@ -46,6 +47,8 @@
 """Maximum number of starts of a task after it has crashed three runners; the users require it."""
 
 HEAL_S = 40.0
+CANCEL_AFTER_S = 5.0
+"""Time after the end of the faults at which lasting jobs are cancelled, in seconds."""
 WORK_S = 1.5
 SHORT_WAIT_S = st.floats(0.05, 1.0)
 LONG_WAIT_S = st.floats(1.0, 9.0)
@@ -128,6 +131,10 @@
         if victim is None:
             return
         victim.kill()
+        self.replace()
+
+    def replace(self) -> None:
+        """Add an instance in place of a killed one."""
         self.replacements += 1
         self.world.add_instance(f"entry-{chr(97 + self.replacements % 26)}{self.replacements}")
 
@@ -242,9 +249,45 @@
         runner = self.alive(0 if first else -1)
         if runner is None:
             return
+        self.cut_off(runner)
+        self.kill(True, 0)
+
+    def cut_off(self, runner: Runner) -> None:
+        """Cut a runner off from all instances, also from those that come later."""
         names = [*self.world.instances, *(f"entry-{chr(97 + n % 26)}{n}" for n in range(40))]
         self.world.unreachable.update((name, runner.name) for name in names)
+
+    @rule(silent_s=st.floats(3.0, 5.5), reached_s=st.floats(0.1, 1.0), refused=st.booleans())
+    def leader_reaches_a_silent_runner_and_dies(
+        self, silent_s: float, reached_s: float, refused: bool
+    ) -> None:
+        instance = self.instance(0)
+        if instance is None:
+            return
+        job = f"{len(self.outcomes):04x}"
+        self.world.lasting_jobs.add(job)
+        self.outcomes[job] = instance.submit(job, LASTING)
+        self.first_at[job] = self.world.now
+        self.submissions[job] += 1
+        self.cancelled.add(job)
+        self.world.run(0.5)
+        busy = [one for one in self.world.runners.values() if any(k.job == job for k in one.tasks)]
+        if not busy:
+            return
+        self.cut_off(busy[0])
         self.kill(True, 0)
+        self.world.run(silent_s)
+        leader = self.world.leader()
+        if leader is None:
+            return
+        if refused:
+            self.world.store.refused_instances.add(leader.name)
+        self.world.unreachable.discard((leader.name, busy[0].name))
+        self.world.run(reached_s)
+        if leader.name in self.world.instances:
+            leader.kill()
+            self.replace()
+        self.world.run(6.0)
 
     @rule(pick=st.integers(0, 9))
     def crash_runner(self, pick: int) -> None:
@@ -308,6 +351,11 @@
         ) = 0.0
         world.lost_answer_share = world.max_transit_s = world.repeated_call_share = 0.0
         world.unreachable.clear()
+        if world.lasting_jobs:
+            world.run(CANCEL_AFTER_S)
+            for job in world.lasting_jobs:
+                one = next(iter(world.instances.values()))
+                one.intake.cancel(JobId(job), lambda outcomes: None)
         world.run(HEAL_S)
 
     def _check_jobs(self) -> None:
@@ -384,6 +432,15 @@
     job.task(key).preassigned_stored = True
 
 
+_read_unreached = Leadership._read_unreached
+
+
+def _keep_withdrawn(self: Leadership, claim: Any, now: float) -> None:
+    stated = dict(self._unreached_since.get(claim.term, {}))
+    _read_unreached(self, claim, now)
+    self._unreached_since[claim.term] = stated | self._unreached_since[claim.term]
+
+
 MUTATIONS = {
     "a preassignment counts before it is kept": (
         preassignment,
@@ -413,6 +470,16 @@
         "surely_ended",
         lambda self, now: True,
     ),
+    "a runner that a claim states is adopted at once": (
+        run_control,
+        "may_adopt",
+        lambda state, runner, now: True,
+    ),
+    "a runner that a claim withdrew stays stated": (
+        Leadership,
+        "_read_unreached",
+        _keep_withdrawn,
+    ),
     "a start without an answer counts as undone": (
         order_sender,
         "start_answered",
--- /dev/null
+++ b/tests/test_leaders_end_unannounced.py
@@ -0,0 +1,356 @@
+"""Work on unreached runners waits for one leader only, also if leaders are killed."""
+
+import os
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from spoolcrank import run_control, unreached_runners
+from spoolcrank.claiming import Claiming
+from spoolcrank.decoding import Unreadable
+from spoolcrank.ids import Incarnation, InstanceId
+from spoolcrank.keyed_log import LEADER_KEY, KeyedLog, KeyedRecord
+from spoolcrank.leadership import Claim, Leadership
+from spoolcrank.orders import Poll, Report
+from spoolcrank.run_control import poll_answered
+from spoolcrank.runner_state import CLOCK_DRIFT, RunnerState
+from spoolcrank.scheduler import Scheduler
+from spoolcrank.unreached_runners import FIRST_POLLS_S, claim_due, claim_stored, own_claim
+from spoolcrank.workflow import Step, TaskKey, encode
+from tests.fleet_world import Instance, LogRecorder, Runner, World
+from tests.test_packing import NOW, SHORT, leader, put, runner
+
+SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
+MUTANT_SEEDS = 40
+INSTANCES = 8
+RUNNERS = 24
+LEASE_MS = 6000
+LEADERS = 5
+DOWN_S = 2.0
+LEASES_S = 7.94
+"""Time after the last write of a leader for which its leases may run, in seconds."""
+MAX_DELAY_S = 1.0
+"""Longest time, in seconds, from the end of all leases to the start of the tasks."""
+TASKS = Step(count=24, millicores=1000, memory_mb=100, estimate_ms=3000)
+LASTING = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
+
+
+def _fleet(seed: int, instances: int = INSTANCES, runners: int = RUNNERS) -> World:
+    world = World(seed, LEASE_MS)
+    for number in range(runners):
+        world.add_runner(f"10.0.0.{number}:80")
+    for number in range(instances):
+        world.add_instance(f"entry-{number}")
+    world.run_until(lambda: world.leader() is not None)
+    world.run(0.2)
+    return world
+
+
+def _lose_runners_with_work(world: World) -> set[TaskKey]:
+    """Lose most runners with work for good and all instances for a while; return the work lost."""
+    busy = [one for one in world.runners.values() if one.tasks]
+    lost = busy[: len(busy) * 4 // 5]
+    keys = {key for one in lost for key in one.tasks}
+    for one in lost:
+        world.crash(one, restart_delay_s=1000.0)
+    for instance in list(world.instances.values()):
+        instance.kill()
+    world.run(DOWN_S)
+    for number in range(INSTANCES):
+        world.add_instance(f"entry-{number}'")
+    return keys
+
+
+def _next_leader(world: World) -> Instance:
+    world.run_until(lambda: world.leader() is not None)
+    current = world.leader()
+    assert current is not None
+    return current
+
+
+def _time_of_lost_work(seed: int, term_s: float) -> float:
+    """Return how long work waits after the first takeover while leaders are killed, in seconds."""
+    world = _fleet(seed)
+    world.lasting_jobs.add("ab")
+    next(iter(world.instances.values())).submit("ab", TASKS)
+    world.run_until(lambda: len(world.starts) == TASKS.count)
+    lost = _lose_runners_with_work(world)
+    current = _next_leader(world)
+    led_at = world.now
+
+    def runs() -> bool:
+        return all(world.running_on[key] for key in lost)
+
+    for number in range(LEADERS):
+        until = world.now + term_s
+        while world.now < until and not runs():
+            world.run(0.05)
+        if runs():
+            break
+        current.kill()
+        world.add_instance(f"next-{number}")
+        current = _next_leader(world)
+    world.run_until(runs, LEASES_S + MAX_DELAY_S)
+    assert world.violations == []
+    return world.now - led_at
+
+
+# Guards against work that waits for the leases of a lost runner once more after each killed leader.
+@pytest.mark.parametrize("term_s", [2.0, 4.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_killed_leaders_do_not_delay_work_on_lost_runners(seed: int, term_s: float) -> None:
+    assert _time_of_lost_work(seed, term_s) <= LEASES_S + MAX_DELAY_S
+
+
+# Guards against a test that passes without the claims that state unreached runners.
+def test_without_stated_runners_killed_leaders_delay_work(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(unreached_runners, "MAX_STATED_RUNNERS", 0)
+    assert _time_of_lost_work(0, 4.0) > LEASES_S + MAX_DELAY_S
+
+
+def _trouble_of_store(world: World, name: str, chance: random.Random) -> None:
+    """Let the store lose answers of one instance, turn it away, answer late, or do nothing."""
+    kind = chance.choice(["none", "none", "none", "unanswered", "refused", "late", "slow", "lossy"])
+    if kind == "unanswered":
+        world.store.unanswered_instances.add(name)
+    elif kind == "refused":
+        world.store.refused_instances.add(name)
+    elif kind == "late":
+        world.store.late_append_share = 0.7
+    elif kind == "slow":
+        world.store.slow_s = chance.uniform(0.05, 0.5)
+    elif kind == "lossy":
+        world.store.lost_append_answer_share = 0.5
+
+
+def _end_of_trouble(world: World) -> None:
+    world.store.unanswered_instances.clear()
+    world.store.refused_instances.clear()
+    world.store.late_append_share = world.store.lost_append_answer_share = 0.0
+    world.store.slow_s = 0.0
+
+
+def _cut_off(world: World, cut: Runner) -> None:
+    world.unreachable |= {(name, cut.name) for name in world.instances}
+
+
+def _reach_late(seed: int) -> list[str]:
+    """Return the violations of a play in which leaders reach a runner late, and then end.
+
+    A leader is killed while a runner with lasting tasks is cut off. The next leader, or the one
+    after it, reaches the runner shortly before its leases end, and then dies or freezes while the
+    runner is cut off from all others.
+    """
+    chance = random.Random(seed)
+    world = _fleet(seed, instances=4, runners=4)
+    world.max_transit_s = chance.choice([0.0, 0.05])
+    world.lasting_jobs.add("ab")
+    next(iter(world.instances.values())).submit("ab", LASTING)
+    world.run_until(lambda: len(world.starts) == LASTING.count)
+    world.run(1.0)
+    cut = chance.choice([one for one in world.runners.values() if one.tasks])
+    _cut_off(world, cut)
+    _next_leader(world).kill()
+    died_at = world.now
+    reached_at_once = chance.random() < 0.4
+    if reached_at_once:
+        current = _next_leader(world)
+        world.run(max(0.0, died_at + chance.uniform(2.8, 3.0) - world.now))
+        current.kill()
+        world.unreachable.clear()
+        _next_leader(world)
+        _cut_off(world, cut)
+    for _ in range(1 if reached_at_once else chance.choice([1, 1, 2])):
+        _next_leader(world)
+        if not reached_at_once:
+            world.run(max(0.0, died_at + chance.uniform(2.6, 4.8) - world.now))
+        _reach_and_end(world, _next_leader(world), cut, chance)
+    world.run(14.0)
+    world.unreachable.clear()
+    world.run(4.0)
+    return world.violations
+
+
+def _reach_and_end(world: World, current: Instance, cut: Runner, chance: random.Random) -> None:
+    """Let a leader reach a runner beside trouble with the store, and end soon afterwards."""
+    _trouble_of_store(world, current.name, chance)
+    world.run(chance.choice([0.0, 0.0, chance.uniform(0.0, 0.4)]))
+    world.unreachable.discard((current.name, cut.name))
+    world.run(chance.choice([0.02, 0.5, 1.5]) * (1.0 - chance.random() ** 2))
+    if chance.random() < 0.3:
+        current.freeze(chance.uniform(1.0, 5.0))
+    else:
+        current.kill()
+    if chance.random() < 0.2:
+        world.store.jobs.first_retained_offset = len(world.store.jobs.records)
+    world.run(chance.uniform(0.0, 0.5))
+    _end_of_trouble(world)
+
+
+# Guards against a successor that takes leases for passed which the leader before granted late.
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_a_runner_that_was_reached_late_runs_nothing_twice(seed: int) -> None:
+    assert _reach_late(seed) == []
+
+
+_read_unreached = Leadership._read_unreached
+
+
+def _keep_withdrawn(self: Leadership, claim: Any, now: float) -> None:
+    stated = dict(self._unreached_since.get(claim.term, {}))
+    _read_unreached(self, claim, now)
+    self._unreached_since[claim.term] = stated | self._unreached_since[claim.term]
+
+
+def _take_any_term(self: Leadership, term: int) -> dict[str, float]:
+    return {key: at for stated in self._unreached_since.values() for key, at in stated.items()}
+
+
+def _keep_all_terms(self: Leadership, claim: Any, now: float) -> None:
+    earlier = self._unreached_since
+    _read_unreached(self, claim, now)
+    self._unreached_since = earlier | self._unreached_since
+
+
+MUTATIONS: dict[str, tuple[tuple[Any, str, Callable[..., Any]], ...]] = {
+    "a stated runner is adopted at once": (
+        (run_control, "may_adopt", lambda state, runner, now: True),
+    ),
+    "withdrawn runners stay stated": ((Leadership, "_read_unreached", _keep_withdrawn),),
+    "runners that an older term stated count": (
+        (Leadership, "unreached_since", _take_any_term),
+        (Leadership, "_read_unreached", _keep_all_terms),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", list(MUTATIONS))
+def test_breaking_the_promise_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    for owner, attribute, replacement in MUTATIONS[name]:
+        monkeypatch.setattr(owner, attribute, replacement)
+    assert any("TWICE" in each for seed in range(MUTANT_SEEDS) for each in _reach_late(seed))
+
+
+def _leadership() -> Leadership:
+    leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
+    leadership.read_claim(Claim(4, leadership.instance, leadership.incarnation), NOW)
+    return leadership
+
+
+def _stated() -> tuple[Scheduler, RunnerState, Claim]:
+    """Return a leader with a silent runner, and its claim that states it."""
+    silent = runner("i-1")
+    put(silent, SHORT)
+    silent.adopted = False
+    silent.silent_since = NOW
+    state = leader(silent)
+    state.began_at = NOW - FIRST_POLLS_S
+    state.predecessor_wrote_at = NOW - 5.0
+    assert claim_due(state, NOW)
+    return state, silent, own_claim(_leadership(), state, NOW)
+
+
+def _answer(state: Scheduler, answering: RunnerState, now: float) -> None:
+    report = Report(answering.id, 2000.0, (), ())
+    poll_answered(state, Poll(state.target(answering), 0, None, 0), report, now, now)
+
+
+# Guards against leases that a successor takes for older than they are.
+def test_a_claim_states_a_silent_runner_with_an_age_that_allows_for_clock_drift() -> None:
+    _, _, claim = _stated()
+    assert not claim.resigned
+    assert claim.unreached_ms == {"i-1": round(5000 * (1.0 - CLOCK_DRIFT))}
+
+
+# Guards against leases at a runner that a claim still states.
+def test_a_stated_runner_is_adopted_only_after_a_claim_without_it_is_stored() -> None:
+    state, silent, claim = _stated()
+    _answer(state, silent, NOW + 0.01)
+    assert not silent.adopted
+    assert claim_due(state, NOW + 0.01)
+    claim_stored(state, claim)
+    _answer(state, silent, NOW + 0.02)
+    assert not silent.adopted
+    later = own_claim(_leadership(), state, NOW + 0.03)
+    assert later.unreached_ms == {}
+    _answer(state, silent, NOW + 0.04)
+    assert not silent.adopted
+    assert claim_stored(state, later)
+    _answer(state, silent, NOW + 0.05)
+    assert silent.adopted
+
+
+# Guards against runs that move from a stated incarnation to one that is adopted.
+def test_no_incarnation_of_a_stated_runner_is_adopted() -> None:
+    state, _, claim = _stated()
+    claim_stored(state, claim)
+    later = state.register(runner("i-1@5").entry, NOW)
+    _answer(state, later, NOW + 0.01)
+    assert not later.adopted
+    assert claim_stored(state, own_claim(_leadership(), state, NOW + 0.02))
+    _answer(state, later, NOW + 0.03)
+    assert later.adopted
+
+
+# Guards against takeovers that wait for the store, and a claim of each leader that grows at once.
+def test_no_claim_states_a_runner_that_may_be_about_to_answer() -> None:
+    state, silent, _ = _stated()
+    silent.silent_since = None
+    assert own_claim(_leadership(), state, NOW + 9.0).unreached_ms == {}
+    silent.silent_since = NOW
+    state.began_at = NOW
+    assert own_claim(_leadership(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
+
+
+# Guards against a list of runners that a leader reads as a newer claim and that ends its own term.
+def test_a_claim_that_states_other_runners_is_no_other_claim() -> None:
+    leadership = _leadership()
+    stating = Claim(4, leadership.instance, leadership.incarnation, unreached_ms={"i-1": 9})
+    assert not leadership.read_claim(stating, NOW + 1.0)
+    assert leadership.leads
+
+
+def _stating(term: int, unreached_ms: dict[str, int]) -> Claim:
+    return Claim(term, InstanceId("entry-9"), Incarnation("e"), unreached_ms=unreached_ms)
+
+
+# Guards against a successor that keeps a runner which the leader before has withdrawn.
+def test_only_the_newest_claim_of_the_term_right_before_counts() -> None:
+    leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
+    leadership.read_claim(_stating(4, {"i-1": 3000, "i-2": 3000}), NOW)
+    assert leadership.unreached_since(5) == {"i-1": NOW - 3.0, "i-2": NOW - 3.0}
+    leadership.read_claim(_stating(4, {"i-2": 3500}), NOW + 1.0)
+    leadership.read_claim(Claim(5, leadership.instance, leadership.incarnation), NOW + 2.0)
+    assert leadership.unreached_since(5) == {"i-2": NOW + 1.0 - 3.5}
+    leadership.read_claim(_stating(7, {}), NOW + 3.0)
+    assert leadership.unreached_since(7) == {}
+
+
+class _Follower:
+    def __init__(self) -> None:
+        self.copy = KeyedLog()
+        self.generation = 1
+
+
+# Guards against a withdrawing claim that was skipped, or cannot be read.
+@pytest.mark.parametrize("skipped_by", ["load", "record"])
+def test_a_list_is_forgotten_if_a_later_claim_may_not_have_been_read(skipped_by: str) -> None:
+    leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
+    follower: Any = _Follower()
+    log: Any = None
+    telemetry: Any = LogRecorder()
+    claiming = Claiming(leadership, log, follower, telemetry, lambda: NOW)
+    record = KeyedRecord(LEADER_KEY, encode(_stating(4, {"i-1": 3000})), 7)
+    claiming.read_claim(record, NOW)
+    assert leadership.unreached_since(5) == {"i-1": NOW - 3.0}
+    if skipped_by == "load":
+        follower.generation = 2
+    else:
+        with pytest.raises(Unreadable):
+            claiming.read_claim(KeyedRecord(LEADER_KEY, b"{", 8), NOW)
+    own = Claim(5, leadership.instance, leadership.incarnation)
+    claiming.read_claim(KeyedRecord(LEADER_KEY, encode(own), 9), NOW)
+    assert leadership.leads
+    assert leadership.unreached_since(5) == {}
