Merge the wait for leases that goes on from one killed leader to the next

Change: the wait follows from the deployment's lease, and claims state runners that were not reached.

--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -33,6 +33,7 @@
 )
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.start_window import START_OVERHEAD_BYTES, StartWindow
+from spoolcrank.stated_runners import StatedRunners
 from spoolcrank.step_times import StepTimes
 from spoolcrank.workflow import (
     FINAL,
@@ -45,11 +46,6 @@
     TaskKey,
 )
 
-MAX_INHERITED_RUN_S = (SELF_FENCE_S + LEASE_MS / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
-"""Time after the last write of the previous leader at which a runner that this leader has never
-reached no longer runs anything, seconds. After that write the previous leader extends leases for
-at most SELF_FENCE_S, each by at most LEASE_MS; the factor allows for clock drift."""
-
 
 class RoutePolicy(NamedTuple):
     """Settings of one queue in the active configuration."""
@@ -66,7 +62,7 @@
         without: mechanisms that are switched off.
         predecessor_wrote_at: time from which leases of an earlier leader may run, monotonic
             seconds.
-        inherited_since: the same time for runners that the leader before never reached.
+        stated: the runners that leaders have stated as never reached.
         resigned: whether this leader's resignation is being written.
         contention: model of how fillers slow serving tasks.
         times: model of the run times of tasks.
@@ -93,7 +89,7 @@
         self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
         self.predecessor_wrote_at = predecessor_wrote_at
-        self.inherited_since: dict[RunnerId, float] = {}
+        self.stated = StatedRunners()
         self.resigned = False
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
@@ -272,7 +268,15 @@
 
     def leases_run_from(self, runner: RunnerId) -> float:
         """Return the time from which leases of earlier leaders may run on a runner."""
-        return self.inherited_since.get(runner, self.predecessor_wrote_at)
+        return self.stated.inherited_since.get(runner, self.predecessor_wrote_at)
+
+    @property
+    def max_inherited_run_s(self) -> float:
+        """Return how long leases of an earlier leader may run after its last write, in seconds.
+
+        It extends leases for SELF_FENCE_S, each by one lease; the factor allows for clock drift.
+        """
+        return (SELF_FENCE_S + self.lease_ms / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
 
     def target(self, runner: RunnerState) -> Target:
         """Return the address and fence for orders to a runner."""
