--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -61,8 +61,7 @@
 
     Attributes:
         without: mechanisms that are switched off.
-        predecessor_wrote_at: time from which leases of an earlier leader may run, monotonic
-            seconds.
+        predecessor_wrote_at: time from which an earlier leader's leases may run, monotonic seconds.
         stated: the runners that leaders have stated as never reached.
         resigned: whether this leader's resignation is being written.
         addresses: stored addresses of the runners on which work is bound.
@@ -276,7 +275,7 @@
 
     @property
     def max_inherited_run_s(self) -> float:
-        """Return for how many seconds after its last write leases of an earlier leader may run."""
+        """Return how long after its last write an earlier leader's leases may run, in seconds."""
         return (SELF_FENCE_S + self.lease_ms / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
 
     def target(self, runner: RunnerState) -> Target:
--- a/spoolcrank/stated_runners.py
+++ b/spoolcrank/stated_runners.py
@@ -14,23 +14,20 @@
     Attributes:
         inherited_since: the runners that the leader before never reached, each with the time from
             which leases of earlier leaders may run there, monotonic seconds.
-        sent: the runners that the claim sent last states.
-        sent_at: time at which it was sent, monotonic seconds.
+        sent_at: time at which the last claim was sent, monotonic seconds.
         names: the names in every claim that may be the newest one stored; none is adopted.
         reached: the names that have answered this leader; no further claim states them.
     """
 
     inherited_since: dict[RunnerId, float] = field(default_factory=dict)
-    sent: frozenset[RunnerId] = frozenset()
     sent_at: float = -1.0
     names: frozenset[RunnerName] = frozenset()
     reached: set[RunnerName] = field(default_factory=set)
 
     def record_sent(self, runners: Iterable[RunnerId], now: float) -> None:
         """Record a claim that states some runners, before it is sent."""
-        self.sent = frozenset(runners)
         self.sent_at = now
-        self.names |= {name_of(runner) for runner in self.sent}
+        self.names |= {name_of(runner) for runner in runners}
 
     def record_stored(self, runners: Iterable[str]) -> frozenset[RunnerName]:
         """Record that a claim is stored, the newest one; return the names that it withdraws."""
--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -48,6 +48,10 @@
     state.stated.inherited_since = {
         RunnerId(runner): since for runner, since in leadership.unreached_since(term).items()
     }
+    if state.stated.inherited_since:
+        longest_s = round(now - min(state.stated.inherited_since.values()), 2)
+        runners = len(state.stated.inherited_since)
+        state.log_event("unreached-inherited", runners=runners, longest_s=longest_s)
     return state
 
 
@@ -69,12 +73,14 @@
 
 
 def claim_due(state: Scheduler, now: float) -> bool:
-    """Return whether to write a claim because the runners that it has to state changed."""
+    """Return whether to write a claim that states runners, or one that withdraws some.
+
+    A process that loads the log counts the age in a claim from then on, so claims are repeated as
+    heartbeats are, also while other records are written.
+    """
     if state.stated.reached & state.stated.names:
         return True
-    if now - state.stated.sent_at < HEARTBEAT_S:
-        return False
-    return any(runner.id not in state.stated.sent for runner in _to_state(state, now))
+    return now - state.stated.sent_at >= HEARTBEAT_S and any(_to_state(state, now))
 
 
 def claim_stored(state: Scheduler, claim: Claim) -> bool:
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -33,7 +33,10 @@
 """Time after the last write of a leader for which its leases may run, in seconds."""
 MAX_DELAY_S = 1.0
 """Longest time, in seconds, from the end of all leases to the start of the tasks."""
+MAX_UNCOUNTED_S = 0.6
+"""Longest time, in seconds, from a leader's last claim to the load of it by its next process."""
 TASKS = Step(count=24, millicores=1000, memory_mb=100, estimate_ms=3000)
+SMALL = Step(count=1, millicores=10, memory_mb=1, estimate_ms=600)
 LASTING = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
 
 
@@ -70,8 +73,19 @@
     return current
 
 
-def _time_of_lost_work(seed: int, term_s: float) -> float:
-    """Return how long work waits after the first takeover while leaders are killed, in seconds."""
+def _submit_steadily(world: World) -> None:
+    """Submit a small job every tenth of a second, so that leaders write records all the time."""
+    if world.instances:
+        name = world.random.choice(sorted(world.instances))
+        world.instances[name].submit(f"{len(world.starts):04x}{round(world.now * 1e3):x}", SMALL)
+    world.at(0.1, lambda: _submit_steadily(world))
+
+
+def _time_of_lost_work(seed: int, term_s: float, restarts: bool = False) -> float:
+    """Return how long work waits after the first takeover while leaders are killed, in seconds.
+
+    A leader that restarts leads again at once, with a log that it has just loaded.
+    """
     world = _fleet(seed)
     world.lasting_jobs.add("ab")
     next(iter(world.instances.values())).submit("ab", TASKS)
@@ -79,6 +93,8 @@
     lost = _lose_runners_with_work(world)
     current = _next_leader(world)
     led_at = world.now
+    if restarts:
+        _submit_steadily(world)
 
     def runs() -> bool:
         return all(world.running_on[key] for key in lost)
@@ -90,7 +106,7 @@
         if runs():
             break
         current.kill()
-        world.add_instance(f"next-{number}")
+        world.add_instance(current.name if restarts else f"next-{number}")
         current = _next_leader(world)
     world.run_until(runs, LEASES_S + MAX_DELAY_S)
     assert world.violations == []
@@ -104,6 +120,16 @@
     assert _time_of_lost_work(seed, term_s) <= LEASES_S + MAX_DELAY_S
 
 
+# Guards against an age that is counted anew from the load of a claim written long before.
+@pytest.mark.parametrize("term_s", [2.0, 4.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_leaders_that_load_the_log_do_not_delay_work_on_lost_runners(
+    seed: int, term_s: float
+) -> None:
+    waited_s = _time_of_lost_work(seed, term_s, restarts=True)
+    assert waited_s <= LEASES_S + MAX_DELAY_S + (LEADERS - 1) * MAX_UNCOUNTED_S
+
+
 # Guards against a test that passes without the claims that state unreached runners.
 def test_without_stated_runners_killed_leaders_delay_work(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(unreached_runners, "MAX_STATED_RUNNERS", 0)
