--- /dev/null
+++ b/tests/test_holds_end.py
@@ -0,0 +1,68 @@
+"""Holds end although their counterpart never answers, refuses, or answered in another's place."""
+
+from collections.abc import Callable
+
+from spoolcrank.orders import OrderResult
+from spoolcrank.workflow import Step
+from tests.fleet_runners import Runner
+from tests.fleet_world import World, small_world
+from tests.test_other_writers import hang
+
+ONE = Step(count=1, millicores=1000, memory_mb=100)
+MAX_HOLD_S = 3.0
+"""Longest time, in seconds, for which a job may have nothing running beside free capacity."""
+
+
+def give_room(world: World, runner: Runner, millicores: int) -> None:
+    """Change the capacity of a runner, and let the leader read it."""
+    runner.millicores = millicores
+    world.store.entries.put(runner.id, b"ready")
+    world.run(0.5)
+
+
+def refuse_orders(runner: Runner, unanswered: int) -> None:
+    """Have a runner carry out no order: the first starts get no answer, the rest a refusal."""
+    starts = [OrderResult.UNKNOWN] * unanswered
+
+    def start(order: object) -> OrderResult:
+        return starts.pop() if starts else OrderResult.UNHEALTHY
+
+    runner.start = start  # type: ignore[method-assign]
+    runner.stop = lambda order: OrderResult.UNHEALTHY  # type: ignore[method-assign]
+
+
+def starts_within(world: World, limit_s: float, started: Callable[[], bool]) -> float:
+    """Return after how many seconds something has started; fail after a limit."""
+    return world.run_until(started, limit_s)
+
+
+# Guards against a task that is held for as long as a runner refuses the stop of its unconfirmed
+# start, while another runner has room: the runner answered polls, and nothing released the run.
+def test_a_refused_stop_holds_no_task_that_never_started() -> None:
+    world = small_world(instances=1, runners=2)
+    hang(world)
+    unhealthy, sound = world.runners.values()
+    refuse_orders(unhealthy, unanswered=1)
+    give_room(world, sound, 0)
+    world.instances["entry-0"].submit("a1", ONE)
+    world.run(0.3)
+    give_room(world, sound, 8000)
+    starts_within(world, MAX_HOLD_S, lambda: bool(sound.tasks))
+    assert world.violations == []
+
+
+# Guards against a task that starts twice: a stop is refused, but its run goes on there.
+def test_a_refused_stop_releases_no_run_that_is_listed() -> None:
+    world = small_world(instances=1, runners=2)
+    hang(world)
+    unhealthy, sound = world.runners.values()
+    give_room(world, sound, 0)
+    world.lost_answer_share = 0.9
+    world.instances["entry-0"].submit("a1", ONE)
+    world.run_until(lambda: bool(unhealthy.tasks), 10.0)
+    refuse_orders(unhealthy, unanswered=0)
+    world.lost_answer_share = 0.0
+    give_room(world, sound, 8000)
+    world.run(5.0)
+    assert unhealthy.tasks and not sound.tasks
+    assert world.violations == []
