Take a runner for ended by no answer from an address that is not its own

Callers saw less capacity until the next change of the leader: a runner that lived, was listed and answered was never used again.

Cause: an entry that another writer had overwritten named another runner's address when a new leader read it. The runner at that address answers that it is another one, which counts as the end of the first. When the runner had written its own entry again, its state was still "gone", which nothing takes back. The same came of such an answer that arrived after the correction.

A runner that never answered and was taken for ended at another address is now registered anew when its entry names its own. A refused poll counts only while its runner's entry still names the address that was asked. A late entry of a runner that was replaced at its own address changes nothing (third test).

The first two tests failed before; each fails with its half of this mend taken out.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -287,6 +287,9 @@
     if runner is None:
         return
     runner.polling = False
+    if poll.target.address != runner.entry.address:
+        # Its entry has changed since the poll was sent, so that this answer is not about it.
+        return
     if result is OrderResult.OTHER_INCARNATION:
         lose_runner(state, runner, "another incarnation answers", now)
         return
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -69,9 +69,19 @@
     return entry.address == known_entry.address and entry.service == known_entry.service
 
 
+def _ended_elsewhere(entry: RunnerEntry, runner: RunnerState) -> bool:
+    """Return whether a runner was taken for ended by an answer from an address not its own.
+
+    An entry that another writer overwrote may have named that address.
+    """
+    asked_at = runner.entry.address
+    never_answered = runner.answered_at < 0
+    return runner.gone and never_answered and bool(asked_at) and entry.address != asked_at
+
+
 def _list_runner(state: Scheduler, entry: RunnerEntry, now: float) -> None:
     runner = state.runners.get(entry.id)
-    if runner is None:
+    if runner is None or _ended_elsewhere(entry, runner):
         state.register(entry, now)
         state.log_event("runner-listed", runner=entry.id, leaving=entry.leaving)
         return
--- a/tests/test_holds_end.py
+++ b/tests/test_holds_end.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
-from spoolcrank.orders import OrderResult
+from spoolcrank.orders import OrderResult, Poll, Target
+from spoolcrank.run_control import poll_failed
 from spoolcrank.workflow import Step
 from tests.fleet_runners import Runner
 from tests.fleet_world import World, small_world
-from tests.test_other_writers import hang
+from tests.test_other_writers import entry, hang, with_routes
 
 ONE = Step(count=1, millicores=1000, memory_mb=100)
 MAX_HOLD_S = 3.0
@@ -66,3 +67,61 @@
     world.run(5.0)
     assert unhealthy.tasks and not sound.tasks
     assert world.violations == []
+
+
+def _leader_replaced_as_an_entry_is_overwritten() -> tuple[World, Runner]:
+    """Let a new leader read an entry that names the address of another runner."""
+    world = with_routes(small_world(instances=1, runners=2))
+    named, other = world.runners.values()
+    world.instances["entry-0"].kill()
+    world.store.entries.put(named.id, entry(address=other.name, born=named.born))
+    world.add_instance("entry-9")
+    with_routes(world)
+    world.run_until(lambda: world.leader() is not None)
+    return world, named
+
+
+# Guards against a runner that a leader never uses again: an overwritten entry named the address of
+# another runner, whose answer counted as the end of the first.
+def test_a_runner_whose_entry_is_its_own_again_takes_work() -> None:
+    world, named = _leader_replaced_as_an_entry_is_overwritten()
+    world.run(1.0)
+    world.store.entries.put(named.id, b"ready")
+    world.run(0.5)
+    world.instances["entry-9"].submit("a1", Step(count=12, millicores=1000, memory_mb=100))
+    starts_within(world, MAX_HOLD_S, lambda: bool(named.tasks))
+
+
+# Guards against the same where the answer from the other address comes after the correction.
+def test_an_answer_from_a_former_address_ends_no_runner() -> None:
+    world = with_routes(small_world(instances=1, runners=2))
+    named = next(iter(world.runners.values()))
+    world.instances["entry-0"].kill()
+    world.store.entries.put(named.id, entry(address="10.0.7.7:80", born=named.born))
+    world.add_instance("entry-9")
+    with_routes(world)
+    world.run_until(lambda: world.leader() is not None)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    state = leader.dispatcher.scheduler
+    world.run_until(lambda: named.incarnation_id in state.runners)
+    asked_at = state.runners[named.incarnation_id].entry.address
+    asked = Poll(Target(named.incarnation_id, asked_at, 1), 0, None, 0)
+    world.store.entries.put(named.id, b"ready")
+    world.run(0.3)
+    poll_failed(state, asked, OrderResult.OTHER_INCARNATION, world.now)
+    assert not state.runners[named.incarnation_id].gone
+
+
+# Guards against an entry that is written late, for a runner whose successor has answered.
+def test_a_late_entry_of_a_replaced_runner_brings_it_not_back() -> None:
+    world = with_routes(small_world(instances=1, runners=2))
+    replaced = next(iter(world.runners.values()))
+    replaced.crash()
+    world.add_runner(replaced.name)
+    world.run(1.0)
+    world.store.entries.put(replaced.id, b"ready")
+    world.run(1.0)
+    leader = world.leader()
+    assert leader is not None and leader.dispatcher.scheduler is not None
+    assert leader.dispatcher.scheduler.runners[replaced.incarnation_id].gone
