Start a held filler that may crash runners like any other

Callers saw a job of which nothing ran while most processors were idle: a filler under which two runners had crashed, refused by every runner for its effect on serving tasks (harm, or over target). Nothing but a change of those tails freed it: 30 s and more in simulated time.

Cause: where most capacity is idle, a refused filler starts slowly after two seconds, but a task that needs a runner of its own was left out for good, though its wait for one ends after a second.

It is now left out only while that wait lasts, and goes to a runner without other suspects if there is one.

The test fails before for two crashes ("inf <= 3.0", beside harm and over target) and passed for none and one.

--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -15,7 +15,7 @@
 from spoolcrank.crash_history import independent_crashes, needs_isolation
 from spoolcrank.idle_capacity import waits_beside_idle_capacity
 from spoolcrank.ids import ServiceName
-from spoolcrank.isolation import without_suspects
+from spoolcrank.isolation import waits_for_isolation, without_suspects
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
 from spoolcrank.openings import Scope, covers, scope_of, size_of
 from spoolcrank.packing import (
@@ -134,7 +134,7 @@
     return (
         task.not_before <= now
         and task.move_destination == NO_RUNNER
-        and not needs_isolation(task.crashes)
+        and not (needs_isolation(task.crashes) and waits_for_isolation(task, now))
     )
 
 
