Start a held gang of fillers slowly as well

Cause: fillers that are held for their effect start slowly after two seconds beside idle capacity, one task at a time; gangs were left out.

The tests failed before ("inf <= 3.0", five cases).

--- a/spoolcrank/gangs.py
+++ b/spoolcrank/gangs.py
@@ -1,6 +1,9 @@
 """Place the tasks of a gang, which can only run all together."""
 
+from collections.abc import Callable, Iterable
+
 from spoolcrank.binding import bind
+from spoolcrank.contention import ContentionModel
 from spoolcrank.crash_history import independent_crashes
 from spoolcrank.isolation import without_suspects
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState
@@ -10,6 +13,10 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId, TaskKey
 
+ChooseRunner = Callable[
+    [PlacementRequest, Iterable[RunnerState], ContentionModel, float], RunnerState | None
+]
+
 
 def place_gang(
     state: Scheduler,
@@ -19,6 +26,7 @@
     step: StepState,
     runners: list[RunnerState],
     now: float,
+    choose_runner: ChooseRunner = choose,
 ) -> bool:
     """Bind all tasks of a gang or none of them; return whether they were bound."""
     if len(step.waiting) < len(step.tasks):
@@ -33,7 +41,9 @@
     if independent_crashes(step.tasks[0].crashes):
         pools.insert(0, without_suspects(runners))
     return any(
-        _place_members(state, job, round_number, step_number, step, pool, rack, run_number, now)
+        _place_members(
+            state, job, round_number, step_number, step, pool, rack, run_number, now, choose_runner
+        )
         for pool in pools
         for rack in racks
     )
@@ -49,12 +59,13 @@
     rack: str,
     run_number: int,
     now: float,
+    choose_runner: ChooseRunner,
 ) -> bool:
     tasks_per_runner: dict[RunnerId, int] = {}
     chosen: list[tuple[RunnerState, TaskKey]] = []
     for index in range(len(step.tasks)):
         key = TaskKey(job.id, round_number, step_number, index)
-        runner = choose(
+        runner = choose_runner(
             PlacementRequest(step.spec, tasks_per_runner, NO_RUNNER, rack),
             runners,
             state.contention,
--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -6,13 +6,14 @@
 pace; from then on its pace follows the tail latencies beside it, as that of any other filler.
 """
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from spoolcrank.binding import bind
 from spoolcrank.contention import ContentionModel
 from spoolcrank.crash_history import independent_crashes, needs_isolation
+from spoolcrank.gangs import place_gang
 from spoolcrank.idle_capacity import waits_beside_idle_capacity
 from spoolcrank.ids import ServiceName
 from spoolcrank.isolation import waits_for_isolation, without_suspects
@@ -21,6 +22,7 @@
 from spoolcrank.packing import (
     HARMLESS_LIKELIHOOD,
     Obstacle,
+    PlacementRequest,
     filler_obstacle,
     has_room,
     max_effect,
@@ -29,7 +31,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import Demand, Step, TaskKey
+from spoolcrank.workflow import Demand, RunnerId, Step, TaskKey
 
 RETRY_S = 0.1
 """Interval between two searches for held fillers, seconds."""
@@ -122,7 +124,9 @@
     """Yield one task of each step of fillers that waits for nothing but a runner."""
     for round_state in job.rounds.values():
         for step_number, step in round_state.ready():
-            if not step.spec.fills or step.spec.gang:
+            if not step.spec.fills:
+                continue
+            if step.spec.gang and len(step.waiting) < len(step.tasks):
                 continue
             for index in step.waiting:
                 if _waits_for_runner_only(step.tasks[index], now):
@@ -142,6 +146,8 @@
     state: Scheduler, job: JobState, key: TaskKey, step: StepState, search: _Search, now: float
 ) -> bool:
     """Start a filler slowly if every runner refuses it; return False if it cannot start at all."""
+    if step.spec.gang:
+        return _start_gang(state, job, key, step, search, now)
     task = step.tasks[key.number]
     ranked = _ranked_for(state, state.service_of(job), step.spec, task, search, now)
     if ranked is None:
@@ -157,6 +163,48 @@
     return True
 
 
+def _start_gang(
+    state: Scheduler, job: JobState, key: TaskKey, step: StepState, search: _Search, now: float
+) -> bool:
+    """Start all members of a gang slowly, of which some runners refuse at least some."""
+    service = state.service_of(job)
+    runners = [*search.pools.get(service, []), *state.quarantined(service, now)]
+    search.pairs_left -= len(runners) * len(step.tasks)
+    if not place_gang(state, job, key.round, key.step, step, runners, now, _choose_refusing):
+        return False
+    for number, task in enumerate(step.tasks):
+        runner = state.runners[task.runner]
+        run = runner.runs[key._replace(number=number)]
+        run.starts_slowly = True
+        runner.set_pace(run, STARTING_PACE_PERCENT, now)
+    return True
+
+
+def _choose_refusing(
+    request: PlacementRequest,
+    runners: Iterable[RunnerState],
+    contention: ContentionModel,
+    now: float,
+) -> RunnerState | None:
+    """Return the runner that suits a filler best, whether or not it refuses it for its effect."""
+    best: RunnerState | None = None
+    best_rank: tuple[float, ...] = ()
+    for runner in runners:
+        if request.rack and request.rack not in runner.entry.labels:
+            continue
+        if _is_under_way(runner, now) or not has_room(
+            request.step, request.tasks_per_runner, runner
+        ):
+            continue
+        obstacle = filler_obstacle(request.step, runner, contention, now)
+        if obstacle is not None and obstacle not in _EFFECTS:
+            continue
+        rank = _rank(request.step, request.avoid, runner, obstacle, contention, now)
+        if best is None or rank < best_rank:
+            best, best_rank = runner, rank
+    return best
+
+
 def _ranked_for(
     state: Scheduler,
     service: ServiceName,
@@ -195,15 +243,16 @@
         if obstacle is None:
             return None
         if obstacle in _EFFECTS:
-            ranked.append((_rank(step, task, runner, obstacle, contention, now), runner))
+            rank = _rank(step, task.refused_by, runner, obstacle, contention, now)
+            ranked.append((rank, runner))
     return sorted(ranked, key=lambda candidate: candidate[0])
 
 
 def _rank(
     step: Step,
-    task: TaskState,
+    avoid: RunnerId,
     runner: RunnerState,
-    obstacle: Obstacle,
+    obstacle: Obstacle | None,
     contention: ContentionModel,
     now: float,
 ) -> tuple[float, ...]:
@@ -215,7 +264,7 @@
     return (
         0.0 if runner.usable(now) else 1.0,
         1.0 if obstacle is Obstacle.OVER_TARGET and not harmless else 0.0,
-        1.0 if runner.id == task.refused_by else 0.0,
+        1.0 if runner.id == avoid else 0.0,
         round(effect, 1),
         _highest_tail_ratio(runner),
         float(-runner.idle_millicores),
--- a/tests/test_held_suspects.py
+++ b/tests/test_held_suspects.py
@@ -1,5 +1,6 @@
 """Fillers that every runner refuses for their effect start beside idle capacity, all of them."""
 
+import msgspec
 import pytest
 
 from spoolcrank.ids import JobId
@@ -60,3 +61,25 @@
     assert _starts_after_s(state, KEY) <= MAX_HOLD_S
     run = next(each.runs[KEY] for each in state.runners.values() if KEY in each.runs)
     assert run.starts_slowly and run.pace < 100
+
+
+# Guards against a gang of fillers that waits for ever beside idle processors.
+@pytest.mark.parametrize("count", [2, 5])
+@pytest.mark.parametrize("over_target", [False, True], ids=["harm", "over"])
+def test_a_refused_gang_of_fillers_starts_beside_idle_capacity(
+    count: int, over_target: bool
+) -> None:
+    gang = msgspec.structs.replace(NOISY, count=count, gang=True)
+    state = _waiting(_fleet(over_target), gang, ())
+    assert _starts_after_s(state, KEY) <= MAX_HOLD_S
+    runs = [run for each in state.runners.values() for run in each.runs.values() if run.fills]
+    assert len(runs) == count
+    assert all(run.starts_slowly and run.pace < 100 for run in runs)
+
+
+# Guards against a gang of which one runner takes a member, and all others refuse the rest.
+def test_a_gang_of_fillers_that_is_refused_in_part_starts() -> None:
+    runners = [*_fleet(True), runner("i-9", 8000)]
+    gang = msgspec.structs.replace(NOISY, count=4, gang=True)
+    state = _waiting(runners, gang, ())
+    assert _starts_after_s(state, KEY) <= MAX_HOLD_S
