Count a retry delay from the loss of a runner, not from the end of its leases

Callers saw a task stand for 11.5 s beside free runners: its runner was lost together with the leader, and two runners had crashed under it before (10.6 s after one).

Cause: the delay before the next start (up to 2 s) was counted from when the crash was recorded, which after a silent loss is when every lease has passed, 8 to 9.5 s later. It only spaces the starts of a task that may crash runners, and that time has passed by then; the two waits added up.

The delay now counts from when the runner fell silent, or for one that this leader never reached from when leases of earlier leaders may run. Where a later life proves the crash at once, nothing changes.

--- a/spoolcrank/runner_loss.py
+++ b/spoolcrank/runner_loss.py
@@ -78,13 +78,20 @@
     )
     _give_up_runs(state, runner, "every lease has passed", now)
     for key, evidence in unconfirmed:
-        _record_evidence(state, key, evidence, now)
+        _record_evidence(state, key, evidence, now, _lost_at(state, runner))
     if unconfirmed:
         state.crash_history.add_unconfirmed(
             runner.id, runner.entry.address, (key for key, _ in unconfirmed)
         )
 
 
+def _lost_at(state: Scheduler, runner: RunnerState) -> float:
+    """Return when a runner whose leases have passed was lost at the latest, monotonic seconds."""
+    if runner.adopted and runner.silent_since is not None:
+        return runner.silent_since
+    return state.leases_run_from(runner.id)
+
+
 def _give_up_runs(state: Scheduler, runner: RunnerState, why: str, now: float) -> None:
     """Release all runs of a runner, which may still list the ends of those that were ordered."""
     for key, run in list(runner.runs.items()):
@@ -292,11 +299,17 @@
     return job.accountable(key) if job is not None and job.has(key) else None
 
 
-def _record_evidence(state: Scheduler, key: TaskKey, evidence: CrashEvidence, now: float) -> None:
+def _record_evidence(
+    state: Scheduler,
+    key: TaskKey,
+    evidence: CrashEvidence,
+    now: float,
+    lost_at: float | None = None,
+) -> None:
     """Record crash evidence, delay the next start, and fail the job of a crash-causing task.
 
     The evidence is stored before the next start can be sent. The proof of a crash that was recorded
-    before does not delay the start again.
+    before does not delay the start again. The delay counts from `lost_at`, if that is known.
     """
     job, task = state.jobs.get(key.job), _accountable(state, key)
     if job is None or task is None or job.phase in FINAL or task.phase is Phase.DONE:
@@ -305,9 +318,8 @@
     task.crashes = with_evidence(task.crashes, evidence)
     crashes = len(independent_crashes(task.crashes))
     if not evidence.shared and not known:
-        task.not_before = max(
-            task.not_before, now + RESTART_DELAYS_S[min(crashes, len(RESTART_DELAYS_S)) - 1]
-        )
+        delay_s = RESTART_DELAYS_S[min(crashes, len(RESTART_DELAYS_S)) - 1]
+        task.not_before = max(task.not_before, (now if lost_at is None else lost_at) + delay_s)
     state.pending_writes.add_changed_job(key.job)
     state.log_event(
         "crash-counted",
