Keep no runner for a suspect whose job has ended

Callers saw less room than there was: a runner that was kept for a task that may crash runners took no work for up to 3 s after that task's job was cancelled or had failed, as the task still counted as waiting.

The isolation now ends with the job. The test failed before ("TaskKey ... is None"); the other four of the file passed: moves end after 1.5 s, at once if their destination is gone, and isolation after 3 s.

--- a/spoolcrank/isolation.py
+++ b/spoolcrank/isolation.py
@@ -16,7 +16,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import Phase, TaskKey
+from spoolcrank.workflow import FINAL, Phase, TaskKey
 
 MAX_SETTLE_WAIT_S = 1.5
 """Longest time for which a suspect waits for the recent runs on its runner to settle, seconds."""
@@ -151,7 +151,12 @@
             runner.isolated_for = None
         return
     job = state.jobs.get(key.job)
-    waiting = job is not None and job.has(key) and job.task(key).phase is Phase.WAITING
+    waiting = (
+        job is not None
+        and job.phase not in FINAL
+        and job.has(key)
+        and job.task(key).phase is Phase.WAITING
+    )
     if not waiting or now - runner.isolated_since >= ISOLATION_S:
         runner.isolated_for = None
 
