Test a held filler that lost two runners in a simulated fleet

Four runners with a serving task over its target each, one filler, two crashes of the runner that it is on.

--- a/tests/test_held_suspects.py
+++ b/tests/test_held_suspects.py
@@ -1,19 +1,29 @@
 """Fillers that every runner refuses for their effect start beside idle capacity, all of them."""
 
+from collections.abc import Callable
+from typing import Any
+
 import msgspec
 import pytest
 
 from spoolcrank.ids import JobId
+from spoolcrank.orders import Answered, Pace
 from spoolcrank.placing import place
 from spoolcrank.run_control import tick
+from spoolcrank.runner_loss import RESTART_DELAYS_S
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import CrashEvidence, JobRecord, RouteName, Step, TaskKey, Workflow
+from tests.fleet_runners import Runner, RunnerPort
+from tests.test_filler_waits import FILLER, PacedWorld
 from tests.test_packing import NOISY, NOW, SERVICE, SERVING, leader, put, runner
 from tests.test_task_hold import CRASHES
 
 KEY = TaskKey(JobId("ee"), 0, 0, 0)
 TICK_S = 0.1
+RESTART_S = 2.0
+"""Time until a crashed runner is back, which proves its loss, in seconds."""
+
 MAX_HOLD_S = 3.0
 """Longest time, in seconds, for which a job may have nothing running beside free capacity."""
 
@@ -83,3 +93,32 @@
     gang = msgspec.structs.replace(NOISY, count=4, gang=True)
     state = _waiting(runners, gang, ())
     assert _starts_after_s(state, KEY) <= MAX_HOLD_S
+
+
+def _at_work(world: PacedWorld, key: TaskKey) -> Runner | None:
+    places = (each for each in world.runners.values() if each.alive and key in each.tasks)
+    return next(places, None)
+
+
+# Guards against an accepted job that could run and does not, most of the room being free: a filler
+# of which two runs had ended with their runners, where all serving tasks are over their targets.
+def test_a_filler_that_lost_two_runners_starts_beside_tasks_over_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def pace(port: Any, order: Pace, done: Callable[[Answered], None]) -> None:
+        port._send(order, lambda there: Answered(there.pace(order), there.clock_ms), done)
+
+    monkeypatch.setattr(RunnerPort, "pace", pace)
+    world = PacedWorld(ratio=1.1, weight=0.0, believed=None)
+    key = TaskKey(JobId("f"), 0, 0, 0)
+    step = msgspec.structs.replace(FILLER, estimate_ms=5000)
+    world.submit("entry-0", "f", step, work_s=5.0, max_attempts=9)
+    for _ in range(2):
+        world.run_until(lambda: _at_work(world, key) is not None, 10.0)
+        world.run(1.0)
+        lost = _at_work(world, key)
+        assert lost is not None
+        world.crash(lost, RESTART_S)
+    waited_s = world.run_until(lambda: _at_work(world, key) is not None, 30.0)
+    assert waited_s <= RESTART_S + RESTART_DELAYS_S[1] + MAX_HOLD_S
+    assert world.violations == []
