--- a/tests/test_bounded_holds.py
+++ b/tests/test_bounded_holds.py
@@ -11,7 +11,7 @@
 from spoolcrank.polling import MAX_POLL_WAIT_MS
 from spoolcrank.runner_state import CLOCK_DRIFT, LEASE_MS
 from spoolcrank.runs import RunStage
-from spoolcrank.scheduler import MAX_INHERITED_RUN_S
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Step, TaskKey
 from tests.fleet_runners import ORDER_TIMEOUT_S, Runner
 from tests.fleet_world import Instance, World, small_world
@@ -32,10 +32,13 @@
 MAX_RETURN_S = 1.0
 """Time from the loss of a runner until its later life has answered, in seconds."""
 
+MAX_TAKEOVER_S = 2.5
+"""Time from the loss of a leader until the next one has read the list of runners, in seconds."""
+
 MAX_LEASE_S = LEASE_MS / 1000.0 * (1.0 + 1.5 * CLOCK_DRIFT)
 AT_ONCE_S = MAX_RETURN_S + PLACING_S
 AFTER_LEASES_S = MAX_SILENCE_S + MAX_LEASE_S + PLACING_S
-INHERITED_S = MAX_READ_LAG_S + MAX_INHERITED_RUN_S + PLACING_S
+INHERITED_S = MAX_READ_LAG_S + Scheduler(1, 0.0, 0.0).max_inherited_run_s + PLACING_S
 
 
 def _leader(world: World) -> Instance:
@@ -127,10 +130,9 @@
 
 def bound_s(fate: str, takeover: bool) -> float:
     """Return within which time a task starts again, in seconds."""
-    if takeover:
-        # That the earlier life is over shows at once only while its entry still stands.
-        return INHERITED_S
-    return AT_ONCE_S if fate in PROVED else AFTER_LEASES_S
+    if fate in PROVED:
+        return AT_ONCE_S + (MAX_TAKEOVER_S if takeover else 0.0)
+    return INHERITED_S if takeover else AFTER_LEASES_S
 
 
 def restart_s(stage: str, fate: str, takeover: bool) -> float:
