Let others claim while a leader cannot read the log

Callers saw jobs accepted and not started, beside free runners and healthy instances, for as long as the leader's reads of the store failed: in simulated time 60 s and without an end.

Cause: a leader whose copy is older than 1.5 s places nothing, rightly, but its heartbeats were stored, so that no other instance claimed. The hold places-nothing was freed only by the store's answers to this one instance.

A leader whose reads fail for 3.5 s, while its writes have been stored for 2 s, now writes that it resigned, and repeats that each 1.5 s. It goes on to lead, and to extend leases, until another instance claims or it reads its own record. Only an instance that reads the log claims, so where no one can read, nothing that runs is lost (second test). A resignation that ends the term at once was tried: with all reads away for 9 s all running work was started anew. Writes must have been stored for longer than a read may hang, so that the end of an outage of the whole store is no reason.

Left: a leader that cannot read the list of runners alone (see DESIGN).

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -14,6 +14,7 @@
 from spoolcrank.claiming import Claiming
 from spoolcrank.debounce import Debouncer
 from spoolcrank.decoding import Unreadable
+from spoolcrank.giving_way import GIVE_WAY_INTERVAL_S, gives_way
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -301,11 +302,15 @@
         writer = self._writer
         if writer is None or writer.busy or writer.closed:
             return
-        if self._leaving or self._successor:
+        leaves = self._leaving or self._successor
+        if leaves or scheduler.resigned or gives_way(self._follower, self.leadership, now):
             # Nothing is lost: starts whose records are pending were not ordered, and runners keep
             # reporting ends that are not stored.
-            resigned = resignation(self.leadership, scheduler, self._successor, now)
-            self._write_claim(writer, resigned)
+            due = now - self.leadership.wrote_at >= GIVE_WAY_INTERVAL_S
+            if leaves or due or not scheduler.resigned:
+                self.leadership.wrote_at = now
+                resigned = resignation(self.leadership, scheduler, self._successor, now)
+                self._write_claim(writer, resigned)
             return
         stating = claim_due(scheduler, now)
         batch = None if stating else take_batch(scheduler)
@@ -325,7 +330,7 @@
         self, writer: LeaderWriter, claim: Claim, then: Callable[[], None] | None = None
     ) -> None:
         def on_stored(timing: AppendTiming) -> None:
-            if claim.resigned:
+            if claim.resigned and (self._leaving or self._successor):
                 self._step_down("handed over")
             else:
                 if self.scheduler is not None and claim_stored(self.scheduler, claim):
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -131,6 +131,7 @@
         self.last_contact_at = now
         self.leader_wrote_at = now
         self.confirmed_at = -1.0
+        self.confirmed_since = now
         self.wrote_at = -1.0
         self._term_read_at = now
         self._largest_processors = processors
@@ -222,6 +223,8 @@
 
     def record_confirmed_write(self, sent_at: float) -> None:
         """Record that a write of this leader, sent at `sent_at`, was stored."""
+        if sent_at - self.confirmed_at > SELF_FENCE_S:
+            self.confirmed_since = sent_at
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def may_extend(self, now: float) -> bool:
--- a/tests/accepted_jobs.py
+++ b/tests/accepted_jobs.py
@@ -304,6 +304,18 @@
         self.world.run(seconds)
         self.world.store.silent = False
 
+    @rule(seconds=st.floats(1.0, 9.0), everywhere=st.booleans())
+    def reads_fail(self, seconds: float, everywhere: bool) -> None:
+        """Have the leader's reads, or all, fail while the store takes appends."""
+        leader = self.world.leader()
+        instances = list(self.world.instances.values()) if everywhere else [leader]
+        ports: list[Any] = [each.follower._log for each in instances if each is not None]
+        for port in ports:
+            port._is_unreachable = lambda: True
+        self.world.run(seconds)
+        for port in ports:
+            del port._is_unreachable
+
     @rule(page_s=st.sampled_from([0.004, 0.1, 0.3]), read_s=st.sampled_from([0.002, 0.3, 0.8]))
     def loads_and_reads_are_slow(self, page_s: float, read_s: float) -> None:
         names = [f"entry-{n}" for n in range(INSTANCES)]
--- a/tests/test_holds_end.py
+++ b/tests/test_holds_end.py
@@ -1,12 +1,13 @@
 """Holds end although their counterpart never answers, refuses, or answered in another's place."""
 
 from collections.abc import Callable
+from typing import Any
 
 from spoolcrank.orders import OrderResult, Poll, Target
 from spoolcrank.run_control import poll_failed
 from spoolcrank.workflow import Step
 from tests.fleet_runners import Runner
-from tests.fleet_world import World, small_world
+from tests.fleet_world import Instance, World, small_world
 from tests.test_other_writers import entry, hang, with_routes
 
 ONE = Step(count=1, millicores=1000, memory_mb=100)
@@ -125,3 +126,45 @@
     leader = world.leader()
     assert leader is not None and leader.dispatcher.scheduler is not None
     assert leader.dispatcher.scheduler.runners[replaced.incarnation_id].gone
+
+
+def _fail_reads(instance: Instance) -> None:
+    """Have all reads of an instance fail, while the store takes its appends."""
+    for follower in (instance.follower, instance.entries):
+        port: Any = follower._log
+        port._is_unreachable = lambda: True
+
+
+# Guards against a leader that places nothing for as long as its reads of the store fail: its
+# writes were stored, so that no other instance claimed.
+def test_a_leader_that_cannot_read_gives_way() -> None:
+    world = small_world(instances=3, runners=2)
+    leader = world.leader()
+    assert leader is not None
+    other = next(each for each in world.instances.values() if each is not leader)
+    _fail_reads(leader)
+    world.run(1.5)
+    other.submit("a1", ONE)
+    starts_within(world, MAX_HOLD_S, lambda: bool(world.starts))
+    assert world.leader() is not leader
+    assert world.violations == []
+
+
+# Guards against work that is lost because every leader gives way while nobody can read.
+def test_running_work_outlives_reads_that_fail_everywhere() -> None:
+    world = small_world(instances=3, runners=2)
+    world.lasting_jobs = {"a1"}
+    lasting = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
+    world.instances["entry-0"].submit("a1", lasting)
+    world.run(1.0)
+    ports: list[Any] = []
+    for instance in world.instances.values():
+        _fail_reads(instance)
+        ports += [instance.follower._log, instance.entries._log]
+    world.run(8.0)
+    for port in ports:
+        del port._is_unreachable
+    world.run(5.0)
+    assert [len(starts) for starts in world.starts.values()] == [1] * 4
+    assert sum(len(runner.tasks) for runner in world.runners.values()) == 4
+    assert world.violations == []
