--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -14,7 +14,7 @@
 from spoolcrank.claiming import Claiming
 from spoolcrank.debounce import Debouncer
 from spoolcrank.decoding import Unreadable
-from spoolcrank.giving_way import GIVE_WAY_INTERVAL_S, gives_way
+from spoolcrank.giving_way import gives_way, resignation_due
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.keyed_log import (
     LEADER_KEY,
@@ -302,12 +302,10 @@
         writer = self._writer
         if writer is None or writer.busy or writer.closed:
             return
-        leaves = self._leaving or self._successor
-        if leaves or scheduler.resigned or gives_way(self._follower, self.leadership, now):
-            # Nothing is lost: starts whose records are pending were not ordered, and runners keep
-            # reporting ends that are not stored.
-            due = now - self.leadership.wrote_at >= GIVE_WAY_INTERVAL_S
-            if leaves or due or not scheduler.resigned:
+        leaves = bool(self._leaving or self._successor)
+        if leaves or gives_way(scheduler, self._follower, self.leadership, now):
+            # Pending starts were not ordered, and runners report ends that are not stored again.
+            if leaves or resignation_due(scheduler, self.leadership, now):
                 self.leadership.wrote_at = now
                 resigned = resignation(self.leadership, scheduler, self._successor, now)
                 self._write_claim(writer, resigned)
@@ -331,11 +329,10 @@
     ) -> None:
         def on_stored(timing: AppendTiming) -> None:
             if claim.resigned and (self._leaving or self._successor):
-                self._step_down("handed over")
-            else:
-                if self.scheduler is not None and claim_stored(self.scheduler, claim):
-                    self._decide_soon()
-                self._on_append_stored(timing, then)
+                return self._step_down("handed over")
+            if self.scheduler is not None and claim_stored(self.scheduler, claim):
+                self._decide_soon()
+            return self._on_append_stored(timing, then)
 
         writer.write(PendingAppend(Append([KeyedRecord(LEADER_KEY, encode(claim))]), on_stored))
 
--- a/tests/test_holds_end.py
+++ b/tests/test_holds_end.py
@@ -147,6 +147,7 @@
     other.submit("a1", ONE)
     starts_within(world, MAX_HOLD_S, lambda: bool(world.starts))
     assert world.leader() is not leader
+    assert "lets-others-claim" in [name for name, _ in leader.logged.lines]
     assert world.violations == []
 
 
