--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -32,10 +32,6 @@
         KeyedRecord(progress_key(job_id), encode_progress(state.jobs[job_id].progress()))
         for job_id in pending_writes.jobs
     ]
-    if records:
-        # Never alone: followers of an earlier version take no other record for the leader's.
-        preassigned = pending_writes.preassigned
-        records += state.addresses.take_records(state.runners, preassigned)
     state.pending_writes = PendingWrites()
     return Batch(
         records + pending_writes.other_records,
--- a/spoolcrank/common_cause.py
+++ b/spoolcrank/common_cause.py
@@ -24,12 +24,10 @@
 
 def failure_of(runner: RunnerState, now: float) -> RunnerFailure:
     """Return the failure of a runner, with the steps that had begun there shortly before."""
-    first_missed_at = _first_missed_at(runner, now)
-    # Of runs that only records name, it is not known when they began.
-    runs = {} if runner.only_recorded else runner.runs
+    first_missed_at = now if runner.silent_since is None else runner.silent_since
     recent_steps = frozenset(
         key.step_key
-        for key, run in runs.items()
+        for key, run in runner.runs.items()
         if run.ordered_at is not None and first_missed_at - run.ordered_at <= MAX_EARLY_LIFETIME_S
     )
     # If the runner never answered this leader, its failure is assumed to have happened after its
@@ -45,15 +43,6 @@
     )
 
 
-def _first_missed_at(runner: RunnerState, now: float) -> float:
-    if runner.silent_since is not None:
-        return runner.silent_since
-    if runner.only_recorded and runner.entry.address:
-        # Another incarnation answered the first poll: this one ended before this leader's term.
-        return runner.first_seen_at
-    return now
-
-
 def find_cause(
     state: Scheduler, failure: RunnerFailure, now: float
 ) -> tuple[CommonCause, list[RunnerFailure]] | None:
@@ -103,15 +92,12 @@
 
 
 def _failures(state: Scheduler, now: float) -> Iterator[RunnerFailure]:
-    """Yield the recent failures, and possible failures of runners that are silent.
-
-    Of a runner that only records name, nothing tells when it failed: before this leader, or never.
-    """
+    """Yield the recent failures, and possible failures of runners that are silent."""
     known = {failure.runner for failure in state.crash_history.recent_failures}
     yield from state.crash_history.recent_failures
     for runner in state.runners.values():
         silent = runner.silent_since is not None and (runner.answered_at >= 0 or runner.runs)
-        if silent and not runner.only_recorded and runner.id not in known:
+        if silent and runner.id not in known:
             yield failure_of(runner, now)
 
 
--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -9,12 +9,10 @@
 from typing import NamedTuple
 
 from spoolcrank.ids import JobId
-from spoolcrank.workflow import RunnerId
 
 _JOB = "j/"
 _CANCEL = "c/"
 _PROGRESS = "p/"
-_RUNNER = "runner/"
 LEADER_KEY = "leader"
 LEARNED_KEY = "learnt"
 OFFER_KEY = "offer"
@@ -26,19 +24,17 @@
     JOB = _JOB
     CANCEL = _CANCEL
     PROGRESS = _PROGRESS
-    RUNNER = _RUNNER
     LEADER = LEADER_KEY
     LEARNED = LEARNED_KEY
     OFFER = OFFER_KEY
 
 
-LEADER_ONLY_KINDS = frozenset({RecordKind.PROGRESS, RecordKind.RUNNER, RecordKind.LEARNED})
+LEADER_ONLY_KINDS = frozenset({RecordKind.PROGRESS, RecordKind.LEARNED})
 """The kinds that only the leader writes. Each such record confirms a write from which the leader
 extends leases. If other instances did not count them, a successor would treat leases as expired up
 to one heartbeat too early."""
 
 _SINGLE_KEYS = frozenset({LEADER_KEY, LEARNED_KEY, OFFER_KEY})
-_PREFIXED = (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS, RecordKind.RUNNER)
 
 
 class KeyedRecord(NamedTuple):
@@ -64,16 +60,11 @@
     return _PROGRESS + job
 
 
-def runner_key(runner: RunnerId) -> str:
-    """Return the key of the address of a runner on which work is bound."""
-    return _RUNNER + runner
-
-
 def kind_of(key: str) -> RecordKind | None:
     """Return the kind of a key, or None for an unknown key, such as one of a newer version."""
     if key in _SINGLE_KEYS:
         return RecordKind(key)
-    for kind in _PREFIXED:
+    for kind in (RecordKind.JOB, RecordKind.CANCEL, RecordKind.PROGRESS):
         if key.startswith(kind.value):
             return kind
     return None
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -71,7 +71,7 @@
     """Return the runners to poll for the first time.
 
     Runners in zones that answer come first, then those polled longest ago. Silent runners have a
-    limit of their own, so that the others never wait for them; those without an entry come last.
+    limit of their own, so that the others never wait for them.
     """
     unanswered = _unanswered_runners_by_zone(state, now)
     awaiting_first_answer.sort(
@@ -81,7 +81,7 @@
     silent = [
         candidate for candidate in awaiting_first_answer if candidate.silent_since is not None
     ]
-    silent.sort(key=lambda candidate: (_is_rarely_polled(candidate), candidate.polled_at))
+    silent.sort(key=lambda candidate: candidate.polled_at)
     return (
         answering[: _free_first_polls(state, False, now)]
         + silent[: _free_first_polls(state, True, now)]
@@ -135,7 +135,6 @@
         # An entry of another writer may permanently name an address at which no runner exists.
         never_answered = runner.answered_at < 0 and not runner.runs
         poll_rarely = never_answered and now - runner.silent_since >= NEVER_ANSWERED_AFTER_S
-        poll_rarely = poll_rarely or _is_rarely_polled(runner)
         return since_poll_s >= (
             NEVER_ANSWERED_POLL_INTERVAL_S if poll_rarely else SILENT_POLL_INTERVAL_S
         )
@@ -146,11 +145,6 @@
     return runner.listed and since_poll_s >= IDLE_POLL_INTERVAL_S
 
 
-def _is_rarely_polled(runner: RunnerState) -> bool:
-    """Return whether no entry tells that anything is at a runner's stored address."""
-    return runner.only_recorded and not runner.ids_at_address
-
-
 def _poll(state: Scheduler, runner: RunnerState, now: float, may_extend: bool) -> Poll:
     runner.polling = True
     runner.polled_at = now
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -5,10 +5,16 @@
 from spoolcrank.ids import Address
 from spoolcrank.runner_directory import Listing
 from spoolcrank.runner_ids import name_of
-from spoolcrank.runner_state import MAX_RELIST_DELAY_S, NO_RUNNERS, RunnerEntry, RunnerState
+from spoolcrank.runner_state import NO_RUNNERS, RunnerEntry, RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
 
+MAX_RELIST_DELAY_S = 2.0
+"""Time after the return of the store, in seconds, within which entries that expired during its
+outage are back, as specified by the platform; a runner whose entry is still missing then counts as
+leaving. An entry that another writer overwrote is back by then too, as its runner writes it again
+and again."""
+
 
 def list_runners(
     state: Scheduler,
@@ -30,14 +36,14 @@
         service_known = services is None or entry.service in services
         if service_known or (present is not None and present.runs):
             _list_runner(state, entry, now)
-        elif present is not None and _belongs_to(state, entry, present):
+        elif present is not None and _belongs_to(entry, present):
             # Nothing is sent to its service any more, so it does not need to be polled either.
             del state.runners[entry.id]
     ids_at = _ids_by_address(listing.entries)
     names = {name_of(runner) for runner in listing.entries}
     for runner in list(state.runners.values()):
         current_entry = listing.entries.get(runner.id)
-        if current_entry is None or not _belongs_to(state, current_entry, runner):
+        if current_entry is None or not _belongs_to(current_entry, runner):
             name = name_of(runner.id)
             restarted = current_entry is None and name in names
             overwritten = current_entry is not None or restarted or name in listing.unreadable
@@ -45,7 +51,6 @@
         # Any writer may write an entry with the address of a live runner. The answer from that
         # address shows which incarnation it is, and only that releases the runs of another one.
         runner.set_ids_at_address(ids_at.get(runner.entry.address, NO_RUNNERS) - {runner.id})
-    state.addresses.find_unused(state.runners)
 
 
 def _ids_by_address(
@@ -57,14 +62,13 @@
     return ids
 
 
-def _belongs_to(state: Scheduler, entry: RunnerEntry, runner: RunnerState) -> bool:
+def _belongs_to(entry: RunnerEntry, runner: RunnerState) -> bool:
     """Return whether an entry can be the runner's own.
 
-    The address and the service of an incarnation never change. A stored address is one at which it
-    answered an earlier leader, so that its runs are settled there.
+    The address and the service of an incarnation never change.
     """
     if runner.answered_at < 0:
-        return not (runner.runs and state.addresses.contradicts(entry))
+        return True
     known_entry = runner.entry
     return entry.address == known_entry.address and entry.service == known_entry.service
 
@@ -85,7 +89,7 @@
         state.register(entry, now)
         state.log_event("runner-listed", runner=entry.id, leaving=entry.leaving)
         return
-    if not _belongs_to(state, entry, runner):
+    if not _belongs_to(entry, runner):
         return
     if runner.entry.leaving != entry.leaving:
         state.log_event("runner-leaving", runner=entry.id, leaving=entry.leaving)
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -18,12 +18,6 @@
 6.3 s, and with a lease of 5 s every task there expired just before the partition ended. The
 cost is that tasks lost with their runner also wait for this time."""
 
-MAX_RELIST_DELAY_S = 2.0
-"""Time after the return of the store, in seconds, within which entries that expired during its
-outage are back, as specified by the platform; a runner whose entry is still missing then counts as
-leaving. An entry that another writer overwrote is back by then too, as its runner writes it again
-and again."""
-
 CLOCK_DRIFT = 0.02
 """Fraction by which a runner's clock may run slower than the leader's; specified by the
 platform."""
@@ -78,6 +72,14 @@
 NO_RUNNERS: frozenset[RunnerId] = frozenset()
 
 
+def unlisted_entry(runner: RunnerId, service: ServiceName) -> RunnerEntry:
+    """Return an entry for a runner that only the records of a job still name."""
+    no_address = Address("")
+    return RunnerEntry(
+        runner, no_address, AvailabilityZone(""), service, Demand(), frozenset(), leaving=True
+    )
+
+
 class Reservation(NamedTuple):
     """Capacity reserved, until a monotonic time, for a task that is moving from another runner."""
 
@@ -185,11 +187,6 @@
         """Return the id of this incarnation."""
         return self.entry.id
 
-    @property
-    def only_recorded(self) -> bool:
-        """Return whether only records of jobs name it: no entry was read and no answer came."""
-        return self.answered_at < 0 and not self.listed and self.entry.room == Demand()
-
     def record_answer(self, clock_ms: float, asked_at: float, now: float) -> None:
         """Record an answer, with the runner's clock, to a call sent at `asked_at`."""
         if self.clock_at < 0 or clock_ms >= self.clock_lower(now):
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -22,15 +22,14 @@
 from spoolcrank.orders import Order, Start, Stop, Target
 from spoolcrank.pending_writes import PendingWrites
 from spoolcrank.placing_pass import FillerRefusal, PlacingPass
-from spoolcrank.runner_addresses import RunnerAddresses
 from spoolcrank.runner_ids import FENCES_PER_TERM, FenceRanks
 from spoolcrank.runner_state import (
     ASSUMED_PACE_PERCENT,
     CLOCK_DRIFT,
     LEASE_MS,
-    MAX_RELIST_DELAY_S,
     RunnerEntry,
     RunnerState,
+    unlisted_entry,
 )
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.start_window import START_OVERHEAD_BYTES, StartWindow
@@ -64,7 +63,6 @@
         predecessor_wrote_at: time from which an earlier leader's leases may run, monotonic seconds.
         stated: the runners that leaders have stated as never reached.
         resigned: whether this leader's resignation is being written.
-        addresses: stored addresses of the runners on which work is bound.
         contention: model of how fillers slow serving tasks.
         times: model of the run times of tasks.
         extends_until: time until which leases may be extended, monotonic seconds.
@@ -94,7 +92,6 @@
         self.resigned = False
         self.jobs: dict[JobId, JobState] = {}
         self.runners: dict[RunnerId, RunnerState] = {}
-        self.addresses = RunnerAddresses()
         self.ranks = FenceRanks()
         self.routes: dict[RouteName, RoutePolicy] = {}
         self.contention = ContentionModel()
@@ -168,9 +165,8 @@
     def _inherit(self, key: TaskKey, task: TaskState, job: JobState) -> None:
         runner = self.runners.get(task.runner)
         if runner is None:
-            known = self.addresses.entry_of(task.runner, job.record.service)
-            runner = self.register(known, self.began_at, listed=False)
-            runner.leaving_from = self.began_at + MAX_RELIST_DELAY_S
+            entry = unlisted_entry(task.runner, job.record.service)
+            runner = self.register(entry, self.began_at, listed=False)
         run = self.new_run(job, key, task.run, RunStage.UNCONFIRMED, self.began_at)
         run.resumed = run.inherited = True
         run.ordered_at = self.began_at
@@ -275,7 +271,10 @@
 
     @property
     def max_inherited_run_s(self) -> float:
-        """Return how long after its last write an earlier leader's leases may run, in seconds."""
+        """Return how long leases of an earlier leader may run after its last write, in seconds.
+
+        It extends leases for SELF_FENCE_S, each by one lease; the factor allows for clock drift.
+        """
         return (SELF_FENCE_S + self.lease_ms / 1000.0) * (1.0 + 1.5 * CLOCK_DRIFT)
 
     def target(self, runner: RunnerState) -> Target:
--- a/spoolcrank/takeover.py
+++ b/spoolcrank/takeover.py
@@ -13,7 +13,6 @@
     progress_key,
 )
 from spoolcrank.learned_state import decode_learned_state
-from spoolcrank.runner_addresses import address_records
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.workflow import decode_job, decode_progress
@@ -31,7 +30,6 @@
         restore_learned(scheduler, copy)
     except Unreadable as exc:
         log_unreadable_record(telemetry, copy.newest[LEARNED_KEY], str(exc))
-    _restore_addresses(scheduler, copy, telemetry)
     for key, record in list(copy.newest.items()):
         if record.value and kind_of(key) is RecordKind.JOB:
             read_job(scheduler, copy, record, telemetry, now, time_of_day_ms, taking_over=True)
@@ -44,14 +42,6 @@
     )
 
 
-def _restore_addresses(scheduler: Scheduler, copy: KeyedLog, telemetry: Telemetry) -> None:
-    for record in address_records(copy):
-        try:
-            scheduler.addresses.restore(record)
-        except Unreadable as exc:
-            log_unreadable_record(telemetry, record, str(exc))
-
-
 def read_job(
     scheduler: Scheduler,
     copy: KeyedLog,
