Poll a runner that a resigned leader must not adopt as a silent one

What instances would see: a leader that lets others claim, as it cannot read the log, polls each runner that it has not reached again with each answer, without a pause. Cause: a runner that is not adopted and answers is polled at once, which was to end with its adoption; after a resignation none follows. Evidence: the new test fails on the code before and passes now.

--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -100,11 +100,12 @@
 def may_adopt(state: Scheduler, runner: RunnerState, now: float) -> bool:
     """Return whether a runner that answered may be adopted.
 
-    If a claim states it, that has to be withdrawn first, and until then it is polled as a silent
-    runner is.
+    If a claim states it, that has to be withdrawn first. A runner that is not adopted is polled as
+    a silent one is, as each of its answers would otherwise make the next poll due at once.
     """
     if state.resigned:
         # The resignation tells the successor that no lease was granted there.
+        runner.record_no_answer(now)
         return False
     name = name_of(runner.id)
     state.stated.reached.add(name)
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -14,6 +14,7 @@
 from spoolcrank.keyed_log import LEADER_KEY, KeyedLog, KeyedRecord
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.orders import Poll, Report
+from spoolcrank.polling import polls_due
 from spoolcrank.run_control import poll_answered
 from spoolcrank.runner_state import CLOCK_DRIFT, RunnerState
 from spoolcrank.scheduler import Scheduler
@@ -330,6 +331,19 @@
     assert own_claim(_leadership(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
 
 
+# Guards against a leader that gives way and polls the runners it must not adopt without a pause.
+def test_a_leader_that_resigned_polls_no_runner_again_at_once() -> None:
+    state, silent, _ = _stated()
+    silent.silent_since = None
+    state.resigned = True
+    polls = polls_due(state, NOW, may_extend=True)
+    assert [poll.target.runner for poll in polls] == [silent.id]
+    _answer(state, silent, NOW + 0.01)
+    assert not silent.adopted
+    assert polls_due(state, NOW + 0.02, may_extend=True) == []
+    assert polls_due(state, NOW + 1.0, may_extend=True) != []
+
+
 # Guards against a list of runners that a leader reads as a newer claim and that ends its own term.
 def test_a_claim_that_states_other_runners_is_no_other_claim() -> None:
     leadership = _leadership()
