--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -29,8 +29,8 @@
     encode_progress,
 )
 from tests.fleet_world import World, small_world
+from tests.packed_runners import NOW, leader, runner
 from tests.test_late_ends import AFTER_PARTITION_S, PARTITION_S, WORK_S
-from tests.test_packing import NOW, leader, runner
 from tests.test_room_beside_waits import add_job
 
 JOB = JobId("ab")
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -1,11 +1,10 @@
 """Log events about waiting fillers."""
 
-from test_packing import NOISY, NOW, SERVICE, SERVING, leader, put, runner, trained_model
-
 from spoolcrank.backlog import log_backlog
 from spoolcrank.ids import JobId
 from spoolcrank.job_state import JobState
 from spoolcrank.workflow import JobRecord, RouteName, Workflow
+from tests.packed_runners import NOISY, NOW, SERVICE, SERVING, leader, put, runner, trained_model
 
 
 def test_each_runner_names_what_keeps_a_waiting_filler_away() -> None:
--- a/tests/test_earlier_facts.py
+++ b/tests/test_earlier_facts.py
@@ -17,8 +17,8 @@
     Workflow,
 )
 from tests.fleet_world import World, small_world
+from tests.packed_runners import NOW, SERVICE, leader, runner
 from tests.test_late_ends import AFTER_PARTITION_S, PARTITION_S, WORK_S
-from tests.test_packing import NOW, SERVICE, leader, runner
 
 JOB = JobId("ab")
 ONE = Step(count=1, millicores=1000, memory_mb=100)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -12,7 +12,7 @@
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import JobPhase, Step, TaskKey
 from tests.fleet_world import World, small_world
-from tests.test_packing import NOW, leader, runner
+from tests.packed_runners import NOW, leader, runner
 from tests.test_room_beside_waits import add_job
 
 MAX_LATE_ORDER_S = 13.0
--- a/tests/test_filler_waits.py
+++ b/tests/test_filler_waits.py
@@ -29,7 +29,7 @@
 from tests.fleet_runners import RunnerPort
 from tests.fleet_world import Runner
 from tests.idle_capacity import IdleCapacityCheck, Place, SizedRunner, SizedWorld
-from tests.test_packing import NOW, SERVICE, leader, put, runner
+from tests.packed_runners import NOW, SERVICE, leader, put, runner
 
 TARGET_MS = 1000.0
 HARM_S = 4.0
--- a/tests/test_held_back_fillers.py
+++ b/tests/test_held_back_fillers.py
@@ -13,7 +13,7 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import FILLER_RETRY_S
 from spoolcrank.workflow import JobRecord, RouteName, Step, TaskKey, Workflow
-from tests.test_packing import NOW, QUIET, SERVICE, SHORT, leader, put, runner
+from tests.packed_runners import NOW, QUIET, SERVICE, SHORT, leader, put, runner
 
 ROUTE = RouteName("q")
 LABELLED = msgspec.structs.replace(QUIET, label="elsewhere")
--- a/tests/test_idle_waits.py
+++ b/tests/test_idle_waits.py
@@ -8,7 +8,7 @@
 from spoolcrank.placing import place
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import JobRecord, RouteName, Step, TaskKey, Workflow
-from tests.test_packing import NOW, QUIET, SERVICE, SHORT, leader, put, runner
+from tests.packed_runners import NOW, QUIET, SERVICE, SHORT, leader, put, runner
 
 LABELLED = msgspec.structs.replace(SHORT, label="big", memory_mb=0)
 GANG = msgspec.structs.replace(LABELLED, count=2, gang=True)
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -21,7 +21,7 @@
 from spoolcrank.unreached_runners import FIRST_POLLS_S, claim_due, claim_stored, own_claim
 from spoolcrank.workflow import Step, TaskKey, encode
 from tests.fleet_world import Instance, LogRecorder, Runner, World
-from tests.test_packing import NOW, SHORT, leader, put, runner
+from tests.packed_runners import NOW, SHORT, leader, put, runner
 
 SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 MUTANT_SEEDS = 40
--- a/tests/test_regrouping.py
+++ b/tests/test_regrouping.py
@@ -11,12 +11,19 @@
 
 import msgspec
 import pytest
-from test_packing import MISMATCHED, NOW, SERVING, add_running_task, leader_with_pairs, runner
 
 from spoolcrank.job_state import JobState, TaskState
 from spoolcrank.regrouping import Regrouping
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.workflow import JobRecord, Workflow
+from tests.packed_runners import (
+    MISMATCHED,
+    NOW,
+    SERVING,
+    add_running_task,
+    leader_with_pairs,
+    runner,
+)
 
 
 def images_after(moves: list[tuple[object, str, str]], *runners: RunnerState) -> list[set[str]]:
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -24,7 +24,7 @@
     Workflow,
 )
 from tests.fleet_world import World, small_world
-from tests.test_packing import NOW, SERVICE, SHORT, leader, put, runner
+from tests.packed_runners import NOW, SERVICE, SHORT, leader, put, runner
 
 RUNNERS = 12
 MAX_HELD_S = 2.5
--- a/tests/test_task_hold.py
+++ b/tests/test_task_hold.py
@@ -40,7 +40,7 @@
 from spoolcrank.telemetry import ATOMIC_BYTES
 from spoolcrank.workflow import CrashEvidence, Phase, RunnerId, Step, TaskKey
 from tests.fleet_world import small_world
-from tests.test_packing import NOISY, NOW, SERVICE, SERVING, SHORT, leader, put, runner
+from tests.packed_runners import NOISY, NOW, SERVICE, SERVING, SHORT, leader, put, runner
 from tests.test_room_beside_waits import add_job
 
 JOB = JobId("cd")
--- a/tests/test_unreached_runners.py
+++ b/tests/test_unreached_runners.py
@@ -11,7 +11,7 @@
 from spoolcrank.unreached_runners import begin_term, resignation
 from spoolcrank.workflow import Step, TaskKey
 from tests.fleet_world import World
-from tests.test_packing import NOW, SHORT, leader, put, runner
+from tests.packed_runners import NOW, SHORT, leader, put, runner
 
 TASKS = Step(count=4, millicores=1000, memory_mb=100, estimate_ms=3000)
 POWERS = {"small": 0.5, "middle": 1.0, "large": 2.0}
--- a/tests/test_unreadable_rows.py
+++ b/tests/test_unreadable_rows.py
@@ -11,7 +11,7 @@
 from spoolcrank.run_control import ABSENT_RUN_LOST_AFTER_S, poll_answered
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import Step, TaskKey
-from tests.test_packing import NOW, leader, runner
+from tests.packed_runners import NOW, leader, runner
 from tests.test_platform import RecordingHttp, answer
 from tests.test_room_beside_waits import add_job
 
--- a/tests/test_unreadable_runs_not_ours.py
+++ b/tests/test_unreadable_runs_not_ours.py
@@ -10,7 +10,7 @@
 from spoolcrank.run_control import poll_answered
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import Step
-from tests.test_packing import NOW, leader, runner
+from tests.packed_runners import NOW, leader, runner
 from tests.test_room_beside_waits import add_job
 from tests.test_unreadable_rows import FIRST, LATER, _report
 
