Adopt no runner by an answer from an address that its entry no longer names

Callers saw less capacity, and could see a task run twice: a new leader polls a runner that it has not reached, another writer then overwrites its entry with another address, and the answer to the poll arrives after that. The runner was adopted with the false address. It never changes again, as the entry of a runner that answered counts only with the same address; the next poll reaches another runner there, and its refusal frees runs that go on.

Such an answer is now ignored, as a refusal already is; the next poll goes to the address that the entry names by then. Found by reading.

The test failed before (its run was freed: "TaskKey ... in {}") and fails with this mend alone taken out.

--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -94,6 +94,10 @@
     if not answers_for(report.runner, runner.id):
         other_incarnation_answers(state, runner, report.runner, poll.target, now)
         return
+    if not runner.adopted and poll.target.address != runner.entry.address:
+        # Its entry has changed since the poll was sent: adopted now, it would keep an address at
+        # which it never answered.
+        return
     if not runner.adopted and not may_adopt(state, runner, now):
         return
     was_silent = runner.silent_since
