Raise no fence when a later leader's fence refuses a stop

Callers could see a replaced leader lead on for up to a further poll: since any stop that is not carried out raises its runner's fence, a stop refused because of a later leader's fence did so as well, before the leader looks whether it was outranked. It then took the refusal for the doing of its own later fence and did not step down. Its leases were not at risk, as the store refuses its writes. Found by reading.

A refusal by a higher fence shows that the runner carries out nothing older, so that raising the leader's own helps nothing.

--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -107,7 +107,7 @@
             runner=runner.id,
             result=answered.result.value,
         )
-        if runner.silent_since is None:
+        if answered.result is not OrderResult.OUTRANKED and runner.silent_since is None:
             state.void_start(runner, run)
 
 
