--- /dev/null
+++ b/tests/test_review_upgrade.py
@@ -0,0 +1,112 @@
+"""Review: leaders of 1240a6f's code between leaders of this one, beside silent runners."""
+
+import os
+import random
+from typing import Any
+
+import pytest
+
+from spoolcrank import dispatcher, run_control
+from spoolcrank.giving_way import gives_way
+from spoolcrank.leadership import Leadership
+from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
+from tests.test_holds_end import _fail_reads
+from tests.test_leaders_end_unannounced import (
+    LASTING,
+    _cut_off,
+    _end_of_trouble,
+    _fleet,
+    _next_leader,
+    _trouble_of_store,
+)
+from tests.test_review_giving_way import _restore_reads
+
+SEEDS = int(os.environ.get("SPOOLCRANK_REVIEW_SEEDS", "5"))
+OLD: set[int] = set()
+
+_begin_term = dispatcher.begin_term
+
+
+def _begin(leadership: Leadership, *args: Any) -> Any:
+    state = _begin_term(leadership, *args)
+    if leadership.instance.startswith("old"):
+        OLD.add(id(state))
+        state.stated.inherited_since = {}
+    else:
+        OLD.discard(id(state))
+    return state
+
+
+def _own_claim(leadership: Leadership, state: Any, now: float) -> Any:
+    return leadership.own_claim() if id(state) in OLD else own_claim(leadership, state, now)
+
+
+def _claim_due(state: Any, now: float) -> bool:
+    return id(state) not in OLD and claim_due(state, now)
+
+
+def _never_gives_way(state: Any, *args: Any) -> bool:
+    return id(state) not in OLD and gives_way(state, *args)
+
+
+def _may_adopt(state: Any, runner: Any, now: float) -> bool:
+    return not state.resigned if id(state) in OLD else may_adopt(state, runner, now)
+
+
+def _play(seed: int) -> list[str]:
+    chance = random.Random(seed)
+    world = _fleet(seed, instances=2, runners=4)
+    world.add_instance("old-1")
+    world.add_instance("old-2")
+    world.max_transit_s = chance.choice([0.0, 0.05])
+    world.late_order_share = chance.choice([0.0, 0.1])
+    world.late_orders_outlive_restart = False
+    for runner in world.runners.values():
+        runner.clock_rate = 0.98
+    world.lasting_jobs.add("ab")
+    next(iter(world.instances.values())).submit("ab", LASTING)
+    world.run_until(lambda: len(world.starts) == LASTING.count)
+    world.run(1.0)
+    cut = chance.choice([one for one in world.runners.values() if one.tasks])
+    _cut_off(world, cut)
+    if chance.random() < 0.5:
+        world.store.entries.put(cut.id, b"")
+    _next_leader(world).kill()
+    for number in range(chance.choice([2, 3, 4])):
+        kind = chance.choice(["old", "new"])
+        world.add_instance(f"{kind}-x{number}", chance.choice([1.0, 1.0, 8.0]))
+        current = _next_leader(world)
+        _trouble_of_store(world, current.name, chance)
+        if chance.random() < 0.4:
+            _fail_reads(current)
+        world.run(chance.uniform(0.0, 4.5))
+        if chance.random() < 0.5:
+            world.unreachable.discard((current.name, cut.name))
+            world.run(chance.choice([0.02, 0.3, 1.0]))
+        _cut_off(world, cut)
+        end = chance.choice(["kill", "freeze", "none"])
+        if end == "kill" and current.alive and current.name in world.instances:
+            current.kill()
+        elif end == "freeze":
+            current.freeze(chance.uniform(1.0, 6.0))
+        world.run(chance.uniform(0.0, 0.5))
+        _end_of_trouble(world)
+        if chance.random() < 0.6:
+            _restore_reads(world)
+    _restore_reads(world)
+    world.run(14.0)
+    world.unreachable.clear()
+    world.run(5.0)
+    return world.violations
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_leaders_of_two_versions_run_nothing_twice(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(dispatcher, "begin_term", _begin)
+    monkeypatch.setattr(dispatcher, "own_claim", _own_claim)
+    monkeypatch.setattr(dispatcher, "claim_due", _claim_due)
+    monkeypatch.setattr(dispatcher, "gives_way", _never_gives_way)
+    monkeypatch.setattr(run_control, "may_adopt", _may_adopt)
+    assert _play(seed) == []
