--- a/tests/test_review_giving_way.py
+++ b/tests/test_giving_way_plays.py
@@ -1,4 +1,4 @@
-"""Review: a leader that gives way while its reads fail, beside runners that it states."""
+"""Plays of a leader that gives way while its reads fail, beside runners that it states."""
 
 import os
 import random
@@ -16,7 +16,7 @@
     _trouble_of_store,
 )
 
-SEEDS = int(os.environ.get("SPOOLCRANK_REVIEW_SEEDS", "5"))
+SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 
 
 def _restore_reads(world: World) -> None:
--- a/tests/test_review_upgrade.py
+++ b/tests/test_mixed_leaders.py
@@ -1,4 +1,7 @@
-"""Review: leaders of 1240a6f's code between leaders of this one, beside silent runners."""
+"""Leaders of an earlier version between leaders of this one, beside silent runners.
+
+The earlier version states no runners in its claims and never gives way.
+"""
 
 import os
 import random
@@ -10,6 +13,7 @@
 from spoolcrank.giving_way import gives_way
 from spoolcrank.leadership import Leadership
 from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
+from tests.test_giving_way_plays import _restore_reads
 from tests.test_holds_end import _fail_reads
 from tests.test_leaders_end_unannounced import (
     LASTING,
@@ -19,9 +23,8 @@
     _next_leader,
     _trouble_of_store,
 )
-from tests.test_review_giving_way import _restore_reads
 
-SEEDS = int(os.environ.get("SPOOLCRANK_REVIEW_SEEDS", "5"))
+SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 OLD: set[int] = set()
 
 _begin_term = dispatcher.begin_term
--- /dev/null
+++ b/tests/test_waits_begun_anew.py
@@ -0,0 +1,37 @@
+"""Waits for leases that still begin anew with the next leader."""
+
+import pytest
+
+from tests.test_leaders_end_unannounced import (
+    LEASES_S,
+    MAX_DELAY_S,
+    TASKS,
+    _fleet,
+    _next_leader,
+    _time_of_lost_work,
+)
+
+
+# Guards against a second wait for leases if the leader that saw a runner fall silent is killed.
+@pytest.mark.parametrize("led_on_s", [0.5, 3.0, 6.0])
+def test_a_leader_hands_on_since_when_a_runner_is_silent(led_on_s: float) -> None:
+    world = _fleet(0)
+    world.lasting_jobs.add("ab")
+    next(iter(world.instances.values())).submit("ab", TASKS)
+    world.run_until(lambda: len(world.starts) == TASKS.count)
+    world.run(1.0)
+    lost = next(one for one in world.runners.values() if one.tasks)
+    keys = set(lost.tasks)
+    world.crash(lost, restart_delay_s=1000.0)
+    lost_at = world.now
+    world.run(led_on_s)
+    _next_leader(world).kill()
+    _next_leader(world)
+    world.run_until(lambda: all(world.running_on[key] for key in keys))
+    assert world.now - lost_at <= LEASES_S + MAX_DELAY_S + 1.0
+
+
+# Guards against leaders that are killed before they state any runner.
+@pytest.mark.parametrize("term_s", [0.6, 1.2])
+def test_leaders_of_short_terms_do_not_delay_work(term_s: float) -> None:
+    assert _time_of_lost_work(0, term_s) <= LEASES_S + MAX_DELAY_S
