Split the tests of holds, held fillers and random faults

Change: fleet_faults.py has the state machine of faults, hold_setups.py leaders with one held task each, paced_fillers.py the fleet of paced fillers, accepted_job_kinds.py kinds of jobs; test_hold_lines.py and test_held_filler_choice.py the tests of lines and of single decisions.

--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -13,9 +13,9 @@
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId, Step, TaskKey
+from tests.hold_setups import CRASHES
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 from tests.test_room_beside_waits import add_job
-from tests.test_task_hold import CRASHES
 
 JOB = JobId("cd")
 KEY = TaskKey(JOB, 0, 0, 0)
--- a/tests/test_held_suspects.py
+++ b/tests/test_held_suspects.py
@@ -15,9 +15,9 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import CrashEvidence, JobRecord, RouteName, Step, TaskKey, Workflow
 from tests.fleet_runners import Runner, RunnerPort
+from tests.hold_setups import CRASHES
+from tests.paced_fillers import FILLER, PacedWorld
 from tests.packed_runners import NOISY, NOW, SERVICE, SERVING, leader, put, runner
-from tests.test_filler_waits import FILLER, PacedWorld
-from tests.test_task_hold import CRASHES
 
 KEY = TaskKey(JobId("ee"), 0, 0, 0)
 TICK_S = 0.1
