--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -34,7 +34,7 @@
 
 MAX_STATED_RUNNERS = 128
 """Maximum number of runners that a claim states, unless it resigns. The record is written several
-times a second and takes about 30 bytes for each; for other runners a successor counts from the
+times a second and takes 30 to 45 bytes for each; for other runners a successor counts from the
 leader's last write."""
 
 
