Move what time alone makes due out of the handling of reports

Change: run_timeouts has the tick, the retries, hung tasks and evacuations; job_state.find_task is the one look-up. Tests import from the new place and one mutation names it; no test or decision is changed.

--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -1,7 +1,7 @@
 """Hold the state of each task of a job, and convert it to and from the stored progress."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from spoolcrank.contention import StepLoad
@@ -334,3 +334,9 @@
         step.waiting.pop(stored_task.index, None)
     if task.phase is Phase.DONE:
         step.done += 1
+
+
+def find_task(jobs: Mapping[JobId, JobState], key: TaskKey) -> TaskState | None:
+    """Return a task, or None if its job is unknown or its round is not open."""
+    job = jobs.get(key.job)
+    return job.task(key) if job is not None and job.has(key) else None
--- a/spoolcrank/periodic_work.py
+++ b/spoolcrank/periodic_work.py
@@ -8,7 +8,7 @@
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.preassignment import Preassignments
 from spoolcrank.regrouping import Regrouping
-from spoolcrank.run_control import tick
+from spoolcrank.run_timeouts import tick
 from spoolcrank.scheduler import Scheduler
 
 
--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -6,7 +6,7 @@
 """
 
 from spoolcrank.abandoned_runs import is_abandoned, settle, settle_failure
-from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState
+from spoolcrank.job_state import NO_RUNNER, JobState, StepState, TaskState, find_task
 from spoolcrank.mechanisms import Mechanism
 from spoolcrank.orders import EndedRow, EndKind
 from spoolcrank.runner_state import RunnerState
@@ -101,7 +101,7 @@
 def _log_unknown_end(state: Scheduler, runner: RunnerState, row: EndedRow) -> None:
     """Log an end of a run that this leader does not have, with the state of the task."""
     job = state.jobs.get(row.task.job)
-    task = job.task(row.task) if job is not None and job.has(row.task) else None
+    task = find_task(state.jobs, row.task)
     state.log_event(
         "end-not-ours",
         task=row.task,
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -7,8 +7,8 @@
 from spoolcrank.isolation import ISOLATION_S
 from spoolcrank.orders import EndKind
 from spoolcrank.placing import place
-from spoolcrank.run_control import tick
 from spoolcrank.run_ends import end_run
+from spoolcrank.run_timeouts import tick
 from spoolcrank.runner_loss import lose_runner
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -6,8 +6,8 @@
 from spoolcrank.ids import JobId
 from spoolcrank.orders import EndedRow, EndKind, Start, Stop
 from spoolcrank.placing import place
-from spoolcrank.run_control import MIN_HUNG_S, ORDER_RETRY_INTERVAL_S, tick
 from spoolcrank.run_ends import end_run
+from spoolcrank.run_timeouts import MIN_HUNG_S, ORDER_RETRY_INTERVAL_S, tick
 from spoolcrank.runner_loss import handle_expired_leases
 from spoolcrank.runs import RunStage
 from spoolcrank.workflow import JobPhase, Step, TaskKey
--- a/tests/test_held_suspects.py
+++ b/tests/test_held_suspects.py
@@ -9,7 +9,7 @@
 from spoolcrank.ids import JobId
 from spoolcrank.orders import Answered, Pace
 from spoolcrank.placing import place
-from spoolcrank.run_control import tick
+from spoolcrank.run_timeouts import tick
 from spoolcrank.runner_loss import RESTART_DELAYS_S
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from spoolcrank import idle_capacity, openings, placing, run_control
+from spoolcrank import idle_capacity, openings, placing, run_timeouts
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState, TaskState
 from spoolcrank.openings import Scope, Shortage
@@ -80,7 +80,7 @@
 
 
 def _release_no_expired_run(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(run_control, "handle_expired_leases", lambda *facts: None)
+    monkeypatch.setattr(run_timeouts, "handle_expired_leases", lambda *facts: None)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_unreached_runners.py
+++ b/tests/test_unreached_runners.py
@@ -6,7 +6,8 @@
 from spoolcrank.ids import Incarnation, InstanceId, JobId
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.orders import Poll, Report
-from spoolcrank.run_control import poll_answered, tick
+from spoolcrank.run_control import poll_answered
+from spoolcrank.run_timeouts import tick
 from spoolcrank.runner_state import CLOCK_DRIFT, LEASE_MS
 from spoolcrank.unreached_runners import begin_term, resignation
 from spoolcrank.workflow import Step, TaskKey
