Start no task while a runner lists a run of it that the leader does not have

What callers saw: one task at work on two runners at once (TWICE). Cause: an incarnation that restarted carries out an order of an earlier one; its first report to the leader lists that run, the leader orders its stop, releases the newer run as never started there and starts the next one elsewhere in the same pass, while the listed run still takes its time to stop.

Change: `unknown_runs` keeps the tasks of which a report lists such a run; none is bound meanwhile, and a bound one that is not ordered yet is released. A whole report without the run ends it, or the runner's leases, or a later incarnation. Why it works: what may be at work counts as at work until its end is shown, as it does for the leader's own runs.

Conclusion: this way to two runs is closed.

--- a/spoolcrank/gangs.py
+++ b/spoolcrank/gangs.py
@@ -11,6 +11,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.unknown_runs import gang_may_start
 from spoolcrank.workflow import RunnerId, TaskKey
 
 ChooseRunner = Callable[
@@ -35,7 +36,7 @@
     if step.spec.same_rack:
         racks = sorted({label for runner in runners for label in runner.entry.labels}) + racks
     run_number = max(task.run for task in step.tasks) + 1
-    if step.tasks[0].not_before > now:
+    if not gang_may_start(state, TaskKey(job.id, round_number, step_number, 0), step, now):
         return False
     pools = [runners]
     if independent_crashes(step.tasks[0].crashes):
--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -31,6 +31,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.unknown_runs import may_start
 from spoolcrank.workflow import Demand, RunnerId, Step, TaskKey
 
 RETRY_S = 0.1
@@ -110,7 +111,7 @@
 
 def _start_one(state: Scheduler, job: JobState, search: _Search, now: float) -> None:
     service = state.service_of(job)
-    for key, step in _startable(job, now):
+    for key, step in _startable(state, job, now):
         refused = search.refused.setdefault(scope_of(service, step.spec), [])
         size = size_of(step.spec)
         if any(covers(size, missed) for missed in refused):
@@ -120,7 +121,7 @@
         refused.append(size)
 
 
-def _startable(job: JobState, now: float) -> Iterator[tuple[TaskKey, StepState]]:
+def _startable(state: Scheduler, job: JobState, now: float) -> Iterator[tuple[TaskKey, StepState]]:
     """Yield one task of each step of fillers that waits for nothing but a runner."""
     for round_state in job.rounds.values():
         for step_number, step in round_state.ready():
@@ -129,14 +130,15 @@
             if step.spec.gang and len(step.waiting) < len(step.tasks):
                 continue
             for index in step.waiting:
-                if _waits_for_runner_only(step.tasks[index], now):
-                    yield TaskKey(job.id, round_state.number, step_number, index), step
+                key = TaskKey(job.id, round_state.number, step_number, index)
+                if _waits_for_runner_only(state, key, step.tasks[index], now):
+                    yield key, step
                     break
 
 
-def _waits_for_runner_only(task: TaskState, now: float) -> bool:
+def _waits_for_runner_only(state: Scheduler, key: TaskKey, task: TaskState, now: float) -> bool:
     return (
-        task.not_before <= now
+        may_start(state, key, task, now)
         and task.move_destination == NO_RUNNER
         and not (needs_isolation(task.crashes) and waits_for_isolation(task, now))
     )
--- a/spoolcrank/hold_words.py
+++ b/spoolcrank/hold_words.py
@@ -13,6 +13,7 @@
     HoldReason.NOT_IN_READY_LIST: "nothing: its job is missing from the jobs that are placed",
     HoldReason.PLACES_NOTHING: "the leader, which places nothing as what it read is too old",
     HoldReason.RETRY_DELAY: "the delay after a failure or a crash",
+    HoldReason.UNKNOWN_RUN: "the end of a run that the leader does not have",
     HoldReason.GANG_MEMBERS: "the other members of its gang to be released",
     HoldReason.GANG: "capacity for all members of its gang at once",
     HoldReason.ISOLATION: "a runner of its own, as it may crash runners",
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -27,6 +27,7 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import is_hopeless, record_miss
 from spoolcrank.start_window import LATE_TURN_INTERVAL_S, TURN_INTERVAL_S, TURN_WAIT_S
+from spoolcrank.unknown_runs import may_start
 from spoolcrank.workflow import RunnerId, StepKey, TaskKey
 
 LASTING_BATCH_S = 0.25
@@ -43,7 +44,7 @@
         return True
     pools = _responsive_pools(state, now)
     current = state.placing
-    current.begin_part(state.starts.bindable_bytes(state.pending_start_bytes(), now))
+    current.begin_part(state.starts.bindable_bytes(_pending_start_bytes(state), now))
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
     ready.sort(key=lambda ranked: ranked[0])
     if state.starts.held_back and not current.spent:
@@ -63,6 +64,12 @@
     return True
 
 
+def _pending_start_bytes(state: Scheduler) -> int:
+    """Return the size of the starts that are bound but not sent yet, bytes."""
+    bound = (*state.starts.waiting, *state.pending_writes.starts)
+    return sum(state.start_bytes(bound_run.task) for bound_run in bound)
+
+
 def _responsive_pools(state: Scheduler, now: float) -> dict[ServiceName, list[RunnerState]]:
     """Return the runners that may receive new work, without zones that seem partitioned.
 
@@ -236,7 +243,7 @@
     for index in sorted(step.waiting, key=lambda waiting_index: step.tasks[waiting_index].run == 0):
         task = step.tasks[index]
         key = TaskKey(job.id, round_number, step_number, index)
-        delayed = task.not_before > now
+        delayed = not may_start(state, key, task, now)
         if delayed and not needs_isolation(task.crashes):
             held_back = True
             continue
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -46,7 +46,9 @@
 
 def polls_due(state: Scheduler, now: float, may_extend: bool) -> list[Poll]:
     """Return the polls to send now, at most one for each runner."""
-    pollable = [candidate for candidate in state.runners.values() if _may_be_polled(candidate, now)]
+    pollable = [
+        candidate for candidate in state.runners.values() if _may_be_polled(state, candidate, now)
+    ]
     already_adopted = [candidate for candidate in pollable if candidate.adopted]
     awaiting_first_answer = [candidate for candidate in pollable if not candidate.adopted]
     selected = (
@@ -57,12 +59,12 @@
     return [_poll(state, runner, now, may_extend) for runner in selected]
 
 
-def _may_be_polled(runner: RunnerState, now: float) -> bool:
+def _may_be_polled(state: Scheduler, runner: RunnerState, now: float) -> bool:
     if runner.gone or not runner.entry.address:
         return False
     if runner.polling and not _fence_is_urgent(runner, now):
         return False
-    return _poll_is_due(runner, now)
+    return _poll_is_due(state, runner, now)
 
 
 def _select_first_polls(
@@ -123,7 +125,7 @@
     return restarted and now - runner.polled_at >= FENCE_POLL_INTERVAL_S
 
 
-def _poll_is_due(runner: RunnerState, now: float) -> bool:
+def _poll_is_due(state: Scheduler, runner: RunnerState, now: float) -> bool:
     since_poll_s = now - runner.polled_at
     if _fence_is_urgent(runner, now):
         return True
@@ -140,7 +142,7 @@
         )
     if not runner.adopted:
         return True
-    if runner.runs:
+    if runner.runs or runner.id in state.unknown_runs:
         return True
     return runner.listed and since_poll_s >= IDLE_POLL_INTERVAL_S
 
@@ -151,7 +153,8 @@
     until_ms = None
     if runner.adopted and runner.runs and may_extend:
         until_ms = runner.grant(now)
-    may_wait_for_end = runner.adopted and runner.silent_since is None and runner.runs
+    awaits_end = bool(runner.runs) or runner.id in state.unknown_runs
+    may_wait_for_end = runner.adopted and runner.silent_since is None and awaits_end
     return Poll(
         state.target(runner), runner.seen, until_ms, MAX_POLL_WAIT_MS if may_wait_for_end else 0
     )
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -18,6 +18,7 @@
 from spoolcrank.packing import PlacementRequest, choose, fits_when_empty, max_effect
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.unknown_runs import may_start
 from spoolcrank.workflow import FINAL, RunnerId, Step, TaskKey
 
 PREASSIGN_INTERVAL_S = 0.5
@@ -187,7 +188,7 @@
     """Return the preassigned runner of a task, or None if the task may not start there now."""
     task = job.task(key)
     runner = state.runners.get(task.preassigned) if task.preassigned_stored else None
-    if runner is None or not runner.usable(now) or task.not_before > now:
+    if runner is None or not runner.usable(now) or not may_start(state, key, task, now):
         return None
     if runner.entry.service != state.service_of(job):
         return None
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -26,6 +26,7 @@
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.unknown_runs import record_unknown_runs
 from spoolcrank.unreached_runners import may_adopt
 from spoolcrank.workflow import FINAL, JobPhase, TaskKey
 
@@ -79,6 +80,7 @@
         _handle_running(state, runner, row, now)
     for key, number in report.unreadable_runs:
         _own_run(state, runner, key, number)
+    unknown = [key for key, number in present if not runner.has_run(key, number)]
     if report.whole:
         # In a partial report, a run that is in neither list may be among the ends that are still to
         # come.
@@ -87,6 +89,8 @@
             lose_earlier(state, runner, now)
         _check_absent(state, runner, present, asked_at, now)
         _release_void_starts(state, runner, present, poll.target.fence, now)
+    if runner.adopted:
+        record_unknown_runs(state, runner, report, unknown, now)
     learn(state, runner, used, now)
     set_paces(state, runner, now)
 
@@ -95,11 +99,10 @@
     if row.number <= runner.last_handled_end:
         return
     runner.last_handled_end = row.number
-    run = runner.runs.get(row.task)
-    if run is None or run.number != row.run:
+    if not runner.has_run(row.task, row.run):
         handle_unknown_end(state, runner, row, now)
         return
-    _rate_runner(state, runner, run, row, now)
+    _rate_runner(state, runner, runner.runs[row.task], row, now)
     end_run(state, row.task, runner, row.how, row.saved, now)
 
 
@@ -133,9 +136,8 @@
 
 def _own_run(state: Scheduler, runner: RunnerState, key: TaskKey, number: int) -> Run | None:
     """Return a listed run if this leader has it; otherwise order its stop and return None."""
-    run = runner.runs.get(key)
-    if run is not None and run.number == number:
-        return run
+    if runner.has_run(key, number):
+        return runner.runs[key]
     state.log_event("run-not-ours", task=key, run=number, runner=runner.id)
     state.orders.append(Stop(state.target(runner), key, number))
     return None
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -294,6 +294,11 @@
         self.runs[key] = run
         self._count(run, 1)
 
+    def has_run(self, key: TaskKey, number: int) -> bool:
+        """Return whether the leader has this run of a task here."""
+        run = self.runs.get(key)
+        return run is not None and run.number == number
+
     def remove(self, key: TaskKey) -> Run | None:
         """Remove a run, free its capacity and return it; None if there is no such run."""
         if self.isolated_for == key:
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -78,6 +78,7 @@
         held_fillers_at: time of the last search for held fillers, monotonic seconds.
         ended: ended jobs whose records are still stored, with the time of their end.
         unreadable_jobs: jobs whose records cannot be read, so that they are not in `jobs`.
+        unknown_runs: tasks of which each runner lists a run that this leader does not have.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.starts = StartWindow()
         self.ended: list[tuple[float, JobId]] = []
         self.unreadable_jobs: set[JobId] = set()
+        self.unknown_runs: dict[RunnerId, frozenset[TaskKey]] = {}
         self.recurring_jobs: dict[JobId, None] = {}
         self.learned_state_stored_at = now
         self.backlog_logged_at = -math.inf
@@ -372,11 +374,6 @@
         payload = job.record.workflow.payload if job is not None else ""
         return START_OVERHEAD_BYTES + len(payload)
 
-    def pending_start_bytes(self) -> int:
-        """Return the size of the starts that are bound but not sent yet, bytes."""
-        bound = (*self.starts.waiting, *self.pending_writes.starts)
-        return sum(self.start_bytes(bound_run.task) for bound_run in bound)
-
     def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
         """Return the runners that may receive new work, by service."""
         pools: dict[ServiceName, list[RunnerState]] = {}
--- a/spoolcrank/task_hold.py
+++ b/spoolcrank/task_hold.py
@@ -28,6 +28,7 @@
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import known_shortage
+from spoolcrank.unknown_runs import unknown_run_at
 from spoolcrank.workflow import FINAL, Phase, RunnerId, TaskKey
 
 
@@ -39,6 +40,7 @@
         NOT_IN_READY_LIST: its job is not among those that are placed.
         PLACES_NOTHING: the leader places no task, as what it read is too old.
         RETRY_DELAY: it waits after a failure or a crash.
+        UNKNOWN_RUN: a runner lists a run of it that the leader does not have, and has to stop it.
         GANG_MEMBERS: other members of its gang have not been released.
         GANG: no runners have capacity for all members of its gang at once.
         ISOLATION: it waits for a runner of its own, as it may crash runners.
@@ -68,6 +70,7 @@
     NOT_IN_READY_LIST = "not-in-ready-list"
     PLACES_NOTHING = "places-nothing"
     RETRY_DELAY = "retry-delay"
+    UNKNOWN_RUN = "unknown-run"
     GANG_MEMBERS = "gang-members"
     GANG = "gang"
     ISOLATION = "isolation"
@@ -175,6 +178,9 @@
     delayed = step.tasks[0] if step.spec.gang else task
     if delayed.not_before > now:
         return Hold(HoldReason.RETRY_DELAY, delayed.not_before - now)
+    lists_run = unknown_run_at(state, key, now)
+    if lists_run != NO_RUNNER:
+        return Hold(HoldReason.UNKNOWN_RUN, runner=lists_run)
     if step.spec.gang and len(step.waiting) < len(step.tasks):
         return Hold(HoldReason.GANG_MEMBERS)
     isolation = _isolation(state, key, task, now)
--- a/tests/hold_setups.py
+++ b/tests/hold_setups.py
@@ -68,6 +68,12 @@
     return state
 
 
+def unknown_run_hold() -> Scheduler:
+    state = held_state()
+    state.unknown_runs[first_runner(state).id] = frozenset({KEY})
+    return state
+
+
 def gang_members_hold() -> Scheduler:
     state = held_state(GANG)
     step = state.jobs[JOB].rounds[0].steps[0]
--- a/tests/test_task_hold.py
+++ b/tests/test_task_hold.py
@@ -50,6 +50,7 @@
     start_waits_for_window_hold,
     start_window_hold,
     tried_hold,
+    unknown_run_hold,
     unordered_hold,
 )
 from tests.packed_runners import NOW, SERVICE, SHORT, runner
@@ -58,6 +59,7 @@
     (HoldReason.NOT_IN_READY_LIST, not_in_ready_list_hold),
     (HoldReason.PLACES_NOTHING, places_nothing_hold),
     (HoldReason.RETRY_DELAY, retry_delay_hold),
+    (HoldReason.UNKNOWN_RUN, unknown_run_hold),
     (HoldReason.GANG_MEMBERS, gang_members_hold),
     (HoldReason.GANG, lambda: held_state(GANG)),
     (HoldReason.ISOLATION, isolation_hold),
