Poll a silent runner quickly while a start without an answer may still reach it

What callers saw: work that was done ran again (TWICE), or a task beyond its attempts (BUDGET): an order without an answer, carried out seconds later by the runner's next incarnation, which knows no fence until a call reaches it. Cause on our side: that call comes late. A silent runner was asked again only once the poll before had failed (0.6 s and more); one without runs whose entry had gone was not asked at all until a new entry was read, or was forgotten.

Change: `late_starts` remembers for 12 s which runners left a start unanswered (after a takeover any may have); if such a runner is silent, or idle and without an entry, it is polled each 0.1 s, eight such runners at most, and is not dropped meanwhile. Why it works: the first poll that reaches an incarnation voids what was on its way; the window gets short.

Conclusion: rarer, not ended.

--- a/spoolcrank/order_sender.py
+++ b/spoolcrank/order_sender.py
@@ -72,6 +72,8 @@
             def apply() -> None:
                 now = self._clock()
                 took_s = now - sent_at - (self.busy_s - busy_before_s)
+                if answer.result is OrderResult.UNKNOWN:
+                    scheduler.late_starts.record(order.target.runner, sent_at)
                 _update_window(scheduler, order, answer.result, took_s, now)
                 start_answered(scheduler, order, answer, now)
 
--- a/spoolcrank/periodic_work.py
+++ b/spoolcrank/periodic_work.py
@@ -9,6 +9,7 @@
 from spoolcrank.preassignment import Preassignments
 from spoolcrank.regrouping import Regrouping
 from spoolcrank.run_timeouts import tick
+from spoolcrank.runner_listing import drop_kept_runners
 from spoolcrank.scheduler import Scheduler
 
 
@@ -17,6 +18,7 @@
 ) -> None:
     """Run the periodic work on runs, leases, records, forecasts, preassignments and moves."""
     tick(state, now)
+    drop_kept_runners(state, now)
     drop_ended_jobs(state, now)
     store_learned(state, now)
     forecast(state, now)
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -6,6 +6,7 @@
 from spoolcrank.orders import Poll
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import RunnerId
 
 MAX_POLL_WAIT_MS = 1000
 """Maximum time for which a runner holds a poll until a run ends, in milliseconds; less than a
@@ -31,6 +32,10 @@
 """Time for which a restarted runner is polled every FENCE_POLL_INTERVAL_S, in seconds. After that
 it may be down again, or its entry may have been written before it was up."""
 
+MAX_RESTARTING_POLLS = 8
+"""Maximum number of silent runners that are polled within one FENCE_POLL_INTERVAL_S because they
+may be restarting. Each poll costs the leader a connection, and a whole zone may be silent."""
+
 SILENT_POLL_INTERVAL_S = 0.4
 """Interval between polls at a runner that does not answer, in seconds."""
 
@@ -46,8 +51,11 @@
 
 def polls_due(state: Scheduler, now: float, may_extend: bool) -> list[Poll]:
     """Return the polls to send now, at most one for each runner."""
+    urgent = _select_restarting(state, now)
     pollable = [
-        candidate for candidate in state.runners.values() if _may_be_polled(state, candidate, now)
+        candidate
+        for candidate in state.runners.values()
+        if candidate.id in urgent or _may_be_polled(state, candidate, now)
     ]
     already_adopted = [candidate for candidate in pollable if candidate.adopted]
     awaiting_first_answer = [candidate for candidate in pollable if not candidate.adopted]
@@ -59,6 +67,22 @@
     return [_poll(state, runner, now, may_extend) for runner in selected]
 
 
+def _select_restarting(state: Scheduler, now: float) -> set[RunnerId]:
+    """Return the silent runners to poll at once, because a late start may precede the next poll."""
+    candidates = [
+        runner
+        for runner in state.runners.values()
+        if (runner.silent_since is not None or not (runner.listed or runner.runs))
+        and runner.entry.address
+        and not runner.gone
+        and state.late_starts.is_outstanding(runner.id, now)
+    ]
+    due = [runner for runner in candidates if now - runner.polled_at >= FENCE_POLL_INTERVAL_S]
+    due.sort(key=lambda runner: runner.polled_at)
+    free = MAX_RESTARTING_POLLS - (len(candidates) - len(due))
+    return {runner.id for runner in due[: max(0, free)]}
+
+
 def _may_be_polled(state: Scheduler, runner: RunnerState, now: float) -> bool:
     if runner.gone or not runner.entry.address:
         return False
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -121,5 +121,28 @@
             restarted=restarted,
             store_back_s=round(now - store_back_at, 2),
         )
-    if not runner.runs and (runner.silent_since is not None or runner.gone):
+    if not _is_over(runner):
+        return
+    if not runner.gone and state.late_starts.is_outstanding(runner.id, now):
+        # It may restart under its name and is polled until then.
+        state.late_starts.kept.add(runner.id)
+    else:
         del state.runners[runner.id]
+
+
+def drop_kept_runners(state: Scheduler, now: float) -> None:
+    """Drop the runners that were kept for their late starts once none is outstanding."""
+    for runner_id in list(state.late_starts.kept):
+        runner = state.runners.get(runner_id)
+        if runner is not None and not runner.gone and not runner.listed:
+            if state.late_starts.is_outstanding(runner_id, now):
+                continue
+            if _is_over(runner):
+                del state.runners[runner_id]
+        state.late_starts.kept.discard(runner_id)
+    state.late_starts.forget_old(now)
+
+
+def _is_over(runner: RunnerState) -> bool:
+    """Return whether a runner without an entry has no runs left and is not heard of any more."""
+    return not runner.runs and (runner.silent_since is not None or runner.gone)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -14,6 +14,7 @@
 from spoolcrank.hold_watch import HoldWatch
 from spoolcrank.ids import AvailabilityZone, JobId, ServiceName
 from spoolcrank.job_state import NO_RUNNER, JobState, TaskState
+from spoolcrank.late_starts import LateStarts
 from spoolcrank.leadership import SELF_FENCE_S
 from spoolcrank.log_events import LogEvent
 from spoolcrank.mechanisms import Mechanism
@@ -114,6 +115,7 @@
         self.pending_writes = PendingWrites()
         self.crash_history = CrashHistory(now)
         self.starts = StartWindow()
+        self.late_starts = LateStarts(now)
         self.ended: list[tuple[float, JobId]] = []
         self.unreadable_jobs: set[JobId] = set()
         self.unknown_runs: dict[RunnerId, frozenset[TaskKey]] = {}
--- a/tests/test_runner_incarnations.py
+++ b/tests/test_runner_incarnations.py
@@ -5,10 +5,12 @@
 
 import pytest
 
-from spoolcrank import run_control
+from spoolcrank import run_control, unknown_runs
 from spoolcrank.ids import JobId
 from spoolcrank.job_intake import IntakeOutcome
-from spoolcrank.runner_ids import FenceRanks
+from spoolcrank.job_state import NO_RUNNER
+from spoolcrank.orders import Start, Target
+from spoolcrank.runner_ids import FENCES_PER_TERM, FenceRanks
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests import fleet_runners
 from tests.fleet_runners import MAX_LEASE_MS
@@ -178,10 +180,16 @@
     monkeypatch.setattr(FenceRanks, "register", lambda self, runner: 0)
 
 
-def _runs_not_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
+def _no_take_over(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(run_control, "take_over_runs", lambda state, runner, report, now: None)
 
 
+def _runs_not_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Either keeps the tasks of such runs from starting elsewhere.
+    _no_take_over(monkeypatch)
+    monkeypatch.setattr(unknown_runs, "unknown_run_at", lambda state, key, now: NO_RUNNER)
+
+
 def _start_times_unread(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(fleet_runners, "runner_id", lambda name, born: RunnerId(name))
 
@@ -219,3 +227,38 @@
     assert index.phase(JobId("a1")) is JobPhase.COMPLETED
     assert {len(starts) for starts in world.starts.values()} == {1}
     assert world.violations == []
+
+
+def _starts_of_a_run_that_reached_the_next_incarnation() -> int:
+    """Return how often a task starts whose first start only the next incarnation carries out."""
+    world = small_world(instances=1, runners=1)
+    world.keeps_id_share = 1.0
+    (runner,) = world.runners.values()
+    world.polls_only.add(runner.name)
+    world.late_orders_outlive_restart = False
+    leader = world.instances["entry-0"]
+    leader.submit("a1", ALONE)
+    world.run(0.1)
+    world.unreachable.add((leader.name, runner.name))
+    world.crash(runner, restart_delay_s=1.0)
+    world.run_until(lambda: world.runners[runner.id] is not runner)
+    restarted = world.runners[runner.id]
+    restarted.work_s = 3.0
+    key = TaskKey(JobId("a1"), 0, 0, 0)
+    target = Target(runner.incarnation_id, runner.name, FENCES_PER_TERM)
+    order = Start(target, key, 1, "payload", "", 20_000)
+    world.carry_out_late(restarted, lambda current: current.start(order))
+    world.polls_only.clear()
+    world.unreachable.clear()
+    world.run_until(lambda: leader.index.phase(JobId("a1")) is JobPhase.COMPLETED)
+    assert world.violations == []
+    return len(world.starts[key])
+
+
+def test_a_run_that_reached_the_next_incarnation_goes_on_there() -> None:
+    assert _starts_of_a_run_that_reached_the_next_incarnation() == 1
+
+
+def test_a_run_that_is_not_taken_over_starts_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    _no_take_over(monkeypatch)
+    assert _starts_of_a_run_that_reached_the_next_incarnation() > 1
