--- a/spoolcrank/unknown_runs.py
+++ b/spoolcrank/unknown_runs.py
@@ -39,7 +39,7 @@
 
 
 def gang_may_start(state: Scheduler, first: TaskKey, step: StepState, now: float) -> bool:
-    """Return the same for all members of a gang, given the key of its first one."""
+    """Return whether the same holds for all members of a gang, given the key of the first one."""
     keys = (first._replace(number=number) for number in range(len(step.tasks)))
     return step.tasks[0].not_before <= now and not any(
         unknown_run_at(state, key, now) for key in keys
