Run the three state machines of the simulated fleet by one function

Cause: the same fifteen lines of settings stood in three test modules. Change: tests/state_machines.py has them once; the machines, their numbers of examples and steps, and all checks are as they were. Conclusion: one place to change.

--- a/tests/accepted_jobs.py
+++ b/tests/accepted_jobs.py
@@ -9,13 +9,11 @@
 from typing import Any
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from spoolcrank.ids import JobId
@@ -51,6 +49,7 @@
 )
 from tests.fleet_world import ROUTE, SERVICE, Instance
 from tests.idle_capacity import Place, SizedWorld
+from tests.state_machines import run_examples
 
 
 class AcceptedJobs(RuleBasedStateMachine):
@@ -368,17 +367,4 @@
 
 
 def run_accepted_jobs(examples: int, steps: int) -> None:
-    run_state_machine_as_test(
-        AcceptedJobs,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            print_blob=False,
-            report_multiple_bugs=False,
-            phases=[Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_examples(AcceptedJobs, examples, steps)
--- a/tests/fleet_faults.py
+++ b/tests/fleet_faults.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from spoolcrank.batching import ENDED_JOB_RETENTION_S
@@ -13,6 +12,7 @@
 from spoolcrank.keyed_log import progress_key
 from spoolcrank.workflow import FINAL, JobPhase, Step, TaskKey
 from tests.fleet_world import Runner, World, small_world
+from tests.state_machines import run_examples
 
 STEPS = (
     Step(count=3, millicores=1000, memory_mb=100, estimate_ms=600),
@@ -363,19 +363,4 @@
 
 
 def run_machine(examples: int, steps: int) -> None:
-    from hypothesis.stateful import run_state_machine_as_test
-
-    run_state_machine_as_test(
-        Faults,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            print_blob=False,
-            report_multiple_bugs=False,
-            phases=[Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_examples(Faults, examples, steps)
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -5,13 +5,11 @@
 """
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from spoolcrank.ids import JobId
@@ -22,6 +20,7 @@
 from spoolcrank.workflow import FINAL, JobPhase, TaskKey, encode
 from tests.fleet_runners import MAX_IN_FLIGHT_S
 from tests.fleet_world import Instance, Runner
+from tests.state_machines import run_examples
 from tests.takeover_fleet import (
     MAX_ATTEMPTS,
     ROOM_MILLICORES,
@@ -363,17 +362,4 @@
 
 
 def run_takeover_machine(examples: int, steps: int) -> None:
-    run_state_machine_as_test(
-        TakeoverFaults,
-        settings=settings(
-            max_examples=examples,
-            stateful_step_count=steps,
-            derandomize=True,
-            deadline=None,
-            database=None,
-            print_blob=False,
-            report_multiple_bugs=False,
-            phases=[Phase.generate],
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_examples(TakeoverFaults, examples, steps)
