--- a/spoolcrank/keyed_log.py
+++ b/spoolcrank/keyed_log.py
@@ -75,8 +75,25 @@
     return JobId(key[2:])
 
 
+class _SeenEnd(NamedTuple):
+    """An end of the log that the copy has not reached yet, and when the read was sent that saw it.
+
+    A copy that reaches `offset` contains every record written before `asked_at`.
+    """
+
+    offset: int
+    asked_at: float
+
+
 class KeyedLog:
-    """A copy of the log, complete up to `next_offset` once `loaded` is set."""
+    """A copy of the log, complete up to `next_offset` once `loaded` is set.
+
+    Attributes:
+        newest: newest record of each key.
+        next_offset: offset of the next record to read.
+        loaded: whether the copy is complete up to `next_offset`.
+        read_at: time before which every record written is in the copy, monotonic seconds.
+    """
 
     def __init__(self) -> None:
         self.newest: dict[str, KeyedRecord] = {}
@@ -84,11 +101,13 @@
         self.loaded = False
         self.read_at = -1.0
         self._listed: set[str] = set()
+        self._seen_end: _SeenEnd | None = None
 
     def reset(self) -> None:
         """Mark the copy as incomplete; its values stay until the next load completes."""
         self.loaded = False
         self._listed = set()
+        self._seen_end = None
 
     def load_page(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
         """Apply the newest records of some keys, in any order, and return them."""
@@ -132,9 +151,24 @@
                 self.next_offset = record.offset + 1
                 new_records.append(record)
             self.apply(record)
+        self._update_read_at(end, asked_at)
+        return new_records
+
+    def _update_read_at(self, end: int, asked_at: float) -> None:
+        """Update `read_at` by the end of the log that the latest read saw.
+
+        A log that grows while it is read is never read to its present end; the copy is then as
+        recent as the last end that it has reached.
+        """
+        seen = self._seen_end
+        if seen is not None and self.next_offset >= seen.offset:
+            self.read_at = max(self.read_at, seen.asked_at)
+            seen = None
         if self.next_offset >= end:
             self.read_at = max(self.read_at, asked_at)
-        return new_records
+        elif seen is None:
+            seen = _SeenEnd(end, asked_at)
+        self._seen_end = seen
 
     def is_complete_to(self, offset: int) -> bool:
         """Return whether the copy is complete up to and including the record at an offset."""
--- /dev/null
+++ b/tests/test_growing_log.py
@@ -0,0 +1,114 @@
+"""The age of the copy of a log that grows faster than one read after another can reach its end.
+
+Load pattern: thousands of runners write their entries, some 2,000 records a second, and each read
+returns a part of what was written since the one before.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from spoolcrank.keyed_log import KeyedLog, KeyedRecord
+from spoolcrank.leadership_monitor import MAX_LIST_AGE_S, PlacingBlock, find_placing_block
+from spoolcrank.log_follower import LogFollower
+from spoolcrank.store_port import Append, NewestPage, ReadOutcome, Records
+
+RUNNERS = 3000
+RECORDS_PER_S = 2000.0
+READ_S = 0.05
+"""Time from a read to its answer, seconds."""
+
+RECORDS_PER_READ = 104
+"""Number of records in an answer: as many as are written between two reads, and no more."""
+
+LOAD_S = 0.4
+"""Time that the load takes, seconds; what is written meanwhile has to be read afterwards."""
+
+PLAY_S = 20.0
+
+
+def _records(first: int, end: int) -> tuple[KeyedRecord, ...]:
+    return tuple(KeyedRecord(f"i-{n % RUNNERS}", b"ready", n) for n in range(first, end))
+
+
+class _GrowingLog:
+    """A log to which records are written all the time, with the clock and timers of its reader."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.began_at = self.now
+        self._due: list[tuple[float, Callable[[], None]]] = []
+
+    @property
+    def end(self) -> int:
+        return RUNNERS + int((self.now - self.began_at) * RECORDS_PER_S)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._due.append((self.now + delay_s, action))
+
+    def step(self) -> None:
+        self._due.sort(key=lambda due: due[0])
+        self.now, action = self._due.pop(0)
+        action()
+
+    def append(self, append: Append, done: Callable[[Any], None]) -> None:
+        raise AssertionError("nothing is written here")
+
+    def newest(self, after_key: str, done: Callable[[NewestPage], None]) -> None:
+        end = self.end
+        self.now += LOAD_S
+        done(NewestPage(True, _records(0, end), False, end))
+
+    def read(self, from_offset: int, wait_ms: int, done: Callable[[Records], None]) -> None:
+        def answer() -> None:
+            read_to = min(self.end, from_offset + RECORDS_PER_READ)
+            records = Records(ReadOutcome.OK, _records(from_offset, read_to), self.end)
+            self.after(READ_S / 2, lambda: done(records))
+
+        self.after(READ_S / 2, answer)
+
+
+def test_a_list_that_is_written_all_the_time_is_only_as_old_as_it_is_behind() -> None:
+    """Guards against a leader that places nothing, for good, as it never meets the log's end."""
+    log = _GrowingLog()
+    untyped: Any = log
+    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
+    follower.eager = True
+    follower.begin()
+    while log.now - log.began_at < PLAY_S:
+        log.step()
+        age_s = log.now - follower.copy.read_at
+        assert find_placing_block(False, True, age_s, 0.0) is PlacingBlock.NONE
+
+
+def test_an_end_that_was_seen_and_not_reached_makes_nothing_read() -> None:
+    copy = KeyedLog()
+    copy.finish_load(0)
+    copy.extend(_records(0, 5), end=20, asked_at=1.0)
+    copy.extend(_records(5, 15), end=40, asked_at=2.0)
+    assert copy.read_at == -1.0
+    copy.extend(_records(15, 20), end=60, asked_at=3.0)
+    assert copy.read_at == 1.0
+    copy.extend(_records(20, 59), end=80, asked_at=4.0)
+    assert copy.read_at == 1.0
+    copy.extend(_records(59, 60), end=80, asked_at=5.0)
+    assert copy.read_at == 3.0
+
+
+def test_an_end_seen_before_a_new_load_counts_for_nothing() -> None:
+    """The offsets of a log that was lost begin anew."""
+    copy = KeyedLog()
+    copy.finish_load(0)
+    copy.extend(_records(0, 1), end=3, asked_at=50.0)
+    copy.reset()
+    copy.finish_load(2)
+    copy.extend(_records(2, 4), end=9, asked_at=4.0)
+    assert copy.read_at == -1.0
+
+
+def test_a_copy_that_falls_behind_grows_old() -> None:
+    copy = KeyedLog()
+    copy.finish_load(0)
+    copy.extend(_records(0, 1), end=1, asked_at=1.0)
+    for number in range(1, 100):
+        copy.extend(_records(number, number + 1), end=1000 + 50 * number, asked_at=1.0 + number)
+    assert 100.0 - copy.read_at > MAX_LIST_AGE_S
