--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -6,7 +6,7 @@
 
 import time
 import traceback
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 
 from spoolcrank._timers import Timers
@@ -246,10 +246,7 @@
 
     def _tick(self) -> None:
         now = self._clock()
-        if self._follower.contact:
-            self.leadership.record_log_answer(now)
-        else:
-            self.leadership.record_log_failure()
+        self.leadership.record_log_contact(self._follower.contact, now)
         scheduler = self.scheduler
         if scheduler is None:
             if self._claiming.may_take_over():
@@ -260,6 +257,7 @@
         if self.leadership.may_extend(now):
             due = partial(run_periodic_work, scheduler, self._preassignments, self._regrouping, now)
             self._guard(scheduler, due)
+        log_takeover_done(self._monitor, scheduler, now)
         self._decide_at_once()
 
     def _decide_now(self) -> None:
@@ -289,7 +287,6 @@
         list_age_s, log_age_s = now - listing.read_at, now - self._follower.copy.read_at
         block = find_placing_block(self._leaving, listing.loaded, list_age_s, log_age_s)
         log_placing_block(self._monitor, scheduler, block, list_age_s, now)
-        log_takeover_done(self._monitor, scheduler, now)
         if block is not PlacingBlock.NONE:
             scheduler.placing = PlacingPass()
         elif not place(scheduler, now, self._time_of_day() * 1000.0):
@@ -384,16 +381,19 @@
         log_events, scheduler.log_events = scheduler.log_events, []
         self._log_groups.add_all(log_events, self._clock())
 
-    def on_runner_entries(self, copy: KeyedLog) -> None:
-        """Apply a change in the list of runners, if this instance leads."""
+    def on_runner_entries(self, copy: KeyedLog, records: Sequence[KeyedRecord]) -> None:
+        """Apply the list of runners, of which `records` were read last, if this instance leads."""
         scheduler = self.scheduler
-        if scheduler is None or not copy.loaded:
+        if scheduler is None:
             return
-        listing = self._directory.read(copy)
-        reconnected_at, now = self._runner_follower.reconnected_at, self._clock()
-        self._guard(scheduler, lambda: list_runners(scheduler, listing, reconnected_at, now))
-        self._decide_soon()
+        listing = self._directory.update(copy, records, scheduler)
+        if listing is not None:
+            back_at, now = self._runner_follower.reconnected_at, self._clock()
+            self._guard(scheduler, lambda: list_runners(scheduler, listing, back_at, now))
+        if listing is not None or scheduler.ready:
+            self._decide_soon()
 
     def _reread_runners(self) -> None:
         """Apply the list of runners again, because other services may be in use now."""
-        self.on_runner_entries(self._runner_follower.copy)
+        self._directory.forget_listing()
+        self.on_runner_entries(self._runner_follower.copy, ())
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -208,6 +208,13 @@
         """Count a claim whose term the store has seen; reading any claim resets the count."""
         self._unread_claims = min(self._unread_claims + 1, MAX_UNREAD_CLAIMS)
 
+    def record_log_contact(self, contact: bool, now: float) -> None:
+        """Record whether the log answers."""
+        if contact:
+            self.record_log_answer(now)
+        else:
+            self.record_log_failure()
+
     def record_log_failure(self) -> None:
         """Record that the log did not answer; the leader's silence then means nothing."""
         self._log_failed = True
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -187,7 +187,7 @@
 
     def _on_runner_entries(self, records: list[KeyedRecord]) -> None:
         # Runs even if no record could be read: with this page the list may have become complete.
-        self.dispatcher.on_runner_entries(self._runners.copy)
+        self.dispatcher.on_runner_entries(self._runners.copy, records)
 
     # Readiness, metrics and shutdown
 
--- a/spoolcrank/runner_directory.py
+++ b/spoolcrank/runner_directory.py
@@ -1,12 +1,13 @@
 """Decode the list of runners, which may also contain entries of other writers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from spoolcrank.decoding import Unreadable
 from spoolcrank.keyed_log import KeyedLog, KeyedRecord
 from spoolcrank.runner_ids import RunnerName
 from spoolcrank.runner_state import RunnerEntry
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
 
 
@@ -43,6 +44,7 @@
         self._decode = decode
         self._on_unreadable = on_unreadable
         self._records: dict[str, _DecodedRecord] = {}
+        self._listing: Listing | None = None
 
     def read(self, copy: KeyedLog) -> Listing:
         """Return the list of runners from a loaded copy of the topic."""
@@ -52,7 +54,52 @@
         self._records = records
         entries = {read.entry.id: read.entry for read in records.values() if read.entry is not None}
         unreadable = (RunnerName(key) for key, read in records.items() if read.entry is None)
-        return Listing(entries, frozenset(unreadable))
+        self._listing = Listing(entries, frozenset(unreadable))
+        return self._listing
+
+    def update(
+        self, copy: KeyedLog, records: Iterable[KeyedRecord], state: Scheduler
+    ) -> Listing | None:
+        """Return the list of runners to apply after some of its records were read.
+
+        None if it is still being loaded, or if nothing would change, as after heartbeats of the
+        runners.
+        """
+        if not copy.loaded:
+            self._listing = None
+            return None
+        if self._listing is not None and self._only_repeat(self._listing, records, state):
+            return None
+        return self.read(copy)
+
+    def _only_repeat(
+        self, listing: Listing, records: Iterable[KeyedRecord], state: Scheduler
+    ) -> bool:
+        """Return whether records repeat entries of the list, which the state agrees with."""
+        if not all(map(self._repeats_entry, records)):
+            return False
+        if any(not runner.listed or runner.gone for runner in state.runners.values()):
+            return False
+        services = state.services()
+        return all(
+            runner in state.runners or (services is not None and entry.service not in services)
+            for runner, entry in listing.entries.items()
+        )
+
+    def forget_listing(self) -> None:
+        """Have the next update return the whole list, as another reason to apply it arose."""
+        self._listing = None
+
+    def _repeats_entry(self, record: KeyedRecord) -> bool:
+        known = self._records.get(record.key)
+        if known is None or known.entry is None or not record.value:
+            return False
+        if record.offset <= known.offset:
+            return True
+        if self._read_record(record).entry != known.entry:
+            return False
+        self._records[record.key] = known._replace(offset=record.offset)
+        return True
 
     def _read_record(self, record: KeyedRecord) -> _DecodedRecord:
         known = self._records.get(record.key)
--- a/tests/fleet_store.py
+++ b/tests/fleet_store.py
@@ -97,6 +97,7 @@
         self.lost_append_answer_share = 0.0
         self.late_append_share = 0.0
         self.answer_s = ANSWER_S
+        self.max_read_records = MAX_READ_RECORDS
 
     def port(self, instance: Instance, topic: Topic) -> StorePort:
         return StorePort(self, instance, topic)
@@ -148,7 +149,8 @@
             elif from_offset < self.topic.first_retained_offset:
                 self._answer_after(self.store.answer_s, done, Records(ReadOutcome.EXPIRED))
             elif len(self.topic.records) > from_offset or self.store.world.now >= until:
-                answer = tuple(self.topic.records[from_offset : from_offset + MAX_READ_RECORDS])
+                read_to = from_offset + self.store.max_read_records
+                answer = tuple(self.topic.records[from_offset:read_to])
                 end = len(self.topic.records)
                 answer_delay_s = self.store.answer_s / 2
                 if self.topic is self.store.jobs:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -346,7 +346,7 @@
 
     def _handle_entries(self, records: list[KeyedRecord]) -> None:
         if records:
-            self.dispatcher.on_runner_entries(self.entries.copy)
+            self.dispatcher.on_runner_entries(self.entries.copy, records)
 
     def later(self, delay_s: float, action: Callable[[], None]) -> None:
         def act() -> None:
