--- a/spoolcrank/backlog.py
+++ b/spoolcrank/backlog.py
@@ -5,6 +5,7 @@
 
 from spoolcrank.ids import ServiceName
 from spoolcrank.packing import Obstacle, filler_obstacle
+from spoolcrank.runner_pools import usable_runners
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Step
 
@@ -35,7 +36,7 @@
     """Log an event for each image of waiting fillers: amount waiting and obstacles on runners."""
     waiting = _waiting(state)
     running = _running_cores(state)
-    pools = state.pools(now)
+    pools = usable_runners(state, now)
     images = sorted(waiting, key=lambda image: -waiting[image].cores)
     for image in images[:MAX_IMAGES]:
         backlog = waiting[image]
--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -28,6 +28,7 @@
     max_effect,
 )
 from spoolcrank.placing_pass import PlacingPass
+from spoolcrank.runner_pools import quarantined_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
@@ -170,7 +171,7 @@
 ) -> bool:
     """Start all members of a gang slowly, of which some runners refuse at least some."""
     service = state.service_of(job)
-    runners = [*search.pools.get(service, []), *state.quarantined(service, now)]
+    runners = [*search.pools.get(service, []), *quarantined_runners(state, service, now)]
     search.pairs_left -= len(runners) * len(step.tasks)
     if not place_gang(state, job, key.round, key.step, step, runners, now, _choose_refusing):
         return False
@@ -216,7 +217,7 @@
     now: float,
 ) -> Ranked | None:
     """Return the runners that refuse a filler for its effect, or None if some runner takes it."""
-    runners = [*search.pools.get(service, []), *state.quarantined(service, now)]
+    runners = [*search.pools.get(service, []), *quarantined_runners(state, service, now)]
     if independent_crashes(task.crashes):
         runners = without_suspects(runners) or runners
     if task.crashes or task.refused_by != NO_RUNNER:
--- a/spoolcrank/hold_log.py
+++ b/spoolcrank/hold_log.py
@@ -3,6 +3,7 @@
 from spoolcrank.hold_words import TASK_WAITS
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import JobState
+from spoolcrank.runner_pools import usable_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
@@ -107,7 +108,7 @@
         left_s=round(hold.left_s, 1) if hold.left_s is not None else None,
         runner=hold.runner,
         free_share=round(_free_share(state, service), 2),
-        pool=len(state.pools(now).get(service, [])),
+        pool=len(usable_runners(state, now).get(service, [])),
         listed=len(_listed(state, service)),
         runners=hold.runners,
     )
--- a/spoolcrank/idle_capacity.py
+++ b/spoolcrank/idle_capacity.py
@@ -3,6 +3,7 @@
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState
 from spoolcrank.placing_pass import Candidates, PlacingPass
+from spoolcrank.runner_pools import quarantined_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Step
@@ -41,7 +42,7 @@
     if not waits_beside_idle_capacity(state, current, job, service, now):
         return None
     if service not in current.last_resort:
-        current.last_resort[service] = [*usual, *state.quarantined(service, now)]
+        current.last_resort[service] = [*usual, *quarantined_runners(state, service, now)]
     runners = current.last_resort[service]
     if len(runners) == len(usual) and not step.lasting:
         return None
--- a/spoolcrank/placing.py
+++ b/spoolcrank/placing.py
@@ -23,6 +23,7 @@
     PlacingResult,
 )
 from spoolcrank.ranking import Ranking
+from spoolcrank.runner_pools import quarantined_runners, responsive_runners, usable_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import is_hopeless, record_miss
@@ -42,7 +43,7 @@
     if not state.ready:
         state.starts.held_back = False
         return True
-    pools = _responsive_pools(state, now)
+    pools = responsive_runners(state, now)
     current = state.placing
     current.begin_part(state.starts.bindable_bytes(_pending_start_bytes(state), now))
     ready = [(_rank(state, state.jobs[job_id], now), state.jobs[job_id]) for job_id in state.ready]
@@ -70,20 +71,6 @@
     return sum(state.start_bytes(bound_run.task) for bound_run in bound)
 
 
-def _responsive_pools(state: Scheduler, now: float) -> dict[ServiceName, list[RunnerState]]:
-    """Return the runners that may receive new work, without zones that seem partitioned.
-
-    A task started in a partitioned zone waits until its lease expires or the partition ends.
-    """
-    pools, silent = state.pools(now), state.starts.silent_zones(now)
-    if not silent:
-        return pools
-    return {
-        service: [runner for runner in pool if runner.entry.availability_zone not in silent] or pool
-        for service, pool in pools.items()
-    }
-
-
 def _give_turn(
     state: Scheduler,
     pools: Mapping[ServiceName, list[RunnerState]],
@@ -93,8 +80,8 @@
     """Start one task of the job that has waited longest for a start while the link is saturated.
 
     By the order of work alone, the last job gets nothing until all others are started, although
-    runners are free: with links of 1 to 2 Mbit/s this took 8 s. A job of which no task can start
-    passes the turn on, and waits for its next turn as long as if it had had a start.
+    runners are free. A job of which no task can start passes the turn on, and waits for its next
+    turn as long as if it had had a start.
     """
     waiting = [state.jobs[job_id] for job_id in state.ready]
     overdue = [job for job in waiting if not job.lasting and now - job.started_at >= TURN_WAIT_S]
@@ -320,8 +307,8 @@
     if chosen is None and request.step.lasting and task.run:
         # For a lasting task that has to resume, a quarantined runner is better than none: the
         # task itself may have caused the failures there.
-        quarantined_runners = state.quarantined(request.service, now)
-        chosen = choose(request, quarantined_runners, state.contention, now)
+        quarantined = quarantined_runners(state, request.service, now)
+        chosen = choose(request, quarantined, state.contention, now)
     return chosen
 
 
@@ -329,7 +316,7 @@
     """Return whether a filler could run on another runner without slowing serving tasks."""
     job = state.jobs[key.job]
     step = job.record.workflow.steps[key.step]
-    pool = state.pools(now).get(state.service_of(job), [])
+    pool = usable_runners(state, now).get(state.service_of(job), [])
     # Any runner will do: the search ends at the first, without ranking all of them.
     return any(
         slows_nothing(step, runner, state.contention, now)
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -2,8 +2,10 @@
 
 from collections import Counter
 
+from spoolcrank.idle_polls import is_idle, postponed_polls
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.orders import Poll
+from spoolcrank.poll_budget import IDLE_POLL_INTERVAL_S
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
@@ -12,10 +14,6 @@
 """Maximum time for which a runner holds a poll until a run ends, in milliseconds; less than a
 seventh of the lease (LEASE_MS)."""
 
-IDLE_POLL_INTERVAL_S = 1.5
-"""Interval between polls at a runner without runs, in seconds. It is below MAX_ANSWER_AGE_S, after
-which a runner without a new answer gets no new work."""
-
 MAX_CONCURRENT_FIRST_POLLS = 32
 """Maximum number of runners whose first answer to a new leader may be in flight at once. More would
 delay the heartbeat of a leader with half a core. The limit applies separately to silent runners."""
@@ -51,19 +49,22 @@
 
 def polls_due(state: Scheduler, now: float, may_extend: bool) -> list[Poll]:
     """Return the polls to send now, at most one for each runner."""
+    if not state.polls.may_check(len(state.runners), now):
+        return []
     urgent = _select_restarting(state, now)
     pollable = [
         candidate
         for candidate in state.runners.values()
         if candidate.id in urgent or _may_be_polled(state, candidate, now)
     ]
-    already_adopted = [candidate for candidate in pollable if candidate.adopted]
+    idle = [candidate for candidate in pollable if is_idle(state, candidate)]
+    postponed = {runner.id for runner in postponed_polls(state, idle, now)} - urgent
+    selected = [
+        candidate for candidate in pollable if candidate.adopted and candidate.id not in postponed
+    ]
     awaiting_first_answer = [candidate for candidate in pollable if not candidate.adopted]
-    selected = (
-        already_adopted + _select_first_polls(state, awaiting_first_answer, now)
-        if awaiting_first_answer
-        else already_adopted
-    )
+    if awaiting_first_answer:
+        selected += _select_first_polls(state, awaiting_first_answer, now)
     return [_poll(state, runner, now, may_extend) for runner in selected]
 
 
@@ -96,12 +97,17 @@
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
-    Runners in zones that answer come first, then those polled longest ago. Silent runners have a
+    Runners in zones that answer come first, then those on which something may run, then those
+    polled longest ago. Silent runners have a
     limit of their own, so that the others never wait for them.
     """
     unanswered = _unanswered_runners_by_zone(state, now)
     awaiting_first_answer.sort(
-        key=lambda candidate: (unanswered[candidate.entry.availability_zone], candidate.polled_at)
+        key=lambda candidate: (
+            unanswered[candidate.entry.availability_zone],
+            not candidate.runs,
+            candidate.polled_at,
+        )
     )
     answering = [candidate for candidate in awaiting_first_answer if candidate.silent_since is None]
     silent = [
--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -16,6 +16,7 @@
 from spoolcrank.job_state import NO_RUNNER, JobState, StepState
 from spoolcrank.objective import work_order
 from spoolcrank.packing import PlacementRequest, choose, fits_when_empty, max_effect
+from spoolcrank.runner_pools import usable_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.unknown_runs import may_start
@@ -34,9 +35,7 @@
 
 MAX_RUNNERS = 64
 """Number of runners above which nothing is preassigned, as each update goes over all jobs and
-waiting tasks. With 246 runners the same day earned 0.451 with preassignment and 0.535 without it
-(one trial each), and preassignment used 7 % more processor time. With up to 33 runners
-preassignment earned more."""
+waiting tasks."""
 
 MIN_LEASE_LEFT_MS = 2500.0
 """Minimum remaining lease for the start of a preassigned task, ms. Such a start extends no lease,
@@ -67,7 +66,7 @@
         if now - self._updated_at < PREASSIGN_INTERVAL_S:
             return
         self._updated_at = now
-        pools = state.pools(now)
+        pools = usable_runners(state, now)
         self._active = 0 < sum(len(pool) for pool in pools.values()) <= MAX_RUNNERS
         if not self._active:
             return
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -23,6 +23,7 @@
 from spoolcrank.orders import Order, Start, Stop, Target
 from spoolcrank.pending_writes import PendingWrites
 from spoolcrank.placing_pass import FillerRefusal, PlacingPass
+from spoolcrank.poll_budget import PollBudget
 from spoolcrank.runner_ids import FENCES_PER_TERM, FenceRanks
 from spoolcrank.runner_state import (
     ASSUMED_PACE_PERCENT,
@@ -60,6 +61,7 @@
     """State and decisions of one leader during its term.
 
     Attributes:
+        polls: budget for polls.
         without: mechanisms that are switched off.
         predecessor_wrote_at: time from which an earlier leader's leases may run, monotonic seconds.
         stated: the runners that leaders have stated as never reached.
@@ -83,9 +85,15 @@
     """
 
     def __init__(
-        self, term: int, now: float, predecessor_wrote_at: float, lease_ms: int = LEASE_MS
+        self,
+        term: int,
+        now: float,
+        predecessor_wrote_at: float,
+        lease_ms: int = LEASE_MS,
+        processors: float = math.inf,
     ) -> None:
         self.term = term
+        self.polls = PollBudget(processors)
         self.lease_ms = lease_ms
         self.without: frozenset[Mechanism] = frozenset()
         self.began_at = now
@@ -376,22 +384,6 @@
         payload = job.record.workflow.payload if job is not None else ""
         return START_OVERHEAD_BYTES + len(payload)
 
-    def pools(self, now: float) -> dict[ServiceName, list[RunnerState]]:
-        """Return the runners that may receive new work, by service."""
-        pools: dict[ServiceName, list[RunnerState]] = {}
-        for runner in self.runners.values():
-            if runner.usable(now):
-                pools.setdefault(runner.entry.service, []).append(runner)
-        return pools
-
-    def quarantined(self, service: ServiceName, now: float) -> list[RunnerState]:
-        """Return the quarantined runners of a service that are reachable and could take work."""
-        return [
-            runner
-            for runner in self.runners.values()
-            if runner.entry.service == service and runner.reachable(now) and not runner.usable(now)
-        ]
-
     def waiting_jobs(self) -> Iterable[JobState]:
         """Return the jobs that have tasks waiting for a runner."""
         return (self.jobs[job_id] for job_id in self.ready)
--- a/spoolcrank/task_hold.py
+++ b/spoolcrank/task_hold.py
@@ -24,6 +24,7 @@
 )
 from spoolcrank.placing_pass import Candidates, PlacingPass
 from spoolcrank.runner_hold import runner_hold
+from spoolcrank.runner_pools import usable_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
@@ -186,7 +187,7 @@
     isolation = _isolation(state, key, task, now)
     if isolation is not None and not step.spec.gang:
         return isolation
-    service_pool = state.pools(now).get(state.service_of(job), [])
+    service_pool = usable_runners(state, now).get(state.service_of(job), [])
     silent = state.starts.zones.silent(now)
     pool = [runner for runner in service_pool if runner.entry.availability_zone not in silent]
     pool = pool or service_pool
--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -43,7 +43,8 @@
 ) -> Scheduler:
     """Return the state of a new leader, without any jobs and runners."""
     term = leadership.claim.term
-    state = Scheduler(term, now, leadership.predecessor_wrote_at, lease_ms)
+    wrote_at, processors = leadership.predecessor_wrote_at, leadership.processors
+    state = Scheduler(term, now, wrote_at, lease_ms, processors)
     state.without = without
     state.stated.inherited_since = {
         RunnerId(runner): since for runner, since in leadership.unreached_since(term).items()
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,111 @@
+"""A leader with half a core in front of thousands of runners that are nearly all idle.
+
+Load pattern: the fleet grows and the work does not. Polls of idle runners and the entries that they
+write again and again must not keep the leader from the work.
+"""
+
+import functools
+
+import pytest
+
+from spoolcrank.poll_budget import IDLE_POLL_INTERVAL_S, IDLE_POLLS_PER_CORE_S
+from spoolcrank.workflow import Step
+from tests.fleet_world import World
+
+RUNNERS = 3000
+PROCESSORS = 0.43
+HEARTBEAT_S = 1.5
+"""Interval at which a runner writes its entry, seconds."""
+
+TAKEOVER_S = 12.0
+"""Time from the leader's claim until traffic begins, seconds."""
+
+MAX_WAIT_S = 3.0
+"""Time without any run after which an accepted job counts as lost, seconds."""
+
+SHORT = Step(count=8, millicores=1000, memory_mb=100, estimate_ms=600)
+LARGE = Step(count=1, millicores=30_000, memory_mb=100, estimate_ms=600)
+
+
+def _write_entries(world: World) -> None:
+    """Have each runner write its entry every HEARTBEAT_S."""
+    for number, runner in enumerate(list(world.runners.values())):
+
+        def write(runner_id: str = runner.id) -> None:
+            world.store.entries.put(runner_id, b"ready")
+            world.at(HEARTBEAT_S, functools.partial(write, runner_id))
+
+        world.at(number * HEARTBEAT_S / RUNNERS, write)
+
+
+def _large_world() -> World:
+    world = World()
+    world.store.max_read_records = 500
+    for number in range(RUNNERS):
+        millicores = 32_000 if number in (RUNNERS - 1, RUNNERS // 2) else 8000
+        world.add_runner(f"10.0.{number >> 8}.{number & 255}:80", millicores=millicores)
+    _write_entries(world)
+    world.add_instance("entry-0", PROCESSORS)
+    world.run(TAKEOVER_S)
+    return world
+
+
+@pytest.fixture(scope="module")
+def world() -> World:
+    return _large_world()
+
+
+def test_idle_runners_get_no_more_polls_than_the_leader_can_afford(world: World) -> None:
+    world.asked.clear()
+    world.run(4.0)
+    counted_s = 4.0 + IDLE_POLL_INTERVAL_S  # At the begin of it all may be due together.
+    assert sum(world.asked.values()) <= counted_s * PROCESSORS * IDLE_POLLS_PER_CORE_S
+
+
+def test_jobs_begin_at_once_beside_thousands_of_idle_runners(world: World) -> None:
+    """Guards against accepted jobs that stand still beside free runners."""
+    leader = world.leader()
+    assert leader is not None
+    for number in range(12):
+        job, begun_at = f"{number + 0x100:04x}", world.now
+        leader.submit(job, SHORT)
+
+        def started(job: str = job) -> bool:
+            return sum(key.job == job for key in world.starts) == SHORT.count
+
+        assert world.run_until(started, limit_s=MAX_WAIT_S) < 1.0, begun_at
+    world.run_until(lambda: len(world.done) >= 12 * SHORT.count)
+    assert not world.violations
+
+
+def test_work_that_only_a_runner_not_polled_lately_can_take_begins_in_time(world: World) -> None:
+    """Guards against work that waits because the runners that are kept ready can't take it."""
+    leader = world.leader()
+    assert leader is not None
+    leader.submit("2000", LARGE)
+    world.run_until(lambda: any(key.job == "2000" for key in world.starts), limit_s=MAX_WAIT_S)
+
+
+def test_a_job_that_fits_nowhere_keeps_no_other_waiting(world: World) -> None:
+    leader = world.leader()
+    assert leader is not None
+    leader.submit("3000", Step(count=1, millicores=900_000, memory_mb=100))
+    world.run(3.0)
+    leader.submit("3001", SHORT)
+    world.run_until(lambda: any(key.job == "3001" for key in world.starts), limit_s=1.0)
+
+
+def test_the_next_leader_keeps_the_work_of_a_large_fleet(world: World) -> None:
+    """Guards against leases that run out while idle runners are asked first."""
+    leader = world.leader()
+    assert leader is not None
+    world.lasting_jobs.add("4000")
+    leader.submit("4000", Step(count=20, millicores=1000, memory_mb=100, lasting=True))
+    world.run_until(lambda: sum(key.job == "4000" for key in world.starts) == 20)
+    world.add_instance("entry-1", PROCESSORS)
+    world.run(1.0)
+    leader.kill()
+    world.run(12.0)
+    assert world.leader() is not None
+    assert not world.violations
+    assert all(len(at) == 1 for key, at in world.starts.items() if key.job == "4000")
--- a/tests/test_room_beside_waits.py
+++ b/tests/test_room_beside_waits.py
@@ -13,6 +13,7 @@
 from spoolcrank.placing import place
 from spoolcrank.placing_pass import MAX_PAIRS_PER_PART
 from spoolcrank.runner_loss import RESTART_DELAYS_S, confirm_crash, handle_expired_leases
+from spoolcrank.runner_pools import usable_runners
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import (
     CrashEvidence,
@@ -95,7 +96,7 @@
     runners = [runner(f"r{number}") for number in range(4)]
     for bad in runners[:quarantined_count]:
         bad.quarantine(NOW)
-    assert leader(*runners).pools(NOW) == {SERVICE: runners[quarantined_count:]}
+    assert usable_runners(leader(*runners), NOW) == {SERVICE: runners[quarantined_count:]}
 
 
 def test_quarantined_runners_get_only_what_fits_nowhere_else() -> None:
