--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -23,7 +23,7 @@
     seen = {
         runner.id: runner.acknowledgeable_end
         for runner in state.runners.values()
-        if runner.acknowledgeable_end > runner.seen
+        if runner.last_handled_end > runner.seen and runner.acknowledgeable_end > runner.seen
     }
     pending_writes = state.pending_writes
     if not (pending_writes.jobs or pending_writes.other_records or seen):
--- a/spoolcrank/isolation.py
+++ b/spoolcrank/isolation.py
@@ -167,6 +167,8 @@
     A new leader isolates the runner of every suspect that it finds in the records, also where the
     suspect was started beside other tasks because no exclusive runner was left.
     """
+    if all(runner.isolated_for is None for runner in state.runners.values()):
+        return
     listed: dict[ServiceName, list[RunnerState]] = {}
     for runner in state.runners.values():
         if runner.listed and not runner.gone:
--- a/spoolcrank/regrouping.py
+++ b/spoolcrank/regrouping.py
@@ -98,7 +98,7 @@
 def fillers_held_back(state: Scheduler) -> bool:
     """Return whether any filler waits for a runner or runs below full pace."""
     for runner in state.runners.values():
-        if any(run.fills and run.pace < 100 for run in runner.runs.values()):
+        if runner.runs and any(run.fills and run.pace < 100 for run in runner.runs.values()):
             return True
     return any(
         step.spec.fills
--- a/spoolcrank/run_timeouts.py
+++ b/spoolcrank/run_timeouts.py
@@ -48,6 +48,8 @@
 def tick(state: Scheduler, now: float) -> None:
     """Handle everything that depends on time alone."""
     for runner in list(state.runners.values()):
+        if not runner.runs and not runner.reservations and runner.isolated_for is None:
+            continue
         runner.drop_expired_reservations(now)
         end_isolation(state, runner, now)
         if runner.silent_since is not None or not runner.adopted:
