--- a/spoolcrank/order_answers.py
+++ b/spoolcrank/order_answers.py
@@ -58,8 +58,7 @@
 def _start_accepted(
     state: Scheduler, start: Start, runner: RunnerState, run: Run, now: float
 ) -> None:
-    run.stage = RunStage.RUNNING
-    run.since = now
+    run.begin_work(now)
     run.progress_changed_at = now
     order_starting_pace(state, runner, start.task, run, now)
     job = state.jobs.get(start.task.job)
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -148,8 +148,7 @@
     if run is None:
         return
     if run.stage in (RunStage.ORDERED, RunStage.UNCONFIRMED):
-        run.stage = RunStage.RUNNING
-        run.since = now
+        run.begin_work(now)
         order_starting_pace(state, runner, row.task, run, now)
     if run.has_crash_evidence:
         clear_outlived(state, row.task, run, now)
--- a/spoolcrank/run_ends.py
+++ b/spoolcrank/run_ends.py
@@ -36,7 +36,7 @@
         run=run.number,
         runner=runner.id,
         how=how.value,
-        start_ms=round(max(0.0, run.since - run.bound_at) * 1000.0),
+        start_ms=round(run.start_s(now) * 1000.0),
     )
     task.record_checkpoint(saved, run.number)
     job.idle_since = now
--- a/spoolcrank/runs.py
+++ b/spoolcrank/runs.py
@@ -27,6 +27,7 @@
         demand: demand that counts against the capacity of the runner.
         wanted_millicores: processors that the run would use if it could, counted or not.
         since: time at which the stage began, in monotonic seconds.
+        started_at: time at which its runner is first known to run it; None before.
         image: image that it runs.
         fills: whether it is a filler.
         target_ms: target of the tail latency of a serving task; 0 for any other task.
@@ -65,6 +66,7 @@
     demand: Demand
     wanted_millicores: int
     since: float
+    started_at: float | None = None
     image: str = ""
     fills: bool = False
     target_ms: float = 0.0
@@ -92,6 +94,17 @@
     suspect: bool = False
     starts_slowly: bool = False
 
+    def begin_work(self, now: float) -> None:
+        """Record that its runner runs it."""
+        self.stage = RunStage.RUNNING
+        self.since = now
+        if self.started_at is None:
+            self.started_at = now
+
+    def start_s(self, now: float) -> float:
+        """Return the time from its binding to its start, in seconds; to `now` before its start."""
+        return max(0.0, (now if self.started_at is None else self.started_at) - self.bound_at)
+
     def worked_s(self, now: float) -> float:
         """Return the time that the run has worked, in seconds at full pace."""
         return self.worked_before_s + max(0.0, now - max(self.since, self.paced_at)) * (
--- a/tests/test_job_times.py
+++ b/tests/test_job_times.py
@@ -2,9 +2,13 @@
 
 from typing import Any
 
+import pytest
+
 from spoolcrank.ids import JobId
 from spoolcrank.job_times import Cause, JobTimes, job_times
 from spoolcrank.log_search import Line
+from spoolcrank.runs import Run, RunStage
+from spoolcrank.workflow import Demand
 
 JOB = "ab"
 
@@ -114,3 +118,12 @@
     )[0]
     assert round(times.seconds[Cause.WORK], 6) == 4.0
     assert round(times.seconds[Cause.PACE], 6) == 2.0
+
+
+def test_work_before_a_stop_does_not_count_as_time_until_the_start() -> None:
+    """Guards against a report that counts all work of moved fillers as slow starts."""
+    run = Run(1, RunStage.ORDERED, Demand(), 1000, 1.0, bound_at=1.0)
+    assert run.start_s(1.1) == pytest.approx(0.1)
+    run.begin_work(1.25)
+    run.stage, run.since = RunStage.STOPPING, 4.0
+    assert run.start_s(4.5) == pytest.approx(0.25)
