--- a/spoolcrank/contention.py
+++ b/spoolcrank/contention.py
@@ -15,30 +15,26 @@
 import msgspec
 
 PRIOR_WEIGHT = 3.0
-"""Mean weight of a pair that was never observed. On two deployments about half of the pairs have
-weights of 5 to 14 and the others about 0. The prior is below their mean, so that fillers are
-tried one at a time."""
+"""Mean weight of a pair that was never observed. Many pairs do no harm and the others weigh several
+times as much; fillers of an unknown pair are tried one at a time."""
 
 PRIOR_VARIANCE = 25.0
-"""Variance of the weight of a pair that was never observed, from the spread of the same pairs."""
+"""Variance of the weight of a pair that was never observed."""
 
 NOISE_VARIANCE = 0.04
 """Variance of the logarithm in one report around the modelled sum. A report covers only half a
 second and is imprecise."""
 
 LOAD_VARIANCE = 0.16
-"""Variance of a step's load around the base of its image. Without fillers, reports have a standard
-deviation of about 0.4."""
+"""Variance of a step's load around the base of its image."""
 
 LOAD_DECAY_S = 5.0
-"""Time constant, in seconds, of the exponential return of a step's load to the base of its image.
-On two deployments, reports of one task that are one second apart correlate by 0.75 and those two
-seconds apart by 0.5, noise included."""
+"""Time constant, in seconds, of the exponential return of a step's load to the base of its
+image."""
 
 WEIGHT_DRIFT_VARIANCE = 0.002
 """Variance that each report adds to the weights of the fillers in it, because weights drift over
-minutes. At 0.01 some weights followed the fluctuation of the load, from harmless to 2.5 and back
-within 14 s."""
+minutes. A larger value would let weights follow the load of the step."""
 
 BASE_GAIN = 0.001
 """Fraction by which each report moves the base of an image towards the load of the step. Some tens
@@ -79,8 +75,8 @@
 class StepLoad:
     """Load of one lasting step: logarithm of tail latency over target, without fillers.
 
-    All tasks of a step share it, on whichever runner they run: on one deployment their tail
-    latencies in the same second correlate by 0.75 to 0.9, those of two steps by 0.05.
+    All tasks of a step share it, on whichever runner they run, as their users' requests are spread
+    over them.
 
     Attributes:
         level: the estimate; meaningless before the first report.
--- a/spoolcrank/debounce.py
+++ b/spoolcrank/debounce.py
@@ -15,8 +15,7 @@
 
 DEBOUNCE_FACTOR = 2.0
 """Delay as a multiple of the duration of the last decision. Decisions then take a third of a busy
-leader's processor, and answers of runners are read between them. Over 270 runners under load, 226
-decisions a second took half of the leader's time (calls counted for 24 s)."""
+leader's processor, and answers of runners are read between them."""
 
 MAX_DEBOUNCE_S = 0.03
 """Longest delay between an event and the decision on it, seconds. Two such delays in a chain of
--- a/spoolcrank/exchanges.py
+++ b/spoolcrank/exchanges.py
@@ -3,9 +3,8 @@
 The planner tries exchanges of single tasks between two runners one after the other on a copy of
 the grouping. Each exchange reduces the filler capacity that images on the same runner cost each
 other. The planner returns the sequence of exchanges that gains most filler capacity for the tasks
-it moves. On the worst days of one deployment, where most fillers slowed the image that nearly half
-of the serving tasks ran, 188 of 199 changes of whole groups did not fit; with exchanges, fillers
-used 1.35 times as many processors.
+it moves. Where one image has nearly half of the serving tasks, hardly any change of whole groups
+fits.
 """
 
 from collections import Counter
--- a/spoolcrank/filler_pace.py
+++ b/spoolcrank/filler_pace.py
@@ -15,9 +15,7 @@
 
 MIN_PACE_PERCENT = 40
 """Lowest pace of a slowed filler, percent, except where a tail latency stays over its target. A
-slower filler occupies its runner and memory and delays all later steps of its job. At a pace of 10
-its job still missed its objective; over 6 paired days, fillers earned 0.086 less of the value they
-could earn, and serving jobs earned as much as at 40."""
+slower filler occupies its runner and memory and delays all later steps of its job."""
 
 MAX_SLOW_PACE_PERCENT = 50
 """Pace up to which a filler counts as slow, percent."""
--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -254,7 +254,7 @@
         retried = []
         for pending in batch:
             pending.unconfirmed = pending.unconfirmed or appended.outcome is AppendOutcome.UNKNOWN
-            # Two calls without an answer took 1.68 s; a third would have ended after 2.56 s.
+            # A third call without an answer would end after the client has left.
             may_send = now + RETRY_DELAY_S - pending.received_at <= MAX_SEND_AGE_S
             if may_send if pending.unconfirmed else now - pending.received_at < MAX_RETRY_S:
                 retried.append(pending)
--- a/spoolcrank/objective.py
+++ b/spoolcrank/objective.py
@@ -22,8 +22,7 @@
 
 LOG_DURATION_DEVIATION = 0.25
 """Standard deviation of the logarithm of the task durations within one step, used because a step
-lasts as long as its longest task. It was 0.23 to 0.26 in 1,200 steps of two queues of one
-deployment."""
+lasts as long as its longest task."""
 
 
 class Prospect(IntEnum):
@@ -93,8 +92,7 @@
 
     Jobs that have begun are ordered by deadline, as the work done for a job that ends too late is
     lost. Of the jobs not begun, the newest come first: they have all of their time left and almost
-    certainly finish within it, whereas the oldest might not. Ordering these by deadline as well
-    earned 0.014 less of the total value in 6 paired days.
+    certainly finish within it, whereas the oldest might not.
     """
     job_prospect = prospect(job, times, now)
     if job_prospect is Prospect.BEGUN:
--- a/spoolcrank/packing.py
+++ b/spoolcrank/packing.py
@@ -27,10 +27,8 @@
 
 MAX_TAIL_SHARE = 0.5
 """Largest share of a serving task's latency target to which fillers may raise its expected tail
-latency. Without fillers, the latency is about 0.38 of the target, and one report in ten is over
-0.62 (24,000 reports of one deployment). A second over the target loses four times what the task
-earns in a second, as much as some 17 core-seconds of fillers earn. At 0.6, serving jobs earned
-0.047 less of their full value and fillers as much as at 0.5 (6 paired days)."""
+latency; the rest is left to the swings of its load. A second over the target loses four times what
+the task earns in a second."""
 
 MAX_LOG_TAIL_SHARE = math.log(MAX_TAIL_SHARE)
 
@@ -44,9 +42,7 @@
 
 HARMLESS_LIKELIHOOD = 0.85
 """Likelihood from which a filler counts as harmless to a serving image: it may then start beside
-that image under high load and is not slowed there. Without this rule a third of the processors that
-harmless fillers could use stood idle under overload. With it fillers earned 0.08 more of their full
-value (6 paired days, in a variant that also let them run beside a serving task over its target)."""
+that image under high load and is not slowed there."""
 
 NEGLIGIBLE_EFFECT = 0.06
 """Largest increase of the logarithm of a tail latency that counts as none: a filler with no larger
--- a/spoolcrank/placing_pass.py
+++ b/spoolcrank/placing_pass.py
@@ -17,8 +17,7 @@
 MAX_PAIRS_PER_PART = 20_000
 """Number of pairs of task and runner that one part of a pass may evaluate; the leader handles what
 has arrived meanwhile before the next part. At 6 microseconds a pair, a part takes 0.12 s on a whole
-core and 0.4 s on the smallest instance. Without parts, 2,128 tasks over 350 runners took 4.5 s
-during which the leader wrote and read nothing; others claim leadership after 1.3 s."""
+core and 0.4 s on the smallest instance; others claim leadership after 1.3 s without a write."""
 
 MAX_RETRY_PAIRS_PER_PART = MAX_PAIRS_PER_PART // 2
 """Number of the pairs of one part that steps tried before in the same pass may use, so that each
--- a/spoolcrank/ranking.py
+++ b/spoolcrank/ranking.py
@@ -1,10 +1,8 @@
 """Choose runners for all tasks of one step with a single evaluation of the runners.
 
 This makes wide jobs on many runners cheap to place. All tasks of a step have the same needs, and
-binding one of them changes only one runner, so that the order of the others stays valid. Evaluating
-every runner for each task took 37 to 57 % of a leader's busy time over 270 runners (stack samples
-of three days), which delayed all work that waited for the end of the pass. The result is exactly
-that of calling `packing.choose` for one task after the other.
+binding one of them changes only one runner, so that the order of the others stays valid. The result
+is exactly that of calling `packing.choose` for one task after the other.
 """
 
 from bisect import insort
