--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -49,11 +49,10 @@
 from spoolcrank.runner_directory import RunnerDirectory
 from spoolcrank.runner_listing import list_runners
 from spoolcrank.runner_port import RunnerPort
-from spoolcrank.runner_state import LEASE_MS, RunnerEntry
+from spoolcrank.runner_state import LEASE_MS
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, LogPort
 from spoolcrank.takeover import (
-    log_unreadable_entry,
     log_unreadable_record,
     read_job,
     restore_state,
@@ -76,7 +75,7 @@
         log: LogPort,
         follower: LogFollower,
         runner_follower: LogFollower,
-        decode_runner_entry: Callable[[str, bytes], RunnerEntry],
+        directory: RunnerDirectory,
         runners: RunnerPort,
         timers: Timers,
         telemetry: Telemetry,
@@ -90,9 +89,7 @@
         self._log = log
         self._follower = follower
         self._runner_follower = runner_follower
-        self._directory = RunnerDirectory(
-            decode_runner_entry, partial(log_unreadable_entry, telemetry)
-        )
+        self._directory = directory
         self._sender = OrderSender(runners, clock, self._on_answer, self._guard)
         self._timers = timers
         self._telemetry = telemetry
@@ -384,12 +381,13 @@
     def on_runner_entries(self, copy: KeyedLog, records: Sequence[KeyedRecord]) -> None:
         """Apply the list of runners, of which `records` were read last, if this instance leads."""
         scheduler = self.scheduler
+        now = self._clock()
         if scheduler is None:
             return
-        listing = self._directory.update(copy, records, scheduler)
+        listing = self._directory.update(copy, records, scheduler, now)
         if listing is not None:
-            back_at, now = self._runner_follower.reconnected_at, self._clock()
-            self._guard(scheduler, lambda: list_runners(scheduler, listing, back_at, now))
+            back_at = self._runner_follower.reconnected_at
+            self._guard(scheduler, partial(list_runners, scheduler, listing, back_at, now))
         if listing is not None or scheduler.ready:
             self._decide_soon()
 
--- a/spoolcrank/platform/daemon.py
+++ b/spoolcrank/platform/daemon.py
@@ -22,14 +22,21 @@
 from spoolcrank.mechanisms import Mechanism, switched_off
 from spoolcrank.planned_stop import stop_times
 from spoolcrank.platform.clients import ClientApi
-from spoolcrank.platform.documents import decode_configuration, decode_runner_entry, evacuated_zones
+from spoolcrank.platform.documents import (
+    decode_configuration,
+    decode_runner_entry,
+    evacuated_zones,
+    is_heartbeat,
+)
 from spoolcrank.platform.runners import PlatformRunners
 from spoolcrank.platform.settings import FILE_VARIABLE, PlatformSettings, read_settings
 from spoolcrank.platform.store import StoreLog
 from spoolcrank.prometheus_metrics import TEXT_TYPE, PrometheusMetrics
 from spoolcrank.routes import RouteTable
+from spoolcrank.runner_directory import RunnerDirectory
 from spoolcrank.runner_state import LEASE_MS
 from spoolcrank.scheduler import RoutePolicy
+from spoolcrank.takeover import log_unreadable_entry
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.workflow import RouteName
 
@@ -88,13 +95,14 @@
             self._open_log(RUNNERS_LOG), self._on_runner_entries, RUNNERS_LOG
         )
         self.intake = JobIntake(log, self.follower, self.index, timers, time.monotonic)
+        on_unreadable_entry = partial(log_unreadable_entry, self.telemetry)
         incarnation = Incarnation(unique(cfg.instance_id))
         self.dispatcher = Dispatcher(
             Leadership(cfg.instance_id, incarnation, time.monotonic(), cfg.processors),
             log,
             self.follower,
             self._runners,
-            decode_runner_entry,
+            RunnerDirectory(decode_runner_entry, on_unreadable_entry, is_heartbeat),
             PlatformRunners(http),
             timers,
             self.telemetry,
--- a/spoolcrank/platform/documents.py
+++ b/spoolcrank/platform/documents.py
@@ -102,6 +102,7 @@
     interval_ms: float = msgspec.field(name="intervalMs", default=0)
 
 
+_COUNTER = b'"callSeq":'
 _EVACUATION_PREFIX = "evacuate/"
 _decode_configuration = msgspec.json.Decoder(_Configuration).decode
 _decode_server = msgspec.json.Decoder(_Server).decode
@@ -155,6 +156,25 @@
     )
 
 
+def is_heartbeat(entry: bytes, newer: bytes) -> bool:
+    """Return whether a runner's entry only repeats an earlier one with its counter raised.
+
+    False if that does not show without decoding them.
+    """
+    start = entry.find(_COUNTER)
+    if start < 0 or entry.find(_COUNTER, start + 1) >= 0 or newer[:start] != entry[:start]:
+        return False
+    start += len(_COUNTER)
+    return newer[:start].endswith(_COUNTER) and _after_number(entry, start) == _after_number(
+        newer, start
+    )
+
+
+def _after_number(entry: bytes, start: int) -> bytes:
+    """Return what follows the digits at a position."""
+    return entry[start:].lstrip(b" ").lstrip(b"0123456789")
+
+
 @raises_unreadable
 def _decode_valid_server(value: bytes) -> _Server:
     if len(value) > MAX_ENTRY_BYTES:
--- a/spoolcrank/runner_directory.py
+++ b/spoolcrank/runner_directory.py
@@ -1,5 +1,6 @@
 """Decode the list of runners, which may also contain entries of other writers."""
 
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -10,6 +11,9 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import RunnerId
 
+CHECKS_PER_S = 30_000.0
+"""Number of runners per second that are checked for being as the list tells, after heartbeats."""
+
 
 class Listing(NamedTuple):
     """List of runners as the store has it.
@@ -25,6 +29,7 @@
 
 class _DecodedRecord(NamedTuple):
     offset: int
+    value: bytes
     entry: RunnerEntry | None
 
 
@@ -34,17 +39,21 @@
     Args:
         decode: decoder of a record; raises Unreadable if it does not describe a usable runner.
         on_unreadable: callback, called once for each such record, with the reason.
+        is_heartbeat: tells from two values of a record whether the second repeats the first.
     """
 
     def __init__(
         self,
         decode: Callable[[str, bytes], RunnerEntry],
         on_unreadable: Callable[[KeyedRecord, str], None],
+        is_heartbeat: Callable[[bytes, bytes], bool] = bytes.__eq__,
     ) -> None:
+        self._is_heartbeat = is_heartbeat
         self._decode = decode
         self._on_unreadable = on_unreadable
         self._records: dict[str, _DecodedRecord] = {}
         self._listing: Listing | None = None
+        self._next_check_at = -math.inf
 
     def read(self, copy: KeyedLog) -> Listing:
         """Return the list of runners from a loaded copy of the topic."""
@@ -58,7 +67,7 @@
         return self._listing
 
     def update(
-        self, copy: KeyedLog, records: Iterable[KeyedRecord], state: Scheduler
+        self, copy: KeyedLog, records: Iterable[KeyedRecord], state: Scheduler, now: float
     ) -> Listing | None:
         """Return the list of runners to apply after some of its records were read.
 
@@ -68,16 +77,19 @@
         if not copy.loaded:
             self._listing = None
             return None
-        if self._listing is not None and self._only_repeat(self._listing, records, state):
+        if self._listing is not None and self._only_repeat(self._listing, records, state, now):
             return None
         return self.read(copy)
 
     def _only_repeat(
-        self, listing: Listing, records: Iterable[KeyedRecord], state: Scheduler
+        self, listing: Listing, records: Iterable[KeyedRecord], state: Scheduler, now: float
     ) -> bool:
         """Return whether records repeat entries of the list, which the state agrees with."""
         if not all(map(self._repeats_entry, records)):
             return False
+        if now < self._next_check_at:
+            return True
+        self._next_check_at = now + len(listing.entries) / CHECKS_PER_S
         if any(not runner.listed or runner.gone for runner in state.runners.values()):
             return False
         services = state.services()
@@ -94,11 +106,11 @@
         known = self._records.get(record.key)
         if known is None or known.entry is None or not record.value:
             return False
-        if record.offset <= known.offset:
-            return True
-        if self._read_record(record).entry != known.entry:
-            return False
-        self._records[record.key] = known._replace(offset=record.offset)
+        if record.offset > known.offset:
+            if not self._is_heartbeat(known.value, record.value):
+                if self._read_record(record).entry != known.entry:
+                    return False
+            self._records[record.key] = _DecodedRecord(record.offset, record.value, known.entry)
         return True
 
     def _read_record(self, record: KeyedRecord) -> _DecodedRecord:
@@ -106,7 +118,8 @@
         if known is not None and known.offset == record.offset:
             return known
         try:
-            return _DecodedRecord(record.offset, self._decode(record.key, record.value))
+            entry = self._decode(record.key, record.value)
+            return _DecodedRecord(record.offset, record.value, entry)
         except Unreadable as exc:
             self._on_unreadable(record, str(exc))
-            return _DecodedRecord(record.offset, None)
+            return _DecodedRecord(record.offset, record.value, None)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -11,6 +11,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from spoolcrank.dispatcher import Dispatcher
@@ -22,7 +23,9 @@
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.orders import EndKind, OrderResult
 from spoolcrank.platform.documents import decode_runner_entry
+from spoolcrank.runner_directory import RunnerDirectory
 from spoolcrank.runner_state import LEASE_MS, RunnerEntry
+from spoolcrank.takeover import log_unreadable_entry
 from spoolcrank.workflow import Demand, JobRecord, RouteName, Step, TaskKey, Workflow
 from tests.fleet_runners import MAX_LEASE_MS, Runner, RunnerPort
 from tests.fleet_store import Store, StorePort
@@ -327,7 +330,7 @@
             log,
             self.follower,
             self.entries,
-            world.read_entry,
+            RunnerDirectory(world.read_entry, partial(log_unreadable_entry, logged)),
             RunnerPort(self),
             timers,
             logged,
--- a/tests/test_growing_log.py
+++ b/tests/test_growing_log.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
+
 from spoolcrank.keyed_log import KeyedLog, KeyedRecord
 from spoolcrank.leadership_monitor import MAX_LIST_AGE_S, PlacingBlock, find_placing_block
 from spoolcrank.log_follower import LogFollower
+from spoolcrank.platform.documents import is_heartbeat
 from spoolcrank.store_port import Append, NewestPage, ReadOutcome, Records
 
 RUNNERS = 3000
@@ -112,3 +115,25 @@
     for number in range(1, 100):
         copy.extend(_records(number, number + 1), end=1000 + 50 * number, asked_at=1.0 + number)
     assert 100.0 - copy.read_at > MAX_LIST_AGE_S
+
+
+@pytest.mark.parametrize(
+    ("newer", "repeats"),
+    [
+        (b'{"state":"ready","callSeq":108,"zone":"a"}', True),
+        (b'{"state":"ready","callSeq": 9 ,"zone":"a"}', False),
+        (b'{"state":"draining","callSeq":108,"zone":"a"}', False),
+        (b'{"state":"ready","callSeq":108,"zone":"b"}', False),
+        (b'{"state":"ready","callSeq":108.5,"zone":"a"}', False),
+        (b'{"state":"ready","zone":"a"}', False),
+        (b"", False),
+    ],
+)
+def test_only_a_raised_counter_is_a_heartbeat(newer: bytes, repeats: bool) -> None:
+    """Guards against a leaving runner that is taken for one whose entry was only renewed."""
+    assert is_heartbeat(b'{"state":"ready","callSeq":17,"zone":"a"}', newer) is repeats
+
+
+def test_an_entry_with_two_counters_is_decoded() -> None:
+    entry = b'{"callSeq":17,"callSeq":18,"state":"ready"}'
+    assert not is_heartbeat(entry, b'{"callSeq":19,"callSeq":18,"state":"ready"}')
