--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -15,6 +15,9 @@
 WAITING_WORK_FACTOR = 3
 """Multiple of the usual number of ready runners while work waits that found no place."""
 
+FIRST_LISTING_S = 3.0
+"""Time after a takeover within which its leader has read the list of runners, in seconds."""
+
 MAX_WAITING_STEPS = 8
 """Maximum number of waiting steps whose needs decide which runners are polled first."""
 
@@ -31,13 +34,37 @@
     )
 
 
+def limit_first_polls(
+    state: Scheduler, selected: list[RunnerState], now: float
+) -> list[RunnerState]:
+    """Return which of the runners selected for a first poll to poll, within the leader's budget.
+
+    Runners on which nothing is known to run and that a new leader found in the list have no hurry.
+    Those listed since may replace crashed ones, which only their answer proves.
+    """
+    unhurried = [runner for runner in selected if _may_wait_for_first_poll(state, runner)]
+    factor = WAITING_WORK_FACTOR if waiting_steps(state) else 1
+    taken = state.polls.take_first_polls(len(unhurried), factor, now)
+    postponed = {runner.id for runner in unhurried[taken:]}
+    return [runner for runner in selected if runner.id not in postponed]
+
+
+def _may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
+    return (
+        not runner.runs
+        and runner.rank == 0
+        and runner.first_seen_at - state.began_at <= FIRST_LISTING_S
+        and not state.crash_history.unconfirmed
+    )
+
+
 def postponed_polls(state: Scheduler, due: list[RunnerState], now: float) -> list[RunnerState]:
     """Return which of the idle runners that are due are not polled, as enough others are ready.
 
     Usually those polled last stay ready. While work waits that found no place, runners that could
     take it come first, then those polled longest ago, so that each has its turn.
     """
-    wanted = _waiting_steps(state)
+    wanted = waiting_steps(state)
     limit = state.polls.max_ready * (WAITING_WORK_FACTOR if wanted else 1)
     if len(state.runners) <= limit:
         return []
@@ -50,13 +77,13 @@
     if room <= 0:
         return due
     if wanted:
-        due.sort(key=lambda runner: (not _could_take(runner, wanted), runner.polled_at))
+        due.sort(key=lambda runner: (not could_take(runner, wanted), runner.polled_at))
     else:
         due.sort(key=lambda runner: -runner.polled_at)
     return due[room:]
 
 
-def _waiting_steps(state: Scheduler) -> list[Step]:
+def waiting_steps(state: Scheduler) -> list[Step]:
     """Return some of the waiting steps that found no place in the last pass."""
     if not state.ready:
         return []
@@ -69,7 +96,8 @@
     return steps
 
 
-def _could_take(runner: RunnerState, steps: list[Step]) -> bool:
+def could_take(runner: RunnerState, steps: list[Step]) -> bool:
+    """Return whether a runner has the capacity and the label that one of the steps needs."""
     return any(
         runner.fits(step.demand) and (not step.label or step.label in runner.entry.labels)
         for step in steps
--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -29,9 +29,26 @@
     """
 
     def __init__(self, processors: float = math.inf) -> None:
-        polls_per_s = processors * IDLE_POLLS_PER_CORE_S
-        self.max_ready = max(1.0, polls_per_s * IDLE_POLL_INTERVAL_S)
+        self._polls_per_s = processors * IDLE_POLLS_PER_CORE_S
+        self.max_ready = max(1.0, self._polls_per_s * IDLE_POLL_INTERVAL_S)
         self._next_check_at = -math.inf
+        self._first_polls = self.max_ready
+        self._first_polls_at = -math.inf
+
+    def take_first_polls(self, wanted: int, factor: int, now: float) -> int:
+        """Return how many of the wanted first polls of runners without runs to send now.
+
+        A new leader may send enough of them at once to have its runners ready, and the others at
+        `factor` times the rate of idle polls.
+        """
+        if math.isinf(self.max_ready):
+            return wanted
+        since_s = now - max(self._first_polls_at, now - 1.0)
+        refilled = self._first_polls + since_s * self._polls_per_s * factor
+        self._first_polls_at = now
+        taken = min(wanted, int(refilled))
+        self._first_polls = min(refilled, self.max_ready) - taken
+        return max(0, taken)
 
     def may_check(self, runners: int, now: float) -> bool:
         """Return whether to check the runners for due polls now, and count the check if so."""
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -2,7 +2,13 @@
 
 from collections import Counter
 
-from spoolcrank.idle_polls import is_idle, postponed_polls
+from spoolcrank.idle_polls import (
+    could_take,
+    is_idle,
+    limit_first_polls,
+    postponed_polls,
+    waiting_steps,
+)
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.orders import Poll
 from spoolcrank.poll_budget import IDLE_POLL_INTERVAL_S
@@ -64,7 +70,8 @@
     ]
     awaiting_first_answer = [candidate for candidate in pollable if not candidate.adopted]
     if awaiting_first_answer:
-        selected += _select_first_polls(state, awaiting_first_answer, now)
+        first_polls = _select_first_polls(state, awaiting_first_answer, now)
+        selected += limit_first_polls(state, first_polls, now)
     return [_poll(state, runner, now, may_extend) for runner in selected]
 
 
@@ -97,15 +104,17 @@
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
-    Runners in zones that answer come first, then those on which something may run, then those
-    polled longest ago. Silent runners have a
+    Runners in zones that answer come first, then those on which something may run, then those that
+    could take waiting work, then those polled longest ago. Silent runners have a
     limit of their own, so that the others never wait for them.
     """
     unanswered = _unanswered_runners_by_zone(state, now)
+    wanted = waiting_steps(state)
     awaiting_first_answer.sort(
         key=lambda candidate: (
             unanswered[candidate.entry.availability_zone],
             not candidate.runs,
+            not could_take(candidate, wanted),
             candidate.polled_at,
         )
     )
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -40,7 +40,7 @@
         world.at(number * HEARTBEAT_S / RUNNERS, write)
 
 
-def _large_world() -> World:
+def _large_world(takeover_s: float = TAKEOVER_S) -> World:
     world = World()
     world.store.max_read_records = 500
     for number in range(RUNNERS):
@@ -48,7 +48,7 @@
         world.add_runner(f"10.0.{number >> 8}.{number & 255}:80", millicores=millicores)
     _write_entries(world)
     world.add_instance("entry-0", PROCESSORS)
-    world.run(TAKEOVER_S)
+    world.run(takeover_s)
     return world
 
 
@@ -64,6 +64,21 @@
     assert sum(world.asked.values()) <= counted_s * PROCESSORS * IDLE_POLLS_PER_CORE_S
 
 
+def test_a_new_leader_reaches_idle_runners_at_the_rate_that_it_can_afford() -> None:
+    """Guards against a leader that is busy with thousands of first polls when work waits."""
+    world = _large_world(takeover_s=0.0)
+    world.run_until(lambda: world.leader() is not None)
+    world.run(4.0)
+    rate = PROCESSORS * IDLE_POLLS_PER_CORE_S
+    assert sum(world.asked.values()) <= rate * (4.0 + IDLE_POLL_INTERVAL_S) * 2
+    leading = world.leader()
+    assert leading is not None
+    leading.submit("5000", LARGE)
+    leading.submit("5001", SHORT)
+    world.run_until(lambda: any(key.job == "5001" for key in world.starts), limit_s=0.5)
+    world.run_until(lambda: any(key.job == "5000" for key in world.starts), limit_s=MAX_WAIT_S)
+
+
 def test_jobs_begin_at_once_beside_thousands_of_idle_runners(world: World) -> None:
     """Guards against accepted jobs that stand still beside free runners."""
     leading = world.leader()
