--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -2,7 +2,7 @@
 
 import math
 
-RUNNERS_CHECKED_ALWAYS = 400
+RUNNERS_CHECKED_ALWAYS = 700
 """Number of runners up to which each decision checks all of them for due polls."""
 
 CHECKS_PER_S = 30_000.0
@@ -17,6 +17,10 @@
 """Number of polls of idle runners per second for each of the leader's processors; a tenth of its
 time at 0.4 ms for a poll, its connection and its answer."""
 
+FIRST_POLLS_PER_CORE = 800.0
+"""Number of first polls of runners without runs that a new leader may send at once, for each of its
+processors; a third of a second of its time."""
+
 
 class PollBudget:
     """Budget of one leader for polls.
@@ -32,23 +36,25 @@
         self._polls_per_s = processors * IDLE_POLLS_PER_CORE_S
         self.max_ready = max(1.0, self._polls_per_s * IDLE_POLL_INTERVAL_S)
         self._next_check_at = -math.inf
-        self._first_polls = self.max_ready
+        self._max_first_polls = processors * FIRST_POLLS_PER_CORE
+        self._first_polls = self._max_first_polls
         self._first_polls_at = -math.inf
 
     def take_first_polls(self, wanted: int, factor: int, now: float) -> int:
         """Return how many of the wanted first polls of runners without runs to send now.
 
-        A new leader may send enough of them at once to have its runners ready, and the others at
-        `factor` times the rate of idle polls.
+        A new leader may send many of them at once, and the others at `factor` times the rate of
+        idle polls.
         """
-        if math.isinf(self.max_ready):
+        if math.isinf(self._first_polls):
             return wanted
         since_s = now - max(self._first_polls_at, now - 1.0)
         refilled = self._first_polls + since_s * self._polls_per_s * factor
+        self._first_polls = min(self._max_first_polls, refilled)
         self._first_polls_at = now
-        taken = min(wanted, int(refilled))
-        self._first_polls = min(refilled, self.max_ready) - taken
-        return max(0, taken)
+        taken = min(wanted, int(self._first_polls))
+        self._first_polls -= taken
+        return taken
 
     def may_check(self, runners: int, now: float) -> bool:
         """Return whether to check the runners for due polls now, and count the check if so."""
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -104,18 +104,18 @@
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
-    Runners in zones that answer come first, then those on which something may run, then those that
-    could take waiting work, then those polled longest ago. Silent runners have a
-    limit of their own, so that the others never wait for them.
+    Runners in zones that answer come first, then those polled longest ago. Of those not polled yet,
+    runners on which something may run come first, then those that could take waiting work. Silent
+    runners have a limit of their own, so that the others never wait for them.
     """
     unanswered = _unanswered_runners_by_zone(state, now)
     wanted = waiting_steps(state)
     awaiting_first_answer.sort(
         key=lambda candidate: (
             unanswered[candidate.entry.availability_zone],
+            candidate.polled_at,
             not candidate.runs,
             not could_take(candidate, wanted),
-            candidate.polled_at,
         )
     )
     answering = [candidate for candidate in awaiting_first_answer if candidate.silent_since is None]
--- a/spoolcrank/runner_directory.py
+++ b/spoolcrank/runner_directory.py
@@ -33,6 +33,11 @@
     entry: RunnerEntry | None
 
 
+def decode_always(entry: bytes, newer: bytes) -> bool:
+    """Take no value for a repetition of an earlier one."""
+    return False
+
+
 class RunnerDirectory:
     """Entries of runners, each decoded once for each offset of its record.
 
@@ -46,7 +51,7 @@
         self,
         decode: Callable[[str, bytes], RunnerEntry],
         on_unreadable: Callable[[KeyedRecord, str], None],
-        is_heartbeat: Callable[[bytes, bytes], bool] = bytes.__eq__,
+        is_heartbeat: Callable[[bytes, bytes], bool] = decode_always,
     ) -> None:
         self._is_heartbeat = is_heartbeat
         self._decode = decode
