Ask runners for each need of the waiting work by turns

Callers saw: by a trial beforehand, a task that only two of 200 to 400 runners could take began after 9 to 12 s, beside nine gangs larger than the fleet; it counts as lost after 3 s.

Cause: a leader that does not poll all idle runners chose whom to poll by the first 8 steps of the last pass that found no place, in an order that does not change. Steps that fit every runner and still can't start used up the polls. A step that was held back (a suspect that waits for a runner of its own, a moved task) was not among those steps at all: no runner was asked for it, and it waited without an end.

Change: a module of its own for what waiting work needs of a runner. The needs of all waiting jobs count, equal ones once, for whatever reason they wait. Each need in turn gets one poll at a runner that could take it, and the next turn goes on where the polls ended. First polls after a takeover go by the same turns.

--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -1,6 +1,7 @@
 """Limit what a leader spends on polls of a fleet that is large for its processors."""
 
 import math
+from dataclasses import dataclass
 
 RUNNERS_CHECKED_ALWAYS = 700
 """Number of runners up to which each decision checks all of them for due polls."""
@@ -22,6 +23,43 @@
 processors; a third of a second of its time."""
 
 
+@dataclass
+class Turns:
+    """Turns of the waiting jobs at polls.
+
+    Attributes:
+        next_job: number, among the waiting jobs, of the one whose needs come first.
+    """
+
+    next_job: int = 0
+
+
+class _RateLimit:
+    """Polls that may be sent at once, and the rate at which further ones may follow.
+
+    Args:
+        burst: maximum number of polls at once.
+        per_s: number of polls per second after that.
+    """
+
+    def __init__(self, burst: float, per_s: float) -> None:
+        self._burst = burst
+        self._per_s = per_s
+        self._left = burst
+        self._refilled_at = -math.inf
+
+    def take(self, wanted: int, now: float, factor: int = 1) -> int:
+        """Return how many of the wanted polls to send now, at `factor` times the rate."""
+        if math.isinf(self._burst):
+            return wanted
+        since_s = now - max(self._refilled_at, now - 1.0)
+        self._left = min(self._burst, self._left + since_s * self._per_s * factor)
+        self._refilled_at = now
+        taken = max(0, min(wanted, int(self._left)))
+        self._left -= taken
+        return taken
+
+
 class PollBudget:
     """Budget of one leader for polls.
 
@@ -30,31 +68,19 @@
 
     Attributes:
         max_ready: number of idle runners that are polled often enough to get new work.
+        first: limit of the first polls of runners without runs. A new leader may send many of them
+            at once.
+        idle_turns: turns of the waiting jobs at the polls of idle runners.
+        first_turns: turns of the waiting jobs at the first polls of a new leader.
     """
 
     def __init__(self, processors: float = math.inf) -> None:
-        self._polls_per_s = processors * IDLE_POLLS_PER_CORE_S
-        self.max_ready = max(1.0, self._polls_per_s * IDLE_POLL_INTERVAL_S)
+        polls_per_s = processors * IDLE_POLLS_PER_CORE_S
+        self.max_ready = max(1.0, polls_per_s * IDLE_POLL_INTERVAL_S)
+        self.first = _RateLimit(processors * FIRST_POLLS_PER_CORE, polls_per_s)
+        self.idle_turns = Turns()
+        self.first_turns = Turns()
         self._next_check_at = -math.inf
-        self._max_first_polls = processors * FIRST_POLLS_PER_CORE
-        self._first_polls = self._max_first_polls
-        self._first_polls_at = -math.inf
-
-    def take_first_polls(self, wanted: int, factor: int, now: float) -> int:
-        """Return how many of the wanted first polls of runners without runs to send now.
-
-        A new leader may send many of them at once, and the others at `factor` times the rate of
-        idle polls.
-        """
-        if math.isinf(self._first_polls):
-            return wanted
-        since_s = now - max(self._first_polls_at, now - 1.0)
-        refilled = self._first_polls + since_s * self._polls_per_s * factor
-        self._first_polls = min(self._max_first_polls, refilled)
-        self._first_polls_at = now
-        taken = min(wanted, int(self._first_polls))
-        self._first_polls -= taken
-        return taken
 
     def may_check(self, runners: int, now: float) -> bool:
         """Return whether to check the runners for due polls now, and count the check if so."""
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -2,18 +2,13 @@
 
 from collections import Counter
 
-from spoolcrank.idle_polls import (
-    could_take,
-    is_idle,
-    limit_first_polls,
-    postponed_polls,
-    waiting_steps,
-)
+from spoolcrank.idle_polls import is_idle, limit_first_polls, postponed_polls
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.orders import Poll
 from spoolcrank.poll_budget import IDLE_POLL_INTERVAL_S
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.waiting_needs import NeedsInTurn, choose_by_turns, needs_in_turn
 from spoolcrank.workflow import RunnerId
 
 MAX_POLL_WAIT_MS = 1000
@@ -70,8 +65,9 @@
     ]
     awaiting_first_answer = [candidate for candidate in pollable if not candidate.adopted]
     if awaiting_first_answer:
-        first_polls = _select_first_polls(state, awaiting_first_answer, now)
-        selected += limit_first_polls(state, first_polls, now)
+        waiting = needs_in_turn(state, state.polls.first_turns)
+        first_polls = _select_first_polls(state, awaiting_first_answer, waiting, now)
+        selected += limit_first_polls(state, first_polls, waiting, now)
     return [_poll(state, runner, now, may_extend) for runner in selected]
 
 
@@ -100,7 +96,10 @@
 
 
 def _select_first_polls(
-    state: Scheduler, awaiting_first_answer: list[RunnerState], now: float
+    state: Scheduler,
+    awaiting_first_answer: list[RunnerState],
+    waiting: NeedsInTurn,
+    now: float,
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
@@ -109,13 +108,15 @@
     runners have a limit of their own, so that the others never wait for them.
     """
     unanswered = _unanswered_runners_by_zone(state, now)
-    wanted = waiting_steps(state)
+    idle = [candidate for candidate in awaiting_first_answer if not candidate.runs]
+    chosen = choose_by_turns(idle, waiting.needs, MAX_CONCURRENT_FIRST_POLLS)
+    place_of = {runner: place for place, runner in enumerate(chosen)}
     awaiting_first_answer.sort(
         key=lambda candidate: (
             unanswered[candidate.entry.availability_zone],
             candidate.polled_at,
             not candidate.runs,
-            not could_take(candidate, wanted),
+            place_of.get(candidate.id, len(chosen)),
         )
     )
     answering = [candidate for candidate in awaiting_first_answer if candidate.silent_since is None]
--- /dev/null
+++ b/tests/test_polls_for_waiting_work.py
@@ -0,0 +1,86 @@
+"""Work that only a runner without a recent answer can take, in a fleet larger than is kept ready.
+
+Load pattern: a leader with little processor time keeps a few of hundreds of idle runners ready.
+Each kind of work that waits has to get runners asked for it, whatever else waits.
+"""
+
+import pytest
+
+from spoolcrank.workflow import Step
+from tests.fleet_world import Instance, World
+
+RUNNERS = 400
+PROCESSORS = 0.02
+"""Processors of the leader, in cores: 7 idle runners are kept ready, 22 while work waits."""
+
+MAX_WAIT_S = 3.0
+"""Time with nothing running after which an accepted job counts as lost, in seconds."""
+
+MAX_RESTART_S = 7.9 + 2.0 + MAX_WAIT_S
+"""Time from the crash of a runner that never returns until its task runs again, in seconds: the
+leases, the retry delay, and the wait for a runner."""
+
+LARGE = Step(count=1, millicores=30_000, memory_mb=100, estimate_ms=600)
+UNPLACEABLE_GANG = Step(count=RUNNERS + 1, millicores=5000, memory_mb=100, gang=True)
+
+
+def _world(large: tuple[int, ...]) -> World:
+    """Return a fleet of small runners in which the numbered ones are large."""
+    world = World()
+    for number in range(RUNNERS):
+        millicores = 32_000 if number in large else 8000
+        world.add_runner(f"10.0.{number >> 8}.{number & 255}:80", millicores=millicores)
+    world.add_instance("entry-0", PROCESSORS)
+    world.run(30.0)
+    return world
+
+
+@pytest.fixture
+def world() -> World:
+    return _world(large=(100, RUNNERS // 2, RUNNERS - 1))
+
+
+def _leading(world: World) -> Instance:
+    leading = world.leader()
+    assert leading is not None
+    return leading
+
+
+def _wait_for_start(world: World, job: str, starts: int = 1, limit_s: float = MAX_WAIT_S) -> float:
+    def started() -> bool:
+        return sum(len(at) for key, at in world.starts.items() if key.job == job) >= starts
+
+    return world.run_until(started, limit_s=limit_s)
+
+
+def test_steps_that_can_start_nowhere_keep_no_runner_from_being_asked(world: World) -> None:
+    """Guards against steps that wait for good and take the polls of all that wait behind them."""
+    leading = _leading(world)
+    for number in range(12):
+        leading.submit(f"a{number:03x}", UNPLACEABLE_GANG)
+    world.run(3.0)
+    leading.submit("b000", LARGE)
+    _wait_for_start(world, "b000")
+
+
+def test_many_waiting_steps_of_different_needs_are_all_asked_for(world: World) -> None:
+    """Guards against the first few needs of a long queue being the only ones asked for."""
+    leading = _leading(world)
+    for number in range(40):
+        gang = Step(count=RUNNERS + 1, millicores=4100 + number, memory_mb=100, gang=True)
+        leading.submit(f"a{number:03x}", gang)
+    world.run(3.0)
+    leading.submit("b000", LARGE)
+    _wait_for_start(world, "b000")
+
+
+def test_a_suspect_gets_runners_asked_for_it(world: World) -> None:
+    """Guards against a task that may crash runners and waits for one that is never asked."""
+    leading = _leading(world)
+    world.crashing["b000"] = 0.3
+    world.restart_delay_s = (1000.0, 1000.0)
+    leading.submit("b000", LARGE)
+    _wait_for_start(world, "b000")
+    _wait_for_start(world, "b000", starts=2, limit_s=MAX_RESTART_S)
+    world.crashing.clear()
+    _wait_for_start(world, "b000", starts=3, limit_s=MAX_RESTART_S)
