Poll idle runners for waiting work beside a new leader's first polls

Cause: the polls of idle runners that a leader may send count those that were polled lately, also for the first time. After a takeover of a large fleet the first polls alone used up that number for as long as they lasted, so that no runner that had answered before was asked again, also where only such a one could take the waiting work.

--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -72,6 +72,8 @@
         if now - runner.polled_at < IDLE_POLL_INTERVAL_S and is_idle(state, runner)
     )
     room = max(0, limit - ready)
+    if waiting.needs:
+        room = max(room, state.polls.in_turn.take(len(due), now))
     if not room:
         return due
     if not waiting.needs:
--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -70,6 +70,8 @@
         max_ready: number of idle runners that are polled often enough to get new work.
         first: limit of the first polls of runners without runs. A new leader may send many of them
             at once.
+        in_turn: limit of the polls of idle runners for waiting work that are sent although as many
+            as may be are ready. First polls alone would use up that number after a takeover.
         idle_turns: turns of the waiting jobs at the polls of idle runners.
         first_turns: turns of the waiting jobs at the first polls of a new leader.
     """
@@ -78,6 +80,7 @@
         polls_per_s = processors * IDLE_POLLS_PER_CORE_S
         self.max_ready = max(1.0, polls_per_s * IDLE_POLL_INTERVAL_S)
         self.first = _RateLimit(processors * FIRST_POLLS_PER_CORE, polls_per_s)
+        self.in_turn = _RateLimit(max(1.0, polls_per_s), polls_per_s)
         self.idle_turns = Turns()
         self.first_turns = Turns()
         self._next_check_at = -math.inf
--- a/tests/test_polls_for_waiting_work.py
+++ b/tests/test_polls_for_waiting_work.py
@@ -63,6 +63,16 @@
     _wait_for_start(world, "b000")
 
 
+def test_first_polls_of_a_new_leader_leave_room_for_runners_asked_before() -> None:
+    """Guards against a runner that could take work and is not asked until all others were."""
+    world = _world(large=(100, 120))
+    leading = _leading(world)
+    leading.submit("a000", UNPLACEABLE_GANG)
+    world.run(3.0)
+    leading.submit("b000", LARGE)
+    _wait_for_start(world, "b000")
+
+
 def test_many_waiting_steps_of_different_needs_are_all_asked_for(world: World) -> None:
     """Guards against the first few needs of a long queue being the only ones asked for."""
     leading = _leading(world)
