Count idle runners that are not asked as capacity

Cause: a leader of a large fleet keeps some idle runners ready and leaves the others unasked. Whether most of a service is idle, and over how many runners the reserve for short tasks is spread, was judged by the runners that had answered lately: those with work, and the few kept ready. A fleet of which nine tenths were idle counted as busy, so that a job without a start for 2 s got neither quarantined runners nor the reserve, and held fillers never started; the reserve of each runner grew to all of it.

Change: runners count that are listed and that nothing shows to be silent, gone or leaving, whether or not they were asked lately.

Silent runners still count as none.

--- a/spoolcrank/demand_forecast.py
+++ b/spoolcrank/demand_forecast.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from spoolcrank.mechanisms import Mechanism
+from spoolcrank.runner_pools import may_take_work
 from spoolcrank.scheduler import Scheduler
 
 FORECAST_INTERVAL_S = 0.5
@@ -33,7 +34,7 @@
     state.contention.set_expected_fillers(filler_mix(state))
     demand = _short_running(state) + _short_waiting(state)
     state.short_demand += share * (demand - state.short_demand)
-    usable = sum(1 for runner in state.runners.values() if runner.usable(now))
+    usable = sum(1 for runner in state.runners.values() if may_take_work(runner, now))
     if state.short_demand < 1.0 or not usable or not state.uses(Mechanism.RESERVE):
         state.reserve = 0
     else:
--- a/spoolcrank/idle_capacity.py
+++ b/spoolcrank/idle_capacity.py
@@ -63,7 +63,7 @@
     runners = [
         runner
         for runner in state.runners.values()
-        if runner.entry.service == service and runner.answers(now)
+        if runner.entry.service == service and runner.counts_as_capacity(now)
     ]
     capacity = sum(runner.entry.room.millicores for runner in runners)
     used = sum(runner.used_millicores + runner.filled_millicores for runner in runners)
--- a/spoolcrank/runner_pools.py
+++ b/spoolcrank/runner_pools.py
@@ -15,6 +15,12 @@
     return pools
 
 
+def may_take_work(runner: RunnerState, now: float) -> bool:
+    """Return whether a runner would be usable if it answered now."""
+    available = now >= runner.quarantined_until and runner.isolated_for is None
+    return available and not runner.evacuated and runner.counts_as_capacity(now)
+
+
 def responsive_runners(state: Scheduler, now: float) -> dict[ServiceName, list[RunnerState]]:
     """Return the runners that may receive new work, without zones that seem partitioned.
 
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -260,14 +260,20 @@
 
     def answers(self, now: float) -> bool:
         """Return whether it answered this leader recently and is not about to end."""
+        recently = now - self.answered_at <= MAX_ANSWER_AGE_S
+        return self.adopted and recently and self.counts_as_capacity(now)
+
+    def counts_as_capacity(self, now: float) -> bool:
+        """Return whether nothing shows that it is silent, gone or about to end.
+
+        A leader of a large fleet asks only some of the runners without runs regularly.
+        """
         return (
-            self.adopted
-            and self.listed
+            self.listed
             and not self.gone
             and not self.entry.leaving
             and (self.leaving_from is None or now < self.leaving_from)
             and self.silent_since is None
-            and now - self.answered_at <= MAX_ANSWER_AGE_S
         )
 
     def quarantine(self, now: float) -> None:
@@ -335,29 +341,28 @@
                 and self.used_memory_mb + demand.memory_mb <= room.memory_mb
                 and self.used_accelerators + demand.accelerators <= room.accelerators
             )
-        reserved = [other.demand for key, other in self.reservations.items() if key != task]
-        demands = [demand, *reserved]
+        free = self.free(task)
         return (
-            self.used_millicores + sum(item.millicores for item in demands) <= room.millicores
-            and self.used_memory_mb + sum(item.memory_mb for item in demands) <= room.memory_mb
-            and self.used_accelerators + sum(item.accelerators for item in demands)
-            <= room.accelerators
+            demand.millicores <= free.millicores
+            and demand.memory_mb <= free.memory_mb
+            and demand.accelerators <= free.accelerators
         )
 
-    def free(self) -> Demand:
-        """Return the free capacity that is not reserved; a part is negative if it is overused."""
-        room, reserved = self.entry.room, self.reservations.values()
+    def free(self, task: TaskKey | None = None) -> Demand:
+        """Return the free capacity not reserved by others; a part is negative if overused."""
+        room = self.entry.room
         free = Demand(
             room.millicores - self.used_millicores,
             room.memory_mb - self.used_memory_mb,
             room.accelerators - self.used_accelerators,
         )
+        reserved = [other.demand for key, other in self.reservations.items() if key != task]
         if not reserved:
             return free
         return Demand(
-            free.millicores - sum(other.demand.millicores for other in reserved),
-            free.memory_mb - sum(other.demand.memory_mb for other in reserved),
-            free.accelerators - sum(other.demand.accelerators for other in reserved),
+            free.millicores - sum(part.millicores for part in reserved),
+            free.memory_mb - sum(part.memory_mb for part in reserved),
+            free.accelerators - sum(part.accelerators for part in reserved),
         )
 
     def drop_expired_reservations(self, now: float) -> None:
