Search runners for held fillers in turn

Cause: a search for runners for held fillers evaluates 4,000 pairs of task and runner and began each time with the job that has waited longest. With 100 runners the same 40 jobs that fit nowhere used up each search (with 300 runners 13), and no held filler behind them was ever tried: an accepted job beside idle runners, for good.

Change: a job that was searched for waits for its next turn as long as if one of its fillers had started.

--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -97,9 +97,12 @@
         return
     state.held_fillers_at = now
     search = _Search(pools)
-    for job in sorted(held, key=lambda held_job: held_job.started_at):
+    # Those of which no filler could start wait for their next turn as long as if one had.
+    held.sort(key=lambda job: max(job.started_at, job.held_search_at))
+    for job in held:
         if search.pairs_left <= 0:
             return
+        job.held_search_at = now
         _start_one(state, job, search, now)
 
 
--- a/spoolcrank/job_state.py
+++ b/spoolcrank/job_state.py
@@ -166,6 +166,7 @@
         idle_since: time when a run of it last ended or was ordered to stop; before the first, when
             the leader added the job or opened its first due round.
         passed_over_at: time of its last turn in which none of its tasks could start.
+        held_search_at: time of the last search for runners for its held fillers.
         objective_s: time from `accepted_at` within which it should finish.
         abandoned: runs that were given up before their ends were known, by accountable task; stored
             in the progress.
@@ -182,6 +183,7 @@
     started_at: float = 0.0
     idle_since: float = 0.0
     passed_over_at: float = -math.inf
+    held_search_at: float = -math.inf
     objective_s: float = 0.0
     abandoned: dict[TaskKey, AbandonedRuns] = field(default_factory=dict)
 
