Give each held job its line in turn

Cause: a check logged at most 4 of the 20 jobs that had waited longest beside free capacity, those first again after 2 s. With more than 20 held jobs the others were named nowhere, which reads as a job that the leader does not know.

Change: those logged longest ago come first; the limits of a check and of a job stay.

Evidence: tests/test_hold_lines.py, 31 held jobs, ten checks: ten or fewer of them named before, each of them now.

--- a/spoolcrank/hold_log.py
+++ b/spoolcrank/hold_log.py
@@ -1,5 +1,7 @@
 """Log the jobs that have nothing running beside free capacity, and for what each one is held."""
 
+import math
+
 from spoolcrank.hold_words import TASK_WAITS
 from spoolcrank.ids import JobId, ServiceName
 from spoolcrank.job_state import JobState
@@ -23,9 +25,6 @@
 """Share of a service's capacity that must be free for its waiting jobs to be logged. With less,
 they wait for others to end."""
 
-MAX_HELD_JOBS = 20
-"""Maximum number of jobs considered in one check, those with nothing running for longest."""
-
 MAX_HOLD_LINES = 4
 """Maximum number of lines of one check. Each evaluates all runners for one task."""
 
@@ -38,11 +37,15 @@
     watch.checked_at = now
     held_jobs = _held_jobs(state, now)
     watch.held = len(held_jobs)
-    recent = {job: at for job, at in watch.logged_at.items() if now - at < HOLD_REPEAT_S}
-    watch.logged_at = recent
-    for job in [job for job in held_jobs[:MAX_HELD_JOBS] if job.id not in recent][:MAX_HOLD_LINES]:
-        recent[job.id] = now
-        _log_hold(state, job, now)
+    watch.logged_at = {
+        job.id: watch.logged_at[job.id] for job in held_jobs if job.id in watch.logged_at
+    }
+    # Those logged longest ago come first, so that each of them gets its line.
+    held_jobs.sort(key=lambda job: watch.logged_at.get(job.id, -math.inf))
+    for job in held_jobs[:MAX_HOLD_LINES]:
+        if now - watch.logged_at.get(job.id, -math.inf) >= HOLD_REPEAT_S:
+            watch.logged_at[job.id] = now
+            _log_hold(state, job, now)
 
 
 def _held_jobs(state: Scheduler, now: float) -> list[JobState]:
--- a/tests/test_hold_lines.py
+++ b/tests/test_hold_lines.py
@@ -116,6 +116,19 @@
     assert max(counts) <= MAX_HOLD_LINES
 
 
+def test_each_of_many_held_jobs_gets_a_line() -> None:
+    """Guards against jobs that wait and are named nowhere, as others have waited longer."""
+    state = capacity_hold()
+    names = {f"{number:04x}" for number in range(30)}
+    for number, name in enumerate(sorted(names)):
+        add_job(state, name, SHORT, number + 1)
+    named: set[str] = set()
+    for number in range(10):
+        log_holds_periodically(state, NOW + MIN_HELD_S + number * HOLD_CHECK_INTERVAL_S)
+        named |= {task.job for line in _waits(state) if isinstance(task := line["task"], TaskKey)}
+    assert names <= named
+
+
 def test_a_wait_ends_when_a_run_ends() -> None:
     """The time since the last run counts, not the time since the job was accepted."""
     state = bound_hold(RunStage.RUNNING)
