Add a failing test of a gang wider than a leader keeps ready

Known red: the leader would have to ask more runners within 2.5 s than its processor is given for polls; five times what it keeps ready is the widest gang that starts.

--- a/tests/test_polls_for_waiting_work.py
+++ b/tests/test_polls_for_waiting_work.py
@@ -94,3 +94,10 @@
     _wait_for_start(world, "b000", starts=2, limit_s=MAX_RESTART_S)
     world.crashing.clear()
     _wait_for_start(world, "b000", starts=3, limit_s=MAX_RESTART_S)
+
+
+def test_a_gang_wider_than_what_is_kept_ready_starts(world: World) -> None:
+    """Guards against a gang that never finds all its runners ready at one time."""
+    leading = _leading(world)
+    leading.submit("b000", Step(count=200, millicores=8000, memory_mb=100, gang=True))
+    _wait_for_start(world, "b000", starts=200)
