--- a/spoolcrank/binding.py
+++ b/spoolcrank/binding.py
@@ -2,7 +2,8 @@
 
 from spoolcrank.job_state import NO_RUNNER, JobState
 from spoolcrank.pending_writes import BoundRun
-from spoolcrank.runner_state import Reservation, RunnerState
+from spoolcrank.reservation import Reservation
+from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.workflow import Phase, RunnerId, TaskKey
--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from spoolcrank.ids import Address, AvailabilityZone, ServiceName
+from spoolcrank.reservation import Reservation
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.workflow import Demand, RunnerId, TaskKey
 
@@ -31,8 +32,8 @@
 each quarantine, up to MAX_QUARANTINE_S."""
 
 SERVING_USE_SHARE = 0.5
-"""Share of its declared processors that a serving task is assumed to use. The site files state
-a load of 0.48, which fluctuates. When serving tasks need more than this, the fillers yield."""
+"""Share of its declared processors that a serving task is assumed to use. When serving tasks need
+more than this, the fillers yield."""
 
 ASSUMED_PACE_PERCENT = 50
 """Pace, in percent, that is assumed for a filler whose pace may or may not have been set: after
@@ -80,13 +81,6 @@
     )
 
 
-class Reservation(NamedTuple):
-    """Capacity reserved, until a monotonic time, for a task that is moving from another runner."""
-
-    demand: Demand
-    until: float
-
-
 class FillerHeadroom(NamedTuple):
     """Headroom that the serving tasks of one runner leave for one more filler.
 
--- a/tests/test_missed_steps.py
+++ b/tests/test_missed_steps.py
@@ -13,7 +13,8 @@
 from spoolcrank.openings import Shortage, fits_nowhere, scope_of, size_of
 from spoolcrank.packing import PlacementRequest, choose
 from spoolcrank.placing import place
-from spoolcrank.runner_state import Reservation, RunnerEntry, RunnerState
+from spoolcrank.reservation import Reservation
+from spoolcrank.runner_state import RunnerEntry, RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import FILLER_RETRY_S
