Poll fewer idle runners while the leader is short of processor time

Cause: while work waits a leader sends three times as many polls of runners without runs, idle ones and first ones. Where these take the processor time that reading the list of runners needs, the list grows old, nothing is placed, work goes on waiting, and the polls go on. Nothing ended that.

Change: polls of runners without runs follow how late the leader's ticks come, down to a tenth and back within 2 s, and checks of all runners down to a quarter. While nothing can be placed anyhow, as what was read is too old, they are not tripled.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -251,6 +251,7 @@
             else:
                 self._claiming.claim_or_offer(now)
             return
+        scheduler.polls.record_tick(now, TICK_S)
         if self.leadership.may_extend(now):
             due = partial(run_periodic_work, scheduler, self._preassignments, self._regrouping, now)
             self._guard(scheduler, due)
--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -31,9 +31,11 @@
     )
 
 
-def _factor(waiting: NeedsInTurn) -> int:
+def _factor(state: Scheduler, waiting: NeedsInTurn) -> float:
     """Return by how much the polls of runners without runs differ from the usual number."""
-    return WAITING_WORK_FACTOR if waiting.needs else 1
+    if state.placing_blocked or not waiting.needs:
+        return state.polls.share
+    return state.polls.share * WAITING_WORK_FACTOR
 
 
 def limit_first_polls(
@@ -54,7 +56,7 @@
     if not unhurried:
         return hurried
     waiting = needs_in_turn(state, state.polls.first_turns)
-    taken = state.polls.first.take(len(unhurried), now, _factor(waiting))
+    taken = state.polls.first.take(len(unhurried), now, _factor(state, waiting))
     if not taken:
         return hurried
     last = order(unhurried[taken - 1])
@@ -84,7 +86,7 @@
     if len(state.runners) <= state.polls.max_ready:
         return []
     waiting = needs_in_turn(state, state.polls.idle_turns)
-    limit = int(state.polls.max_ready * _factor(waiting))
+    limit = int(state.polls.max_ready * _factor(state, waiting))
     if len(state.runners) <= limit:
         return []
     ready = sum(
@@ -94,7 +96,7 @@
     )
     room = max(0, limit - ready)
     if waiting.needs:
-        room = max(room, state.polls.in_turn.take(len(due), now))
+        room = max(room, state.polls.in_turn.take(len(due), now, state.polls.share))
     if not room:
         return due
     if not waiting.needs:
--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -79,6 +79,7 @@
     ):
         monitor.block_logged = True
         state.log_event("places-nothing", why=block.value, list_age_s=round(list_age_s, 2))
+    state.placing_blocked = block is not PlacingBlock.NONE
     state.places_nothing = monitor.block_logged
 
 
--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -22,6 +22,21 @@
 """Number of first polls of runners without runs that a new leader may send at once, for each of its
 processors; a third of a second of its time."""
 
+LATE_TICK_S = 0.05
+"""Delay of the leader's periodic work from which its processor counts as too busy for all polls, in
+seconds; half of the period."""
+
+LESS_SHARE = 0.7
+MORE_SHARE = 0.05
+"""Factor and summand by which the polls of runners without runs change after a late or a timely
+tick: from all of them to the least within 0.7 s, and back within 2 s."""
+
+MIN_SHARE = 0.1
+"""Smallest share of the polls of runners without runs. Without any, no new work could start."""
+
+MIN_CHECKS_SHARE = 0.25
+"""Smallest share of CHECKS_PER_S; runners with runs have to be polled well within their leases."""
+
 
 @dataclass
 class Turns:
@@ -48,12 +63,16 @@
         self._left = burst
         self._refilled_at = -math.inf
 
-    def take(self, wanted: int, now: float, factor: int = 1) -> int:
-        """Return how many of the wanted polls to send now, at `factor` times the rate."""
+    def take(self, wanted: int, now: float, factor: float = 1.0) -> int:
+        """Return how many of the wanted polls to send now, at `factor` times the rate.
+
+        A factor below 1 also reduces the number of polls at once.
+        """
         if math.isinf(self._burst):
             return wanted
         since_s = now - max(self._refilled_at, now - 1.0)
-        self._left = min(self._burst, self._left + since_s * self._per_s * factor)
+        burst = self._burst * min(1.0, factor)
+        self._left = min(burst, self._left + since_s * self._per_s * factor)
         self._refilled_at = now
         taken = max(0, min(wanted, int(self._left)))
         self._left -= taken
@@ -68,6 +87,7 @@
 
     Attributes:
         max_ready: number of idle runners that are polled often enough to get new work.
+        share: share of the polls of runners without runs that the leader has time for.
         first: limit of the first polls of runners without runs. A new leader may send many of them
             at once.
         in_turn: limit of the polls of idle runners for waiting work that are sent although as many
@@ -79,15 +99,31 @@
     def __init__(self, processors: float = math.inf) -> None:
         polls_per_s = processors * IDLE_POLLS_PER_CORE_S
         self.max_ready = max(1.0, polls_per_s * IDLE_POLL_INTERVAL_S)
+        self.share = 1.0
         self.first = _RateLimit(processors * FIRST_POLLS_PER_CORE, polls_per_s)
         self.in_turn = _RateLimit(max(1.0, polls_per_s), polls_per_s)
         self.idle_turns = Turns()
         self.first_turns = Turns()
         self._next_check_at = -math.inf
+        self._ticked_at = -math.inf
+
+    def record_tick(self, now: float, period_s: float) -> None:
+        """Adapt the polls of runners without runs to whether a tick of the leader came late.
+
+        Polls that keep the leader from reading the list of runners keep it from placing work, and
+        more polls are then sent for the work that waits.
+        """
+        late_s = now - self._ticked_at - period_s
+        self._ticked_at = now
+        if LATE_TICK_S < late_s < math.inf:
+            self.share = max(MIN_SHARE, self.share * LESS_SHARE)
+        else:
+            self.share = min(1.0, self.share + MORE_SHARE)
 
     def may_check(self, runners: int, now: float) -> bool:
         """Return whether to check the runners for due polls now, and count the check if so."""
         if now < self._next_check_at:
             return False
-        self._next_check_at = now + max(0, runners - RUNNERS_CHECKED_ALWAYS) / CHECKS_PER_S
+        checks_per_s = CHECKS_PER_S * max(MIN_CHECKS_SHARE, self.share)
+        self._next_check_at = now + max(0, runners - RUNNERS_CHECKED_ALWAYS) / checks_per_s
         return True
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -76,7 +76,8 @@
         ready: ids of the jobs that may have tasks to place, used as an ordered set.
         placing: pass over the waiting work in progress.
         last_pass: the last pass that was completed.
-        places_nothing: whether no task may be placed now, as what was read is too old.
+        placing_blocked: whether no task may be placed now, as what was read is too old.
+        places_nothing: whether that was logged, as it has lasted for a while.
         hold_watch: what was logged of jobs that wait beside free capacity.
         held_fillers_at: time of the last search for held fillers, monotonic seconds.
         ended: ended jobs whose records are still stored, with the time of their end.
@@ -117,6 +118,7 @@
         self.placing = PlacingPass()
         self.last_pass = PlacingPass()
         self.hold_watch = HoldWatch()
+        self.placing_blocked = False
         self.places_nothing = False
         self.filler_refusals: dict[Scope, FillerRefusal] = {}
         self.held_fillers_at = -math.inf
