Let a test of a standstill wait until its request is read

Seen: in a run of the whole suite at load 15 to 20, on (own interface untouched): the instance had not read the request 0.3 s after it was sent, so the play never began (its own check 'one request waits' failed), and the connection got no answer. A fixed pause stood for an event.

Change: the test waits for that event, as long as for the end of a stop. What it checks afterwards stays as it was.

--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -250,7 +250,9 @@
     entry.callers.give_up = give_up  # type: ignore[method-assign]
     runtime.run_in_thread()
     answer = ask(f"127.0.0.1:{entry.web.port}", render("GET", "a", "/services/x/"))
-    time.sleep(0.3)
+    read_by = time.monotonic() + END_TIMEOUT_S
+    while not waiting and time.monotonic() < read_by:
+        time.sleep(0.01)
     runtime.post(stand_still)
     assert answer().endswith(b"given up")
     assert runtime._ended.wait(10.0)
