Append large records to the log in several batches

Seen by callers: after four jobs of 0.7 MB at once at one entry instance three were answered "the log did not confirm the record in time" (504) and every later job "the log is down" (503), without an end; as it placed nothing either, its servers stood idle.

Cause: a batch took up to 100 records whatever their size. The log takes 1 MiB in one request and refuses more (413); the same batch was sent again for ever, in front of all other records, and each refusal counted as a failure of the log.

Change: a batch takes no further record from 0.5 MiB on. Jobs and commands larger than one append are refused at once (413).

Why it works: what cannot be stored leaves the queue, and the order of the others stays. Left: the end of a task whose checkpoint is larger than one append is dropped each time it is repeated.

--- a/spoolcrank/jobs_api.py
+++ b/spoolcrank/jobs_api.py
@@ -15,6 +15,7 @@
 from spoolcrank.ids import CommandId, JobId, unique
 from spoolcrank.jobs import JobSpec, TaskState, parse_job
 from spoolcrank.ledger import Job, Ledger, Task, job_state
+from spoolcrank.log_link import is_too_large
 from spoolcrank.logs import log
 from spoolcrank.membership import refuse_unlisted
 from spoolcrank.metrics import Metrics
@@ -142,6 +143,10 @@
         if not self._controller.core.log_status(time.monotonic()).log_ok:
             self.refuse(Refusal(ErrorKind.LOG_UNAVAILABLE, "the log is down", "", 1.0), reply)
             return
+        if is_too_large(record):
+            detail = "the log accepts no record of this size"
+            self.refuse(Refusal(ErrorKind.TOO_LARGE, detail, "body"), reply)
+            return
         done = False
 
         def applied() -> None:
--- a/spoolcrank/log_link.py
+++ b/spoolcrank/log_link.py
@@ -20,6 +20,7 @@
 from spoolcrank.ids import Address, Incarnation, Offset
 from spoolcrank.ledger import Ledger, load
 from spoolcrank.ledger import dump as dump_ledger
+from spoolcrank.logs import log
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import (
     CONFIG_STREAM,
@@ -34,7 +35,17 @@
 )
 
 MAX_QUEUED_RECORDS = 2000
+MAX_APPEND_BYTES = 1 << 20
+"""Maximum size of the body of one append that the log accepts, in bytes."""
+
+_MAX_ENVELOPE_BYTES = 1 << 10
+"""Maximum size of what surrounds a record in an append of its own, in bytes."""
+
 _MAX_BATCH_RECORDS = 100
+_MAX_BATCH_BYTES = MAX_APPEND_BYTES // 2
+"""Size of the records of one append from which it takes no further record, in bytes."""
+
+_HTTP_TOO_LARGE = 413
 _APPEND_TIMEOUT_S = 2.0
 _READ_WAIT_S = 0.5
 _READ_TIMEOUT_S = 3.0
@@ -63,6 +74,7 @@
 
 class _QueuedRecord(NamedTuple):
     envelope: Envelope
+    text: str
     on_applied: OnApplied | None
 
 
@@ -128,7 +140,7 @@
             return None
         self._seq += 1
         envelope = Envelope(writer=self._writer, seq=self._seq, at=time.time(), record=record)
-        self._outbox.append(_QueuedRecord(envelope, on_applied))
+        self._outbox.append(_QueuedRecord(envelope, json.dumps(dump(envelope)), on_applied))
         self._schedule()
         return self._seq
 
@@ -161,7 +173,11 @@
         self._scheduled = False
         if self._in_flight or not self._outbox:
             return
+        size = 0
         while self._outbox and len(self._in_flight) < _MAX_BATCH_RECORDS:
+            size += len(self._outbox[0].text)
+            if self._in_flight and size > _MAX_BATCH_BYTES:
+                break
             self._in_flight.append(self._outbox.popleft())
         self._send_batch()
 
@@ -170,7 +186,7 @@
             return
         self._sent_at = time.monotonic()
         last_seq = self._in_flight[-1].envelope.seq
-        body = {"records": [dump(queued.envelope) for queued in self._in_flight]}
+        records = ",".join(queued.text for queued in self._in_flight)
         self._metrics.incr("log.appends")
         self._metrics.incr("log.records", len(self._in_flight))
         call = HttpCall(
@@ -178,7 +194,7 @@
             "POST",
             f"/streams/{CONTROL_STREAM}/records",
             {"Content-Type": "application/json"},
-            json.dumps(body).encode(),
+            f'{{"records": [{records}]}}'.encode(),
             _APPEND_TIMEOUT_S,
         )
         self._http.send(call, lambda result: self._on_appended(last_seq, result))
@@ -189,11 +205,30 @@
             return
         reason = result.failed.value if result.failed else str(result.status)
         self._metrics.incr(f"retry.append.{reason}")
+        if result.failed is None and result.status == _HTTP_TOO_LARGE:
+            self._on_too_large(last_seq)
+            return
         self.fire(log_failed())
         delay_s = self._append_delay_s
         self._append_delay_s = min(_MAX_RETRY_S, delay_s * _BACKOFF_FACTOR)
         self._timers.after(delay_s, lambda: self._resend(last_seq))
 
+    def _on_too_large(self, last_seq: int) -> None:
+        """Send fewer records at once; drop a single one, which would hold back all behind it."""
+        if not self._in_flight or self._in_flight[-1].envelope.seq != last_seq:
+            return
+        if len(self._in_flight) > 1:
+            kept = len(self._in_flight) // 2
+            self._outbox.extendleft(reversed(self._in_flight[kept:]))
+            del self._in_flight[kept:]
+            self._send_batch()
+            return
+        for queued in self._in_flight:
+            kind = queued.envelope.record.kind
+            log("log.record-too-large", kind=kind, bytes=len(queued.text))
+        self._in_flight.clear()
+        self._schedule()
+
     def _resend(self, last_seq: int) -> None:
         if self._in_flight and self._in_flight[-1].envelope.seq == last_seq:
             self._send_batch()
@@ -303,6 +338,11 @@
         return HttpCall(self._address, "GET", path, {}, b"", timeout_s)
 
 
+def is_too_large(record: AnyRecord) -> bool:
+    """Return whether a record is larger than what the log accepts in one append."""
+    return len(json.dumps(dump(record))) + _MAX_ENVELOPE_BYTES > MAX_APPEND_BYTES
+
+
 def _parse_page(result: HttpResult) -> dict[str, Any] | None:
     if not result.ok:
         return None
