Keep a suspect server that may not host a task from hiding the others

Seen in a test: a repeatable batch task of a class whose noise is not known got no server beside a free one (obstacle "interference"), as long as a suspect server that is closed to noisy work, or sheltered, was due for a probe. Nobody could probe it, so that lasted `patience_s` (30 s).

Cause: suspects due for a probe were put in place of all other servers first, and only then those were left out that may not host the task.

Evidence: the new test failed before (no server, "interference").

Change: first leave out what may not host the task, then choose between a probe and the others.

--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -153,19 +153,19 @@
     eligible = [capacity for capacity in capacities if size.fits_in(_free_for(capacity, reserve))]
     if not eligible:
         return Choice(None, Obstacle.NO_ROOM)
-    eligible = _without_suspects(eligible, spec)
-    if not eligible:
+    usable_servers = _without_suspects(eligible, spec)
+    if not usable_servers:
         return Choice(None, Obstacle.NO_SERVER)
     if may_wait and spec.job_class is JobClass.BATCH and policy.interference.enabled:
-        eligible = [
-            capacity for capacity in eligible if _may_host(capacity, spec, noisiness, policy)
-        ]
-        if not eligible:
+        # A suspect server that may not host the task is no reason to pass over the others.
+        hosts = [capacity for capacity in eligible if _may_host(capacity, spec, noisiness, policy)]
+        usable_servers = _without_suspects(hosts, spec)
+        if not usable_servers:
             return Choice(None, Obstacle.INTERFERENCE)
     if policy.placement.strategy == "first-fit":
-        return Choice(min(eligible, key=lambda capacity: capacity.server).server)
+        return Choice(min(usable_servers, key=lambda capacity: capacity.server).server)
     failed = set(failed_on)
-    best = min(eligible, key=lambda capacity: _cost(capacity, size, spec, failed, used_racks))
+    best = min(usable_servers, key=lambda capacity: _cost(capacity, size, spec, failed, used_racks))
     return Choice(best.server)
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -119,3 +119,17 @@
     reason = placement.never_fits(spec(size=Size(processors=30.0)), instances, DEFAULT)
     assert "nearest backend-32 has 24 processors" in reason
     assert placement.never_fits(spec(size=Size(processors=20.0)), instances, DEFAULT) == ""
+
+
+def test_a_suspect_server_that_may_not_host_a_task_keeps_it_from_no_other() -> None:
+    """A task waited for the probe of a suspect server that is closed to work of unknown noise.
+
+    That server could be probed by nobody and stayed due for a probe, so that all repeatable batch
+    work of such classes waited for `patience_s`, 30 s, beside servers that could take it.
+    """
+    closed = {"suspect": True, "probe": True, "batch": False}
+    servers = [capacity("good"), capacity("bad", **closed)]
+    assert choose(spec(), servers, None).server == "good"
+    sheltered = [capacity("good"), capacity("bad", suspect=True, probe=True, sheltered=True)]
+    assert choose(spec(), sheltered, None).server == "good"
+    assert choose(spec(), sheltered, 0.0).server == "bad"
