Hand servers over to peers that read the log, if their owner cannot

Seen in tests: a task that only one server could take waited without an end (60 s played) while that server's owner, alone, could not read the log; so did a new server that the hash gave to it, which nobody claimed. Peers heard the owner, so it kept its servers and placed nothing on them.

Cause: handovers needed the log on both sides, and neither the choice of an owner for a vacant server nor that of a successor asked whether the instance reads the log, though heartbeats say so.

Change: an owner that has not read the log for 6 s hands all its servers to peers of its zone that do; while some do, only those claim vacant servers and are handed any.

Why it works: a handover needs no log, and the worker refuses the old epoch from then on. Placements that the old owner appended and did not read back take effect only if they precede the new owner's claim on the log, which has then read them.

--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -146,6 +146,7 @@
         actions += ownership_transfer.take_vacant(core, now)
         actions += ownership_transfer.confirm_claims(core, now)
         actions += ownership_transfer.rebalance(core, now)
+        actions += ownership_transfer.hand_over_without_log(core, now)
     for owned in list(core.owned.values()):
         actions += servers.poll(owned, core.ledger, core.policy, now)
         actions += _recover(core, owned, now)
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -193,18 +193,29 @@
 
 
 def owners_of_zone(
-    members: Members, ledger: Ledger, policy: Policy, now: float
+    members: Members, ledger: Ledger, reads_log: bool, policy: Policy, now: float
 ) -> list[InstanceId]:
-    """Return the entry instances of our zone that may own servers, sorted by name."""
-    eligible = []
+    """Return the entry instances of our zone that should own servers, sorted by name.
+
+    An owner that cannot read the log places nothing, so while some can, only those are returned.
+
+    Args:
+        members: What we know of the fleet.
+        ledger: The ledger, for drains.
+        reads_log: Whether we ourselves can read the log.
+        policy: The configuration in force.
+        now: The present time, in monotonic seconds.
+    """
+    eligible = {}
     for peer in members.peers.values():
         heartbeat = peer.heartbeat
         same_zone = heartbeat.zone == members.zone and heartbeat.ready and not heartbeat.leaving
         if same_zone and is_alive(members, heartbeat.sender, policy, now):
-            eligible.append(heartbeat.sender)
+            eligible[heartbeat.sender] = heartbeat.log_ok
     if not members.leaving:
-        eligible.append(members.me)
-    return sorted(entry for entry in eligible if not is_drained(members, entry, ledger))
+        eligible[members.me] = reads_log
+    usable = {entry for entry in eligible if not is_drained(members, entry, ledger)}
+    return sorted({entry for entry in usable if eligible[entry]} or usable)
 
 
 def servers_of_zone(members: Members) -> list[Instance]:
--- a/spoolcrank/ownership.py
+++ b/spoolcrank/ownership.py
@@ -61,9 +61,11 @@
     claim: Claim | None
 
 
-def vacancies(members: Members, ledger: Ledger, policy: Policy, now: float) -> list[Vacancy]:
+def vacancies(
+    members: Members, ledger: Ledger, reads_log: bool, policy: Policy, now: float
+) -> list[Vacancy]:
     """Return the vacant servers of our zone for which we are the preferred owner."""
-    owners = owners_of_zone(members, ledger, policy, now)
+    owners = owners_of_zone(members, ledger, reads_log, policy, now)
     if members.me not in owners:
         return []
     claimable = []
@@ -78,10 +80,15 @@
 
 
 def successor(
-    members: Members, ledger: Ledger, server: InstanceId, policy: Policy, now: float
+    members: Members,
+    ledger: Ledger,
+    server: InstanceId,
+    reads_log: bool,
+    policy: Policy,
+    now: float,
 ) -> InstanceId | None:
     """Return the peer that should own one of our servers instead of us, if any."""
-    owners = owners_of_zone(members, ledger, policy, now)
+    owners = owners_of_zone(members, ledger, reads_log, policy, now)
     best = preferred(server, owners)
     return None if best in (None, members.me) else best
 
--- a/spoolcrank/ownership_transfer.py
+++ b/spoolcrank/ownership_transfer.py
@@ -16,6 +16,9 @@
 _HANDOVER_INTERVAL_S = 0.5
 # Time for which we own a server before we hand it over to the preferred owner.
 _MIN_OWNED_S = 2.0
+# Time without the log after which we hand our servers over to peers that read it. Where it fails
+# for all, each instance counts it as failed after 4 s, and its peers know that within 2 s more.
+_MAX_OWNED_WITHOUT_LOG_S = 6.0
 # Inherited slots while the previous owner's requests are not known: more than any runner has.
 _ALL_SLOTS_BUSY = 1 << 20
 
@@ -107,7 +110,9 @@
     """Claim the vacant servers that we should own, or own them in interim while the log is down."""
     actions: list[CoreAction] = []
     log_status = core.log_status(now)
-    for vacancy in ownership.vacancies(core.members, core.ledger, core.policy, now):
+    for vacancy in ownership.vacancies(
+        core.members, core.ledger, log_status.log_ok, core.policy, now
+    ):
         if log_status.log_ok:
             actions += _claim(core, vacancy.server, now, _highest_epoch(core, vacancy.server))
         elif vacancy.server not in core.owned and vacancy.claim is not None:
@@ -165,16 +170,39 @@
     if now - core.last_handover_at < _HANDOVER_INTERVAL_S or not core.log_status(now).log_ok:
         return []
     for owned in core.owned.values():
-        settled = now - owned.claimed_at > _MIN_OWNED_S
-        if not settled or owned.phase is not Phase.READY or owned.placing or owned.waiting:
+        if owned.phase is not Phase.READY or owned.placing or owned.waiting:
             continue
-        new_owner = ownership.successor(core.members, core.ledger, owned.server, core.policy, now)
+        new_owner = _successor(core, owned, now)
         if new_owner is not None:
             core.last_handover_at = now
             return hand_over(core, owned.server, new_owner, now)
     return []
 
 
+def hand_over_without_log(core: Core, now: float) -> list[CoreAction]:
+    """Hand every server over to a peer that reads the log, if we have not read it for long.
+
+    Placements that we appended and did not read back take effect only if they precede the claim of
+    the new owner on the log, which has then read them.
+    """
+    if now - core.log_ok_at < _MAX_OWNED_WITHOUT_LOG_S:
+        return []
+    actions: list[CoreAction] = []
+    for owned in list(core.owned.values()):
+        new_owner = _successor(core, owned, now)
+        if new_owner is not None and core.members.peers[new_owner].heartbeat.log_ok:
+            actions += hand_over(core, owned.server, new_owner, now)
+    return actions
+
+
+def _successor(core: Core, owned: OwnedServer, now: float) -> InstanceId | None:
+    """Return the peer that should own one of our servers, once we have owned it for a while."""
+    if now - owned.claimed_at <= _MIN_OWNED_S:
+        return None
+    reads_log = core.log_status(now).log_ok
+    return ownership.successor(core.members, core.ledger, owned.server, reads_log, core.policy, now)
+
+
 def hand_over(
     core: Core, server: InstanceId, new_owner: InstanceId, now: float
 ) -> list[CoreAction]:
@@ -191,7 +219,9 @@
     core.members.leaving = True
     actions: list[CoreAction] = []
     for owned in list(core.owned.values()):
-        new_owner = ownership.successor(core.members, core.ledger, owned.server, core.policy, now)
+        new_owner = ownership.successor(
+            core.members, core.ledger, owned.server, core.log_status(now).log_ok, core.policy, now
+        )
         if new_owner is not None:
             actions += hand_over(core, owned.server, new_owner, now)
     return actions
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -99,6 +99,10 @@
             for other in (*OWNERS, "log"):
                 self.world.cut |= {(owner, other), (other, owner)}
 
+        @rule(owner=owners)
+        def cut_log(self, owner: str) -> None:
+            self.world.cut.add((owner, "log"))
+
         @rule(owner=owners)
         def hold(self, owner: str) -> None:
             self.world.holding.add(owner)
