Leave the refusal of a job to an instance that reads the log

Seen in a test: jobs that fit on no instance stayed pending while one entry instance, alone, could not read the log: of nine jobs some were refused, some not, without an end.

Cause: a hash names the instance that refuses a job, among all that send heartbeats; one that cannot read the log refuses nothing, and one that leaves neither.

Evidence: the test failed before with each of the three instances cut off (pending after 12 s).

Change: the hash chooses among those whose heartbeats say that they read the log and don't leave.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -38,13 +38,13 @@
     backends = [
         instance for instance in core.members.listed.values() if instance.role is Role.BACKEND
     ]
-    alive = membership.alive_entries(core.members, core.policy, now)
+    deciding = membership.deciding_entries(core.members, core.policy, now)
     for task in core.ledger.waiting():
         first_seen_at = core.first_seen.setdefault(task.id, now)
         job = core.ledger.jobs[task.job]
         if now - first_seen_at < _REFUSE_AFTER_S or job.id in core.refusals_sent:
             continue
-        if ownership.preferred(job.id, alive) != core.members.me:
+        if ownership.preferred(job.id, deciding) != core.members.me:
             continue
         reason = _missed_deadline(job.spec.deadline_s, job.at, wall)
         if not reason and membership.is_list_fresh(core.members, now) and core.is_config_fresh(now):
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -170,6 +170,22 @@
     ]
 
 
+def deciding_entries(members: Members, policy: Policy, now: float) -> list[InstanceId]:
+    """Return the listed entry instances that decide about jobs: ourselves among them.
+
+    A peer that leaves, or that cannot read the log, decides nothing.
+    """
+    return [
+        entry
+        for entry in alive_entries(members, policy, now)
+        if entry == members.me or _decides(members.peers[entry].heartbeat)
+    ]
+
+
+def _decides(heartbeat: Heartbeat) -> bool:
+    return heartbeat.log_ok and not heartbeat.leaving
+
+
 def is_incarnation_alive(
     members: Members, instance: InstanceId, incarnation: Incarnation, policy: Policy, now: float
 ) -> bool:
--- a/tests/test_owners_without_log.py
+++ b/tests/test_owners_without_log.py
@@ -1,17 +1,18 @@
 """Work beside servers whose owner, alone among its peers, cannot read the log.
 
 An owner places tasks only while it reads the log, and goes on commanding its servers as long as
-peers hear it. The tests guard against servers that stand idle for as long as one instance is cut
-off from the log.
+peers hear it. The tests guard against servers that stand idle, and jobs that nobody refuses, for
+as long as one instance is cut off from the log.
 """
 
 import pytest
 
 from spoolcrank.fleet import Instance
 from spoolcrank.ids import InstanceId
+from spoolcrank.jobs import TaskState
 from spoolcrank.ownership import preferred
 from tests import world as worlds
-from tests.world import OWNERS, SERVERS, STEP_S, World
+from tests.world import CAPACITY, OWNERS, SERVERS, STEP_S, World
 
 MAX_WAIT_S = 12.0
 NEW_SERVER = "backend-3"
@@ -90,3 +91,17 @@
     assert {server: _owner_of(world, server) for server in SERVERS} == before
     owned = [world.owners[before[server]].core.owned[InstanceId(server)] for server in SERVERS]
     assert [each.epoch for each in owned] == epochs
+
+
+@pytest.mark.parametrize("name", OWNERS)
+def test_a_job_that_fits_nowhere_is_refused_beside_an_instance_without_the_log(name: str) -> None:
+    """Its job stayed pending, as the hash left the refusal to the instance without the log."""
+    world = World()
+    _cut_log(world, name)
+    world.advance(1.0)
+    for _ in range(9):
+        world.submit(1, 1.0, True, processors=2 * CAPACITY.processors)
+    world.advance(MAX_WAIT_S)
+    reader = next(other for other in OWNERS if other != name)
+    tasks = world.owners[reader].core.ledger.tasks.values()
+    assert {task.state for task in tasks} == {TaskState.REFUSED}
