Repeat a refusal that found the append queue full

Seen in a test: a job that fits on no instance stayed pending for good, if the record of its refusal was not appended because 2,000 others waited for the log.

Cause: an instance decides a refusal once; only placements were dropped when they were not appended.

Evidence: the test failed before (the task pending 20 s after the queue took records again).

Change: a refusal that was not appended is forgotten, and so decided again on the next tick.

--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -22,7 +22,7 @@
 from spoolcrank.membership import Heartbeat
 from spoolcrank.owned_server import Action, OwnedServer, Phase
 from spoolcrank.policy import Policy
-from spoolcrank.records import AnyRecord, Claimed, Ended, Entry, Placed
+from spoolcrank.records import AnyRecord, Claimed, Ended, Entry, JobRefused, Placed
 from spoolcrank.resources import Resources
 from spoolcrank.server_commands import evict, throttle
 from spoolcrank.slot_use import assume_all_busy, record_busy
@@ -83,11 +83,14 @@
 
 
 def on_not_appended(core: Core, record: AnyRecord) -> None:
-    """Drop a placement that will never reach the log because the append queue was full.
+    """Drop a decision that will never reach the log because the append queue was full.
 
-    All other records are decided again on a later tick. A placement that is not dropped would
-    hold its capacity, and keep its task from being placed, permanently.
+    A placement that is not dropped would hold its capacity, and keep its task from being placed,
+    permanently; a job's refusal is decided only once. All other records are decided again on a
+    later tick.
     """
+    if isinstance(record, JobRefused):
+        core.refusals_sent.pop(record.job, None)
     if isinstance(record, Placed):
         owned = core.owned.get(record.server)
         if owned is not None and owned.placing.get(record.task) == record:
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -3,6 +3,7 @@
 import pytest
 
 from spoolcrank import assignment
+from spoolcrank.core import on_not_appended
 from spoolcrank.ids import TaskId
 from spoolcrank.jobs import TaskState
 from spoolcrank.lost_tasks import Crash
@@ -117,3 +118,18 @@
     world.advance(MAX_WAIT_S)
     states = [core.ledger.tasks[TaskId(f"job-3.{number}")].state for number in range(3)]
     assert states == [TaskState.PENDING, TaskState.FINISHED, TaskState.FINISHED]
+
+
+def test_a_refusal_that_never_reached_the_log_is_repeated() -> None:
+    """A refusal was decided once; one that found the append queue full was never made again."""
+    world = World()
+    world.submit(1, 1.0, True, processors=2 * CAPACITY.processors)
+    began_at = world.now
+    while world.now - began_at < 4.0:
+        world.advance(0.25)
+        for owner in world.owners.values():
+            for envelope in owner.outbox:
+                on_not_appended(owner.core, envelope.record)
+            owner.outbox.clear()
+    world.advance(MAX_WAIT_S)
+    assert world.open_tasks() == []
