Let twice as many owners place a task after each turn

Seen in a test: a task that only one server could take started up to 3.0 s after its submission with 12 entry instances and 10.5 s with 40, beside that idle server.

Cause: a hash puts the owners in order, and each one before the server's own had 0.3 s (`next_owner_s`) to place the task. All with enough free capacity are in that order, also those that may not use it: the share reserved for urgent work here, as well as sheltered, slow or suspect servers and such that a suspected task has just started on. So the wait grew with the fleet.

Evidence: the test failed before in its three sizes (1.25, 3.0, 10.5 s).

Change: after each `next_owner_s` twice as many owners may place the task.

Two owners that place the same task are settled by the order of the log, as before.

--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -109,10 +109,12 @@
 def may_place_now(order: list[InstanceId], me: InstanceId, waited_s: float, policy: Policy) -> bool:
     """Return whether a task has waited long enough for us to place it.
 
-    Each owner before us in `order` has `next_owner_s` to place the task first.
+    The first owner in `order` places it at once, and after each further `next_owner_s` twice as
+    many owners may: those before us may have room for the task and yet not place it.
     """
     rank = order.index(me) if me in order else len(order)
-    return waited_s >= rank * policy.placement.next_owner_s
+    turns = (rank + 1).bit_length() - 1
+    return waited_s >= turns * policy.placement.next_owner_s
 
 
 def within_quota(team: Team, size: Resources, used_processors: float, policy: Policy) -> bool:
--- a/spoolcrank/policy.py
+++ b/spoolcrank/policy.py
@@ -105,7 +105,7 @@
         0.3,
         ge=0,
         le=10,
-        description="additional delay of each further owner before it places a task, s",
+        description="delay after which twice as many owners may place a task, s",
     )
     aging_s: float = Field(
         60.0,
