Consider up to 1,024 waiting tasks in a pass, by the cost of each

Seen in a test: beside a free server a task waited 22 ticks behind 1,000 tasks that could not be placed, and 53 behind 3,000 (too large for what is free, of a team at its quota, suspected of crashes), so a tick more for each 64 tasks in front.

Cause: a pass considered 64 tasks whatever they cost, and half of them again in each pass.

Change: a task that its team's quota keeps back, or that asks for more than the most that is free on any server, costs one check of 1,024; only a choice between servers costs 16, so that a pass makes 64 of them, as before.

--- a/spoolcrank/assignment.py
+++ b/spoolcrank/assignment.py
@@ -13,14 +13,17 @@
 from spoolcrank.resources import Resources
 from spoolcrank.state import Core, CoreAction, LogEvent, free_capacity, usable_capacity
 
-_MAX_TASKS_PER_PASS = 64
-"""Maximum number of tasks considered in one pass. A pass runs on each tick of 50 ms, alongside
-requests."""
+_MAX_PASS_COST = 1024
+"""Maximum cost of one pass, in checks of a task against the largest free capacity. A pass runs on
+each tick of 50 ms, alongside requests."""
 
-_MAX_RETRIED_PER_PASS = _MAX_TASKS_PER_PASS // 2
-"""Maximum number of tasks considered in one pass that earlier passes could not place. The rest of
-a pass continues where the earlier passes ended, so that every waiting task is considered in turn,
-while those of highest priority are still considered in each pass."""
+_CHOICE_COST = 16
+"""Cost of choosing a server for a task, in such checks."""
+
+_MAX_RETRY_COST = _MAX_PASS_COST // 2
+"""Maximum cost in one pass of tasks that earlier passes could not place. The rest of a pass
+continues where the earlier passes ended, so that every waiting task is considered in turn, while
+those of highest priority are still considered in each pass."""
 
 _JOB_WIDE_OBSTACLES = frozenset({Obstacle.NO_ROOM, Obstacle.QUOTA, Obstacle.NO_SERVER})
 """Obstacles that, found for one task of a job, hold for all its tasks for the rest of a pass.
@@ -74,29 +77,31 @@
     peers = _peer_capacities(core, now)
     actions: list[CoreAction] = []
     blocked: dict[JobId, Obstacle] = {}
-    considered = retried = 0
+    cost = retry_cost = 0
     closed = _closed_servers(core, wall)
+    largest = placement.largest_free(capacities.values(), core.policy)
     for task in queue:
         obstacle = Obstacle.BACKOFF if task.not_before > wall else blocked.get(task.job)
         if obstacle is not None:
             # A task that cannot be placed now must not use up the pass for the tasks behind it.
             core.obstacles[task.id] = obstacle
             continue
-        if considered == _MAX_TASKS_PER_PASS:
+        if cost >= _MAX_PASS_COST:
             break
-        if task.id in core.passed_over:
-            if retried == _MAX_RETRIED_PER_PASS:
-                continue
-            retried += 1
-        considered += 1
+        was_passed_over = task.id in core.passed_over
+        if was_passed_over and retry_cost >= _MAX_RETRY_COST:
+            continue
+        obstacle = _obstacle_anywhere(core, task, largest)
+        task_cost = _CHOICE_COST if obstacle is None else 1
+        cost += task_cost
+        retry_cost += task_cost if was_passed_over else 0
+        if obstacle is not None:
+            _pass_over(core, task, obstacle, blocked)
+            continue
         groups = _candidate_groups(core, task, list(capacities.values()), closed, wall)
         choice = _place_in_groups(core, task, groups, peers, now)
         if choice.server is None:
-            core.passed_over.add(task.id)
-            if choice.obstacle is not None:
-                core.obstacles[task.id] = choice.obstacle
-                if _holds_for_job(task, choice.obstacle):
-                    blocked[task.job] = choice.obstacle
+            _pass_over(core, task, choice.obstacle, blocked)
             continue
         core.obstacles.pop(task.id, None)
         record = _record_place(core, task, choice.server, now)
@@ -111,6 +116,32 @@
     return actions
 
 
+def _obstacle_anywhere(
+    core: Core, task: Task, largest: placement.LargestFree | None
+) -> Obstacle | None:
+    """Return an obstacle to a task that can be found without looking at each server, if any."""
+    spec = core.ledger.spec(task)
+    size = size_for(core, task)
+    team_processors = core.ledger.by_team.get(spec.team, 0.0)
+    if not placement.within_quota(spec.team, size, team_processors, core.policy):
+        return Obstacle.QUOTA
+    if largest is None:
+        return Obstacle.NO_SERVER
+    return None if largest.may_hold(size, spec, core.policy) else Obstacle.NO_ROOM
+
+
+def _pass_over(
+    core: Core, task: Task, obstacle: Obstacle | None, blocked: dict[JobId, Obstacle]
+) -> None:
+    """Record that a task cannot be placed in this pass, and whether its job cannot either."""
+    core.passed_over.add(task.id)
+    if obstacle is None:
+        return
+    core.obstacles[task.id] = obstacle
+    if _holds_for_job(task, obstacle):
+        blocked[task.job] = obstacle
+
+
 def _holds_for_job(task: Task, obstacle: Obstacle) -> bool:
     """Return whether an obstacle to placing a task holds for the other tasks of its job."""
     if len(task.crashes) >= ISOLATE_AFTER_CRASHES:
@@ -181,9 +212,6 @@
 ) -> Choice:
     spec = core.ledger.spec(task)
     size = size_for(core, task)
-    team_processors = core.ledger.by_team.get(spec.team, 0.0)
-    if not placement.within_quota(spec.team, size, team_processors, core.policy):
-        return Choice(None, Obstacle.QUOTA)
     racks = _racks_used(core, task) if spec.job_class is not JobClass.BATCH else {}
     waited = now - core.first_seen.setdefault(task.id, now)
     may_wait = waited < core.policy.interference.patience_s
--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
 
@@ -123,6 +123,41 @@
     return quota is None or used_processors + size.processors <= quota
 
 
+class LargestFree(NamedTuple):
+    """The most of each resource that is free for tasks on any of some servers.
+
+    Attributes:
+        urgent: For tasks that may use the share reserved for urgent work.
+        other: For all other tasks.
+    """
+
+    urgent: Resources
+    other: Resources
+
+    def may_hold(self, size: Resources, spec: JobSpec, policy: Policy) -> bool:
+        """Return False if a task fits on none of the servers; otherwise it may fit on one."""
+        return size.fits_in(self.other if _reserve(spec, policy) else self.urgent)
+
+
+def largest_free(capacities: Collection[ServerCapacity], policy: Policy) -> LargestFree | None:
+    """Return the most of each resource that is free on any of some servers, None without any."""
+    if not capacities:
+        return None
+    share = policy.placement.urgent_reserve
+    return LargestFree(
+        _largest([capacity.free for capacity in capacities]),
+        _largest([_free_for(capacity, share) for capacity in capacities]),
+    )
+
+
+def _largest(amounts: Collection[Resources]) -> Resources:
+    return Resources(
+        max(amount.processors for amount in amounts),
+        max(amount.memory_mb for amount in amounts),
+        max(amount.accelerators for amount in amounts),
+    )
+
+
 def choose(
     size: Resources,
     spec: JobSpec,
