--- a/tests/test_waits_of_new_owners.py
+++ b/tests/test_waits_of_new_owners.py
@@ -62,3 +62,25 @@
         for owner in world.owners.values():
             owner.paused = False
     assert world.now - began_at <= 2 * MAX_WAIT_S
+
+
+# Guards against an owner that wakes and counts on though another renewed leases meanwhile and died.
+def test_an_owner_counts_anew_if_another_may_have_commanded_its_server() -> None:
+    world = World()
+    world.submit(1, 600.0, True)
+    world.advance(3.0)
+    busy = next(name for name, worker in world.workers.items() if worker.running)
+    name = next(name for name in OWNERS if busy in world.owners[name].core.owned)
+    world.log_up = False
+    world.owners[name].paused = True
+    world.advance(5.0)
+    interim = next(o for o in OWNERS if o != name and busy in world.owners[o].core.owned)
+    world.cut |= {(other, busy) for other in OWNERS}
+    world.crash(interim)
+    world.start_owner(interim)
+    world.log_up = True
+    world.owners[name].paused = False
+    world.advance(20.0)
+    assert world.breaches() == []
+    others = [worker for other, worker in world.workers.items() if other != busy]
+    assert any(worker.running for worker in others)
