Ask for shorter answers of the log after one that did not arrive

Seen in a test: an instance read nothing of a log whose answers of more than 20 records do not arrive in time; with 700 records on it, it never became ready, and an owner would place nothing.

Cause: each read of the log asked for 500 records of any size, also after one that failed, so that an answer too long for the time limit of 3 s was asked for again and again.

By reading, 500 records of 0.7 MB are such an answer on a link of 1 Gbit/s; that was not played.

Change: after a failed read the next one asks for half as many records; after an answer the next one asks for a twentieth more, up to 500.

--- a/spoolcrank/log_link.py
+++ b/spoolcrank/log_link.py
@@ -53,6 +53,8 @@
 _MAX_RETRY_S = 1.0
 _BACKOFF_FACTOR = 1.5
 _MAX_READ_RECORDS = 500
+_READ_GROWTH = 20
+"""Part of its number of records by which a read exceeds the one before, if that was answered."""
 
 OnApplied = Callable[[], None]
 
@@ -104,6 +106,7 @@
         self._scheduled = False
         self._append_delay_s = _INITIAL_RETRY_S
         self._read_delay_s = _INITIAL_RETRY_S
+        self._read_records = _MAX_READ_RECORDS
         self._next_offset = Offset(0)
         self._next_config_offset = 0
         self.interval_s = 0.05
@@ -256,7 +259,7 @@
 
     def _read(self) -> None:
         asked_at = time.monotonic()
-        query = f"from={self._next_offset}&max={_MAX_READ_RECORDS}&wait_s={_READ_WAIT_S}"
+        query = f"from={self._next_offset}&max={self._read_records}&wait_s={_READ_WAIT_S}"
         call = self._read_call(CONTROL_STREAM, query, _READ_TIMEOUT_S)
         self._http.send(call, lambda result: self._on_read(asked_at, result))
 
@@ -264,10 +267,14 @@
         page = _parse_page(result)
         if page is None:
             self.fire(log_failed())
+            # The answer may have been too long for the time limit.
+            self._read_records = max(1, self._read_records // 2)
             self._timers.after(self._read_delay_s, self._read)
             self._read_delay_s = min(_MAX_RETRY_S, self._read_delay_s * _BACKOFF_FACTOR)
             return
         self._read_delay_s = _INITIAL_RETRY_S
+        grown = self._read_records + max(1, self._read_records // _READ_GROWTH)
+        self._read_records = min(_MAX_READ_RECORDS, grown)
         if page["first"] > self._next_offset:
             self._metrics.incr("log.gap")
             if self._gap_offset != self._next_offset:
--- a/tests/test_large_records.py
+++ b/tests/test_large_records.py
@@ -19,7 +19,7 @@
 SMALL_BYTES = 100
 
 
-class _Timers:
+class ManualTimers:
     """Timers that fire when a test says so."""
 
     def __init__(self) -> None:
@@ -53,7 +53,7 @@
 
 def _append_all(sizes: list[int], max_bytes: int) -> tuple[list[str], int, list[str]]:
     """Append one job for each size; return the jobs on the log, its refusals, those applied."""
-    log, timers = _Log(max_bytes), _Timers()
+    log, timers = _Log(max_bytes), ManualTimers()
     untyped: Any = (log, timers)
     client, clock = untyped
     link = LogLink(client, clock, Address("x:1"), Incarnation("entry-1"), Metrics())
