--- a/spoolcrank/log_link.py
+++ b/spoolcrank/log_link.py
@@ -20,6 +20,7 @@
 from spoolcrank.ids import Address, Incarnation, Offset
 from spoolcrank.ledger import Ledger, load
 from spoolcrank.ledger import dump as dump_ledger
+from spoolcrank.logs import log
 from spoolcrank.metrics import Metrics
 from spoolcrank.records import (
     CONFIG_STREAM,
@@ -34,7 +35,17 @@
 )
 
 MAX_QUEUED_RECORDS = 2000
+MAX_APPEND_BYTES = 1 << 20
+"""Maximum size of the body of one append that the log accepts, in bytes."""
+
+_MAX_ENVELOPE_BYTES = 1 << 10
+"""Maximum size of what surrounds a record in an append of its own, in bytes."""
+
 _MAX_BATCH_RECORDS = 100
+_MAX_BATCH_BYTES = MAX_APPEND_BYTES // 2
+"""Size of the records of one append from which it takes no further record, in bytes."""
+
+_HTTP_TOO_LARGE = 413
 _APPEND_TIMEOUT_S = 2.0
 _READ_WAIT_S = 0.5
 _READ_TIMEOUT_S = 3.0
@@ -42,6 +53,8 @@
 _MAX_RETRY_S = 1.0
 _BACKOFF_FACTOR = 1.5
 _MAX_READ_RECORDS = 500
+_READ_GROWTH = 20
+"""Part of its number of records by which a read exceeds the one before, if that was answered."""
 
 OnApplied = Callable[[], None]
 
@@ -63,6 +76,7 @@
 
 class _QueuedRecord(NamedTuple):
     envelope: Envelope
+    text: str
     on_applied: OnApplied | None
 
 
@@ -92,6 +106,7 @@
         self._scheduled = False
         self._append_delay_s = _INITIAL_RETRY_S
         self._read_delay_s = _INITIAL_RETRY_S
+        self._read_records = _MAX_READ_RECORDS
         self._next_offset = Offset(0)
         self._next_config_offset = 0
         self.interval_s = 0.05
@@ -128,7 +143,7 @@
             return None
         self._seq += 1
         envelope = Envelope(writer=self._writer, seq=self._seq, at=time.time(), record=record)
-        self._outbox.append(_QueuedRecord(envelope, on_applied))
+        self._outbox.append(_QueuedRecord(envelope, json.dumps(dump(envelope)), on_applied))
         self._schedule()
         return self._seq
 
@@ -161,7 +176,11 @@
         self._scheduled = False
         if self._in_flight or not self._outbox:
             return
+        size = 0
         while self._outbox and len(self._in_flight) < _MAX_BATCH_RECORDS:
+            size += len(self._outbox[0].text)
+            if self._in_flight and size > _MAX_BATCH_BYTES:
+                break
             self._in_flight.append(self._outbox.popleft())
         self._send_batch()
 
@@ -170,7 +189,7 @@
             return
         self._sent_at = time.monotonic()
         last_seq = self._in_flight[-1].envelope.seq
-        body = {"records": [dump(queued.envelope) for queued in self._in_flight]}
+        records = ",".join(queued.text for queued in self._in_flight)
         self._metrics.incr("log.appends")
         self._metrics.incr("log.records", len(self._in_flight))
         call = HttpCall(
@@ -178,7 +197,7 @@
             "POST",
             f"/streams/{CONTROL_STREAM}/records",
             {"Content-Type": "application/json"},
-            json.dumps(body).encode(),
+            f'{{"records": [{records}]}}'.encode(),
             _APPEND_TIMEOUT_S,
         )
         self._http.send(call, lambda result: self._on_appended(last_seq, result))
@@ -189,11 +208,30 @@
             return
         reason = result.failed.value if result.failed else str(result.status)
         self._metrics.incr(f"retry.append.{reason}")
+        if result.failed is None and result.status == _HTTP_TOO_LARGE:
+            self._on_too_large(last_seq)
+            return
         self.fire(log_failed())
         delay_s = self._append_delay_s
         self._append_delay_s = min(_MAX_RETRY_S, delay_s * _BACKOFF_FACTOR)
         self._timers.after(delay_s, lambda: self._resend(last_seq))
 
+    def _on_too_large(self, last_seq: int) -> None:
+        """Send fewer records at once; drop a single one, which would hold back all behind it."""
+        if not self._in_flight or self._in_flight[-1].envelope.seq != last_seq:
+            return
+        if len(self._in_flight) > 1:
+            kept = len(self._in_flight) // 2
+            self._outbox.extendleft(reversed(self._in_flight[kept:]))
+            del self._in_flight[kept:]
+            self._send_batch()
+            return
+        for queued in self._in_flight:
+            kind = queued.envelope.record.kind
+            log("log.record-too-large", kind=kind, bytes=len(queued.text))
+        self._in_flight.clear()
+        self._schedule()
+
     def _resend(self, last_seq: int) -> None:
         if self._in_flight and self._in_flight[-1].envelope.seq == last_seq:
             self._send_batch()
@@ -221,7 +259,7 @@
 
     def _read(self) -> None:
         asked_at = time.monotonic()
-        query = f"from={self._next_offset}&max={_MAX_READ_RECORDS}&wait_s={_READ_WAIT_S}"
+        query = f"from={self._next_offset}&max={self._read_records}&wait_s={_READ_WAIT_S}"
         call = self._read_call(CONTROL_STREAM, query, _READ_TIMEOUT_S)
         self._http.send(call, lambda result: self._on_read(asked_at, result))
 
@@ -229,10 +267,14 @@
         page = _parse_page(result)
         if page is None:
             self.fire(log_failed())
+            # The answer may have been too long for the time limit.
+            self._read_records = max(1, self._read_records // 2)
             self._timers.after(self._read_delay_s, self._read)
             self._read_delay_s = min(_MAX_RETRY_S, self._read_delay_s * _BACKOFF_FACTOR)
             return
         self._read_delay_s = _INITIAL_RETRY_S
+        grown = self._read_records + max(1, self._read_records // _READ_GROWTH)
+        self._read_records = min(_MAX_READ_RECORDS, grown)
         if page["first"] > self._next_offset:
             self._metrics.incr("log.gap")
             if self._gap_offset != self._next_offset:
@@ -303,6 +345,11 @@
         return HttpCall(self._address, "GET", path, {}, b"", timeout_s)
 
 
+def is_too_large(record: AnyRecord) -> bool:
+    """Return whether a record is larger than what the log accepts in one append."""
+    return len(json.dumps(dump(record))) + _MAX_ENVELOPE_BYTES > MAX_APPEND_BYTES
+
+
 def _parse_page(result: HttpResult) -> dict[str, Any] | None:
     if not result.ok:
         return None
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -153,6 +153,17 @@
     )
 
 
+def echoed_at(members: Members, peer: InstanceId) -> float:
+    """Return when we sent the heartbeat that a peer had received before its own last one."""
+    known = members.peers.get(peer)
+    echo_times = (
+        echo.sent_at
+        for echo in (known.heartbeat.echoes if known else ())
+        if echo.instance == members.me and echo.incarnation == members.incarnation
+    )
+    return max(echo_times, default=float("-inf"))
+
+
 def is_alive(members: Members, instance: InstanceId, policy: Policy, now: float) -> bool:
     """Return whether an entry instance is sending heartbeats; we ourselves always are."""
     if instance == members.me:
@@ -170,6 +181,22 @@
     ]
 
 
+def deciding_entries(members: Members, policy: Policy, now: float) -> list[InstanceId]:
+    """Return the listed entry instances that decide about jobs: ourselves among them.
+
+    A peer that leaves, or that cannot read the log, decides nothing.
+    """
+    return [
+        entry
+        for entry in alive_entries(members, policy, now)
+        if entry == members.me or _decides(members.peers[entry].heartbeat)
+    ]
+
+
+def _decides(heartbeat: Heartbeat) -> bool:
+    return heartbeat.log_ok and not heartbeat.leaving
+
+
 def is_incarnation_alive(
     members: Members, instance: InstanceId, incarnation: Incarnation, policy: Policy, now: float
 ) -> bool:
@@ -193,18 +220,29 @@
 
 
 def owners_of_zone(
-    members: Members, ledger: Ledger, policy: Policy, now: float
+    members: Members, ledger: Ledger, reads_log: bool, policy: Policy, now: float
 ) -> list[InstanceId]:
-    """Return the entry instances of our zone that may own servers, sorted by name."""
-    eligible = []
+    """Return the entry instances of our zone that should own servers, sorted by name.
+
+    An owner that cannot read the log places nothing, so while some can, only those are returned.
+
+    Args:
+        members: What we know of the fleet.
+        ledger: The ledger, for drains.
+        reads_log: Whether we ourselves can read the log.
+        policy: The configuration in force.
+        now: The present time, in monotonic seconds.
+    """
+    eligible = {}
     for peer in members.peers.values():
         heartbeat = peer.heartbeat
         same_zone = heartbeat.zone == members.zone and heartbeat.ready and not heartbeat.leaving
         if same_zone and is_alive(members, heartbeat.sender, policy, now):
-            eligible.append(heartbeat.sender)
+            eligible[heartbeat.sender] = heartbeat.log_ok
     if not members.leaving:
-        eligible.append(members.me)
-    return sorted(entry for entry in eligible if not is_drained(members, entry, ledger))
+        eligible[members.me] = reads_log
+    usable = {entry for entry in eligible if not is_drained(members, entry, ledger)}
+    return sorted({entry for entry in usable if eligible[entry]} or usable)
 
 
 def servers_of_zone(members: Members) -> list[Instance]:
--- a/spoolcrank/placement.py
+++ b/spoolcrank/placement.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
 
@@ -109,10 +109,12 @@
 def may_place_now(order: list[InstanceId], me: InstanceId, waited_s: float, policy: Policy) -> bool:
     """Return whether a task has waited long enough for us to place it.
 
-    Each owner before us in `order` has `next_owner_s` to place the task first.
+    The first owner in `order` places it at once, and after each further `next_owner_s` twice as
+    many owners may: those before us may have room for the task and yet not place it.
     """
     rank = order.index(me) if me in order else len(order)
-    return waited_s >= rank * policy.placement.next_owner_s
+    turns = (rank + 1).bit_length() - 1
+    return waited_s >= turns * policy.placement.next_owner_s
 
 
 def within_quota(team: Team, size: Resources, used_processors: float, policy: Policy) -> bool:
@@ -121,6 +123,41 @@
     return quota is None or used_processors + size.processors <= quota
 
 
+class LargestFree(NamedTuple):
+    """The most of each resource that is free for tasks on any of some servers.
+
+    Attributes:
+        urgent: For tasks that may use the share reserved for urgent work.
+        other: For all other tasks.
+    """
+
+    urgent: Resources
+    other: Resources
+
+    def may_hold(self, size: Resources, spec: JobSpec, policy: Policy) -> bool:
+        """Return False if a task fits on none of the servers; otherwise it may fit on one."""
+        return size.fits_in(self.other if _reserve(spec, policy) else self.urgent)
+
+
+def largest_free(capacities: Collection[ServerCapacity], policy: Policy) -> LargestFree | None:
+    """Return the most of each resource that is free on any of some servers, None without any."""
+    if not capacities:
+        return None
+    share = policy.placement.urgent_reserve
+    return LargestFree(
+        _largest([capacity.free for capacity in capacities]),
+        _largest([_free_for(capacity, share) for capacity in capacities]),
+    )
+
+
+def _largest(amounts: Collection[Resources]) -> Resources:
+    return Resources(
+        max(amount.processors for amount in amounts),
+        max(amount.memory_mb for amount in amounts),
+        max(amount.accelerators for amount in amounts),
+    )
+
+
 def choose(
     size: Resources,
     spec: JobSpec,
@@ -153,19 +190,19 @@
     eligible = [capacity for capacity in capacities if size.fits_in(_free_for(capacity, reserve))]
     if not eligible:
         return Choice(None, Obstacle.NO_ROOM)
-    eligible = _without_suspects(eligible, spec)
-    if not eligible:
+    usable_servers = _without_suspects(eligible, spec)
+    if not usable_servers:
         return Choice(None, Obstacle.NO_SERVER)
     if may_wait and spec.job_class is JobClass.BATCH and policy.interference.enabled:
-        eligible = [
-            capacity for capacity in eligible if _may_host(capacity, spec, noisiness, policy)
-        ]
-        if not eligible:
+        # A suspect server that may not host the task is no reason to pass over the others.
+        hosts = [capacity for capacity in eligible if _may_host(capacity, spec, noisiness, policy)]
+        usable_servers = _without_suspects(hosts, spec)
+        if not usable_servers:
             return Choice(None, Obstacle.INTERFERENCE)
     if policy.placement.strategy == "first-fit":
-        return Choice(min(eligible, key=lambda capacity: capacity.server).server)
+        return Choice(min(usable_servers, key=lambda capacity: capacity.server).server)
     failed = set(failed_on)
-    best = min(eligible, key=lambda capacity: _cost(capacity, size, spec, failed, used_racks))
+    best = min(usable_servers, key=lambda capacity: _cost(capacity, size, spec, failed, used_racks))
     return Choice(best.server)
 
 
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from spoolcrank import assignment
+from spoolcrank import assignment, ownership
+from spoolcrank.core import on_not_appended
 from spoolcrank.ids import TaskId
 from spoolcrank.jobs import TaskState
 from spoolcrank.lost_tasks import Crash
@@ -117,3 +118,33 @@
     world.advance(MAX_WAIT_S)
     states = [core.ledger.tasks[TaskId(f"job-3.{number}")].state for number in range(3)]
     assert states == [TaskState.PENDING, TaskState.FINISHED, TaskState.FINISHED]
+
+
+def test_a_refusal_that_never_reached_the_log_is_repeated() -> None:
+    """A refusal was decided once; one that found the append queue full was never made again."""
+    world = World()
+    world.submit(1, 1.0, True, processors=2 * CAPACITY.processors)
+    began_at = world.now
+    while world.now - began_at < 4.0:
+        world.advance(0.25)
+        for owner in world.owners.values():
+            for envelope in owner.outbox:
+                on_not_appended(owner.core, envelope.record)
+            owner.outbox.clear()
+    world.advance(MAX_WAIT_S)
+    assert world.open_tasks() == []
+
+
+def test_a_job_is_judged_once_in_a_tick_whatever_its_number_of_tasks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each waiting task of a job was judged; a tick of over 1 s counts as a pause."""
+    world = World(Policy(quotas={TEAM: 0.0}))
+    world.submit(BLOCKED_COUNT, RUN_S, True, team=TEAM)
+    world.advance(2.0)
+    owner = world.owners["entry-1"]
+    core = owner.core
+    judged: list[str] = []
+    monkeypatch.setattr(ownership, "preferred", lambda job, owners: judged.append(job))
+    assignment.refuse_impossible(core, world.now + owner.skew_s, world.now)
+    assert judged == ["job-1"]
