Let a leader that granted no lease change nothing for its successor

Seen: after a loss of runners and instances, leaders are killed within a second of their takeover.

Cause: each successor counted the leases from the last record of the leader before it, whether that one had granted any or not, and claims stated nothing in the first second.

Change: a leader grants no lease and starts nothing before a second claim of its own is stored; its claims until then say so (`granted_nothing`). Who reads only such claims of a term counts as if the term had not been, and inherits what the leader before it stated. The second claim is written when all runners with runs have answered or failed, 0.3 s after the list of runners was read at the latest, and states those without an answer.

Why it is safe: a grant follows only on the store's answer that the claim without the mark is stored. The store takes nothing of a term after the next claim, and a successor reads all up to its own claim, so it reads the unmarked claim if there was a grant. Only claims count as evidence, as other records may be deleted before a process loads the log. A process that missed claims counts from when it reads the next one.

--- a/spoolcrank/batching.py
+++ b/spoolcrank/batching.py
@@ -64,6 +64,8 @@
 
 def order_starts(state: Scheduler, now: float) -> None:
     """Order the waiting runs, whose records are stored, as far as the start window allows."""
+    if not state.stated.granting:
+        return
     while state.starts.waiting and state.starts.may_send(now):
         _start(state, state.starts.waiting.popleft(), now)
 
--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -65,11 +65,11 @@
         if self._follower.generation != self._generation:
             # The claims before those of a load were not read.
             self._generation = self._follower.generation
-            self.leadership.forget_unreached()
+            self.leadership.record_missed_claims()
         try:
             claim = decode_claim(record.value)
         except Unreadable:
-            self.leadership.forget_unreached()
+            self.leadership.record_missed_claims()
             raise
         if not self.leadership.read_claim(claim, now):
             return None
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -358,7 +358,7 @@
         self._decide_at_once()
 
     def _order(self, scheduler: Scheduler, now: float) -> None:
-        may_extend = self.leadership.may_extend(now)
+        may_extend = scheduler.stated.granting and self.leadership.may_extend(now)
         order_starts(scheduler, now)
         scheduler.orders += polls_due(scheduler, now, may_extend)
         orders, scheduler.orders = scheduler.orders, []
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -92,6 +92,8 @@
         successor: the incarnation that a resigned leader hands over to; empty for any.
         unreached_ms: the runners with runs that the leader has not reached, each with the time
             from which the leases of earlier leaders there may run, as its age in ms.
+        granted_nothing: its writer has granted no lease in this term, and grants none before a
+            later claim without this is stored.
     """
 
     term: int = 0
@@ -101,6 +103,7 @@
     processors: float = 0.0
     successor: Incarnation = NO_SUCCESSOR
     unreached_ms: dict[str, int] = {}
+    granted_nothing: bool = False
 
 
 decode_claim = raises_unreadable(msgspec.json.Decoder(Claim).decode)
@@ -144,6 +147,10 @@
         self.claimed_at = -1.0
         self._unread_claims = 0
         self._unreached_since: dict[int, dict[str, float]] = {}
+        self.may_grant = False
+        self._may_have_granted_at = -1.0
+        self._leader_granted_nothing = False
+        self._missed_claims = True
 
     @property
     def leads(self) -> bool:
@@ -153,8 +160,11 @@
     def read_claim(self, claim: Claim, now: float) -> bool:
         """Apply a claim read from the log; return whether it differs from the previous one.
 
-        The unreached runners do not count for that. Only the newest claim of a term counts for
-        them: a later one withdraws the runners that it does not state.
+        What it states about leases does not count for that. Only the newest claim of a term counts
+        for it: a later one withdraws the runners that it does not state.
+
+        A leader that has granted nothing leaves the time unchanged from which leases may run. If
+        claims before it were not read, a leader before it may have written until now.
         """
         if claim.term < self.claim.term:
             return False
@@ -162,32 +172,42 @@
         if claim.term == self._resigned_term and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
         self._read_unreached(claim, now)
-        claim = msgspec.structs.replace(claim, unreached_ms={})
+        self._leader_granted_nothing = claim.granted_nothing
+        claim = msgspec.structs.replace(claim, unreached_ms={}, granted_nothing=False)
         changed = claim != self.claim
         self._largest_processors = max(self._largest_processors, claim.processors)
         if claim.term != self.claim.term:
             self._term_read_at = now
+            self.may_grant = not self._leader_granted_nothing
         self.claim = claim
         self.last_contact_at = now
-        if not self.leads:
+        if self._missed_claims or not (self.leads or self._leader_granted_nothing):
             self.leader_wrote_at = now
+        self._missed_claims = False
         return changed
 
     def _read_unreached(self, claim: Claim, now: float) -> None:
         before = claim.term - 1
-        self._unreached_since = {before: self._unreached_since.get(before, {})}
-        self._unreached_since[claim.term] = {
-            runner: now - age_ms / 1000.0 for runner, age_ms in claim.unreached_ms.items()
-        }
+        inherited = self._unreached_since.get(before, {})
+        stated = {runner: now - age_ms / 1000.0 for runner, age_ms in claim.unreached_ms.items()}
+        self._unreached_since = {before: inherited}
+        self._unreached_since[claim.term] = inherited if claim.granted_nothing else stated
 
-    def forget_unreached(self) -> None:
-        """Forget which runners earlier leaders stated; a later claim may have withdrawn them."""
+    def record_missed_claims(self) -> None:
+        """Record that claims were not read; they may have withdrawn what earlier ones stated."""
         self._unreached_since = {}
+        self._missed_claims = True
 
     def record_leader_write(self, now: float) -> None:
         """Record that a record was read that only a leader writes."""
         self.last_contact_at = now
-        self.leader_wrote_at = now
+        if self._missed_claims or not self._leader_granted_nothing:
+            self.leader_wrote_at = now
+
+    def begin_to_grant(self) -> None:
+        """Record that this leader may grant leases once its next claim is stored."""
+        self.may_grant = True
+        self._may_have_granted_at = max(self._may_have_granted_at, self.confirmed_at)
 
     def read_offer(self, offer: Offer, now: float) -> bool:
         """Apply an offer read from the log; return whether this leader should hand over to it."""
@@ -233,6 +253,8 @@
         if sent_at - self.confirmed_at > SELF_FENCE_S:
             self.confirmed_since = sent_at
         self.confirmed_at = max(self.confirmed_at, sent_at)
+        if self.may_grant:
+            self._may_have_granted_at = self.confirmed_at
 
     def may_extend(self, now: float) -> bool:
         """Return whether this leader may still extend the leases of runners."""
@@ -245,7 +267,7 @@
         The earlier leader may be this same process: an instance that resigns and leads again may
         have read no other leader's records since, while runs that it started are still running.
         """
-        return max(self.leader_wrote_at, self.confirmed_at)
+        return max(self.leader_wrote_at, self._may_have_granted_at)
 
     def unreached_since(self, term: int) -> dict[str, float]:
         """Return the runners that the leader before a term never reached.
@@ -300,12 +322,19 @@
         """Stop leading the term, even if its claim is read later; `successor` may claim first."""
         self._resigned_term = term
         if self.claim.term == term and self.claim.incarnation == self.incarnation:
-            self.claim = self.own_claim(resigned=True, successor=successor)
+            claim = self.own_claim(resigned=True, successor=successor)
+            self.claim = msgspec.structs.replace(claim, granted_nothing=False)
 
     def own_claim(self, resigned: bool = False, successor: Incarnation = NO_SUCCESSOR) -> Claim:
         """Return the current claim as the leader writes it again."""
         return Claim(
-            self.claim.term, self.instance, self.incarnation, resigned, self.processors, successor
+            self.claim.term,
+            self.instance,
+            self.incarnation,
+            resigned,
+            self.processors,
+            successor,
+            granted_nothing=not self.may_grant,
         )
 
     def next_claim(self, now: float) -> Claim:
@@ -315,4 +344,10 @@
         if self._claimed_term != term:
             self._claimed_term = term
             self.claimed_at = now
-        return Claim(term, self.instance, self.incarnation, processors=self.processors)
+        return Claim(
+            term,
+            self.instance,
+            self.incarnation,
+            processors=self.processors,
+            granted_nothing=True,
+        )
--- a/spoolcrank/runner_listing.py
+++ b/spoolcrank/runner_listing.py
@@ -30,6 +30,8 @@
         store_back_at: time at which the store last began to answer, in monotonic seconds.
         now: time in monotonic seconds.
     """
+    if state.stated.listed_at is None:
+        state.stated.listed_at = now
     services = state.services()
     for entry in listing.entries.values():
         present = state.runners.get(entry.id)
--- a/spoolcrank/stated_runners.py
+++ b/spoolcrank/stated_runners.py
@@ -9,22 +9,30 @@
 
 @dataclass
 class StatedRunners:
-    """The unreached runners of one leader: those it inherited, and those that its claims state.
+    """What the claims of one leader state about leases, and the runners that it inherited.
 
     Attributes:
+        grants_claimed: whether a claim was sent after which leases may be granted.
+        granting: whether such a claim is stored, so that leases are granted and runs started.
+        listed_at: time at which the list of runners was read first, monotonic seconds.
         inherited_since: the runners that the leader before never reached, each with the time from
             which leases of earlier leaders may run there, monotonic seconds.
         sent_at: time at which the last claim was sent, monotonic seconds.
         names: the names in every claim that may be the newest one stored; no answer of them counts.
+        silent_at_first: the names that the first claim after which leases may be granted stated.
         reached: the names that have answered this leader; no further claim states them as never
             reached.
         answered: the names that have answered since a claim stated them; no claim states them again
             before one without them is stored.
     """
 
+    grants_claimed: bool = True
+    granting: bool = True
+    listed_at: float | None = 0.0
     inherited_since: dict[RunnerId, float] = field(default_factory=dict)
     sent_at: float = -1.0
     names: frozenset[RunnerName] = frozenset()
+    silent_at_first: frozenset[RunnerName] = frozenset()
     reached: set[RunnerName] = field(default_factory=set)
     answered: set[RunnerName] = field(default_factory=set)
 
--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -37,6 +37,14 @@
 """Time after a takeover before a claim states any runner, in seconds. Runners that answer usually
 do so within it, and are then adopted without waiting for the store."""
 
+MAX_WAIT_TO_GRANT_S = 0.3
+"""Maximum time for which a new leader that has read the list of runners grants no lease while
+runners with runs have not answered, in seconds."""
+
+FIRST_ANSWER_S = 0.15
+"""Time without an answer to its first poll after which the first claim that permits grants states a
+runner, in seconds; several round trips to another region."""
+
 SILENT_AFTER_S = 1.0
 """Time for which a runner that the leader had reached must be silent before a claim states it, in
 seconds. After a single call without an answer it is usually reached again within this time, and
@@ -56,6 +64,10 @@
     wrote_at, processors = leadership.predecessor_wrote_at, leadership.processors
     state = Scheduler(term, now, wrote_at, lease_ms, processors)
     state.without = without
+    state.stated.grants_claimed = state.stated.granting = False
+    state.stated.listed_at = None
+    # The claim that was read is as good as a heartbeat; the next one should permit to grant leases.
+    leadership.wrote_at = leadership.claimed_at
     state.stated.inherited_since = {
         RunnerId(runner): since for runner, since in leadership.unreached_since(term).items()
     }
@@ -82,18 +94,23 @@
 def own_claim(leadership: Leadership, state: Scheduler, now: float) -> Claim:
     """Return the claim of a leader that goes on to lead; it adopts no runner that this states."""
     stated = list(_to_state(state, now))
+    if _grants_due(state, now):
+        stated = list(_silent_at_first(state, now))
+        state.stated.grants_claimed = True
+        state.stated.silent_at_first = frozenset(name_of(runner.id) for runner in stated)
+        leadership.begin_to_grant()
     state.stated.record_sent((runner.id for runner in stated), now)
     unreached_ms = _ages_ms(state, iter(stated), now)
     return msgspec.structs.replace(leadership.own_claim(), unreached_ms=unreached_ms)
 
 
 def claim_due(state: Scheduler, now: float) -> bool:
-    """Return whether to write a claim that states runners, or one that withdraws some.
+    """Return whether to write a claim that states runners, or withdraws some, or permits grants.
 
     A process that loads the log counts the age in a claim from then on, so claims are repeated as
     heartbeats are, also while other records are written.
     """
-    if state.stated.answered & state.stated.names:
+    if _grants_due(state, now) or state.stated.answered & state.stated.names:
         return True
     return now - state.stated.sent_at >= HEARTBEAT_S and any(_to_state(state, now))
 
@@ -103,9 +120,11 @@
 
     The next answer of a withdrawn runner counts, and its next poll is due at once.
     """
+    begins_to_grant = not (state.stated.granting or claim.granted_nothing)
+    state.stated.granting |= begins_to_grant
     withdrawn = state.stated.record_stored(claim.unreached_ms)
     if not withdrawn:
-        return False
+        return begins_to_grant
     for runner in state.runners.values():
         if name_of(runner.id) in withdrawn:
             runner.polled_at = -1.0
@@ -160,6 +179,35 @@
     return now + left_ms / 1000.0 - state.max_inherited_run_s
 
 
+def _grants_due(state: Scheduler, now: float) -> bool:
+    """Return whether to write the first claim of a term after which leases may be granted.
+
+    It waits, for a short while, for the first answers of the runners with runs, and states those
+    that do not answer. A leader that ends before changes nothing for its successor.
+    """
+    listed_at = state.stated.listed_at
+    if state.stated.grants_claimed or state.resigned or listed_at is None:
+        return False
+    if now - listed_at >= MAX_WAIT_TO_GRANT_S:
+        return True
+    return all(_is_silent(runner) for runner in _unreached(state))
+
+
+def _silent_at_first(state: Scheduler, now: float) -> Iterator[RunnerState]:
+    """Yield the runners that the first claim after which leases may be granted states."""
+    silent = (
+        runner
+        for runner in _unreached(state)
+        if _is_silent(runner)
+        or (runner.polled_at >= 0.0 and now - runner.polled_at >= FIRST_ANSWER_S)
+    )
+    yield from islice(silent, MAX_STATED_RUNNERS)
+
+
+def _is_silent(runner: RunnerState) -> bool:
+    return runner.silent_since is not None or not runner.entry.address
+
+
 def _unreached(state: Scheduler) -> Iterator[RunnerState]:
     """Yield the runners with runs of which no incarnation has answered this leader."""
     for runner in state.runners.values():
@@ -183,13 +231,12 @@
 
 
 def _to_state(state: Scheduler, now: float) -> Iterator[RunnerState]:
-    """Yield the runners that a claim states now; none that may be about to answer."""
-    if now - state.began_at < FIRST_POLLS_S:
-        return
+    """Yield the runners that a claim states now; none new that may be about to answer."""
+    at_first = now - state.began_at < FIRST_POLLS_S
     never_reached = (
         runner
         for runner in _unreached(state)
-        if runner.silent_since is not None or not runner.entry.address
+        if (name_of(runner.id) in state.stated.silent_at_first if at_first else _is_silent(runner))
     )
     fell_silent = (
         runner
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -24,7 +24,7 @@
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 
 SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
-MUTANT_SEEDS = 40
+MUTANT_SEEDS = 100
 INSTANCES = 8
 RUNNERS = 24
 LEASE_MS = 6000
@@ -36,7 +36,7 @@
 """Longest time, in seconds, from the end of all leases to the start of the tasks."""
 MAX_UNCOUNTED_S = 0.6
 """Longest time, in seconds, from a leader's last claim to the load of it by its next process."""
-TASKS = Step(count=24, millicores=1000, memory_mb=100, estimate_ms=3000)
+TASKS = Step(count=24, millicores=1000, memory_mb=100, lasting=True)
 SMALL = Step(count=1, millicores=10, memory_mb=1, estimate_ms=600)
 LASTING = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
 
--- a/tests/test_mixed_leaders.py
+++ b/tests/test_mixed_leaders.py
@@ -1,17 +1,19 @@
 """Leaders of an earlier version between leaders of this one, beside silent runners.
 
-The earlier version states no runners in its claims and never gives way.
+The earlier version states no runners in its claims, grants leases from its takeover on, takes each
+leader for one that granted some, and never gives way.
 """
 
 import os
 import random
 from typing import Any
 
+import msgspec
 import pytest
 
 from spoolcrank import dispatcher, run_control
 from spoolcrank.giving_way import gives_way
-from spoolcrank.leadership import Leadership
+from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
 from tests.test_giving_way_plays import _restore_reads
 from tests.test_holds_end import _fail_reads
@@ -28,6 +30,8 @@
 OLD: set[int] = set()
 
 _begin_term = dispatcher.begin_term
+_read_claim = Leadership.read_claim
+_next_claim = Leadership.next_claim
 
 
 def _begin(leadership: Leadership, *args: Any) -> Any:
@@ -35,11 +39,26 @@
     if leadership.instance.startswith("old"):
         OLD.add(id(state))
         state.stated.inherited_since = {}
+        state.stated.grants_claimed = state.stated.granting = True
     else:
         OLD.discard(id(state))
     return state
 
 
+def _as_before(claim: Claim, leadership: Leadership) -> Claim:
+    if not leadership.instance.startswith("old"):
+        return claim
+    return msgspec.structs.replace(claim, granted_nothing=False)
+
+
+def _read(self: Leadership, claim: Claim, now: float) -> bool:
+    return _read_claim(self, _as_before(claim, self), now)
+
+
+def _next(self: Leadership, now: float) -> Claim:
+    return _as_before(_next_claim(self, now), self)
+
+
 def _own_claim(leadership: Leadership, state: Any, now: float) -> Any:
     return leadership.own_claim() if id(state) in OLD else own_claim(leadership, state, now)
 
@@ -107,6 +126,8 @@
 def test_leaders_of_two_versions_run_nothing_twice(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(Leadership, "read_claim", _read)
+    monkeypatch.setattr(Leadership, "next_claim", _next)
     monkeypatch.setattr(dispatcher, "begin_term", _begin)
     monkeypatch.setattr(dispatcher, "own_claim", _own_claim)
     monkeypatch.setattr(dispatcher, "claim_due", _claim_due)
--- a/tests/test_waits_begun_anew.py
+++ b/tests/test_waits_begun_anew.py
@@ -2,9 +2,11 @@
 
 import math
 
+import msgspec
 import pytest
 
 from spoolcrank import unreached_runners
+from spoolcrank.leadership import Claim, Leadership
 from tests.test_leaders_end_unannounced import (
     LEASES_S,
     MAX_DELAY_S,
@@ -52,3 +54,20 @@
 @pytest.mark.parametrize("term_s", [0.6, 1.2])
 def test_leaders_of_short_terms_do_not_delay_work(term_s: float) -> None:
     assert _time_of_lost_work(0, term_s) <= LEASES_S + MAX_DELAY_S
+
+
+_read_claim = Leadership.read_claim
+
+
+def _read_as_granting(self: Leadership, claim: Claim, now: float) -> bool:
+    return _read_claim(self, msgspec.structs.replace(claim, granted_nothing=False), now)
+
+
+# Guards against a test that passes though each leader counts as one that granted leases.
+@pytest.mark.parametrize("term_s", [0.6, 1.2])
+def test_without_leaders_that_grant_nothing_short_terms_delay_work(
+    term_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Leadership, "read_claim", _read_as_granting)
+    monkeypatch.setattr(unreached_runners, "_silent_at_first", lambda state, now: iter(()))
+    assert _time_of_lost_work(0, term_s) > LEASES_S + MAX_DELAY_S
