Grant no lease to a runner that is reached after leases may be extended

Seen in a test of single decisions: a leader whose store is away reaches a runner 2 s after it may extend leases no more, and starts a preassigned task there with a whole lease (7.5 s). Its successor counts from the leader's last write, so the task could run a second time for some 2 s before that lease ends. Found by reading; no play showed it.

Cause: the adoption of a runner records a lease from now on, as earlier leaders may have granted it; an order that must extend no lease carried this record as its limit.

Change: such an order's limit is no later than what the leader could have granted at `extends_until`, by the runner's clock; the choice of a preassigned start uses the same limit.

Evidence: the test fails on the code before (limit 7.5 s from now in place of 5.5 s) and passes.

--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -191,7 +191,7 @@
         return None
     if runner.entry.service != state.service_of(job):
         return None
-    if runner.granted_ms - runner.clock_lower(now) < MIN_LEASE_LEFT_MS:
+    if state.lease_until_ms(runner, now) - runner.clock_lower(now) < MIN_LEASE_LEFT_MS:
         return None
     step = job.record.workflow.steps[key.step]
     request = PlacementRequest(step, {}, task.refused_by, task=key)
--- a/spoolcrank/scheduler.py
+++ b/spoolcrank/scheduler.py
@@ -369,7 +369,7 @@
         # While the store is unreachable, another process may have become leader, which relies on
         # this one granting no further leases.
         may_extend = now <= self.extends_until
-        until_ms = runner.grant(now) if may_extend else int(runner.granted_ms)
+        until_ms = runner.grant(now) if may_extend else int(self.lease_until_ms(runner, now))
         # A retry goes to a runner that did not answer the first attempt: it takes none of the
         # link's window, so that other runners' starts do not wait for it.
         size = START_OVERHEAD_BYTES + len(payload) + len(task.saved) if run.tries == 1 else 0
@@ -378,6 +378,14 @@
         run.start_fence = to.fence
         self.orders.append(Start(to, key, run.number, payload, task.saved, until_ms))
 
+    def lease_until_ms(self, runner: RunnerState, now: float) -> float:
+        """Return the time, on a runner's clock, until which orders may let its lease run.
+
+        One reached after `extends_until` may have leases of earlier leaders, but gets none here.
+        """
+        late_ms = max(0.0, now - self.extends_until) * 1000.0 * (1.0 - CLOCK_DRIFT)
+        return min(runner.granted_ms, runner.clock_lower(now) + runner.lease_ms - late_ms)
+
     def start_bytes(self, key: TaskKey) -> int:
         """Return the approximate size of the order to start a task, bytes."""
         job = self.jobs.get(key.job)
--- a/tests/test_preassignment.py
+++ b/tests/test_preassignment.py
@@ -10,14 +10,15 @@
 from spoolcrank.binding import bind, preassign
 from spoolcrank.ids import ServiceName
 from spoolcrank.job_state import JobState
-from spoolcrank.orders import Start
+from spoolcrank.orders import Poll, Report, Start
 from spoolcrank.preassignment import (
     MAX_PREASSIGNED,
     MAX_RUNNERS,
     Preassignments,
     start_preassigned,
 )
-from spoolcrank.runner_state import RunnerState
+from spoolcrank.run_control import poll_answered
+from spoolcrank.runner_state import CLOCK_DRIFT, RunnerState
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.workflow import JobPhase, RunnerId, Step, TaskKey
 from tests.fleet_jobs import phase, settle
@@ -246,3 +247,18 @@
     world.store.silent = True
     world.run(4.5)
     assert started_tasks(world, 2) == 4
+
+
+def test_a_runner_reached_during_an_outage_of_the_store_gets_no_longer_lease() -> None:
+    """A successor counts the leases from the leader's last write, also if it reached more since."""
+    state, _, runner, now = stored_preassignment()
+    runner.adopted = runner.earlier_grants_known = False
+    runner.granted_ms = 0.0
+    state.extends_until = now - 2.0
+    report = Report(runner.id, runner.clock_lower(now), (), ())
+    poll_answered(state, Poll(state.target(runner), 0, None, 0), report, now, now)
+    assert runner.adopted
+    start_preassigned(state, now)
+    (order,) = [order for order in state.orders if isinstance(order, Start)]
+    longest_ms = runner.lease_ms - 2000.0 * (1.0 - CLOCK_DRIFT)
+    assert order.until_ms <= runner.clock_lower(now) + longest_ms
