Let an instance that reads the list of runners follow a leader that cannot

A new leader that never read the list also extended no lease, so all running work ended after 6 s.

Cause: a leader gives way only for the log. A resignation would lose all running work where nobody can read the list, as a successor would know no runner's address; nobody but the leader reads the list, so nobody knew who can.

Change: claims state that the leader lacks the list, after 2 s (1 s if it never read it). They don't resign. Others then try to read the list (a hundredth at once, all within 1 s); one that has the whole of it claims without waiting for silence, and takes over with that copy.

Why it works: only who has the list claims, and it keeps what it has read, so that it knows the addresses though its next read fails. Where nobody can read it, nobody claims. To the runners it is a claim beside a live leader, as any other; terms and fences are unchanged.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -34,6 +34,7 @@
     log_placing_block,
     log_takeover_done,
 )
+from spoolcrank.list_probe import ListProbe, is_list_unread
 from spoolcrank.log_event_groups import LOG_GROUP_INTERVAL_S, LogEventGroups
 from spoolcrank.log_follower import LogFollower
 from spoolcrank.mechanisms import Mechanism
@@ -52,11 +53,7 @@
 from spoolcrank.runner_state import LEASE_MS
 from spoolcrank.scheduler import RoutePolicy, Scheduler
 from spoolcrank.store_port import Append, LogPort
-from spoolcrank.takeover import (
-    log_unreadable_record,
-    read_job,
-    restore_state,
-)
+from spoolcrank.takeover import log_unreadable_record, read_job, restore_state
 from spoolcrank.telemetry import Telemetry
 from spoolcrank.unreached_runners import begin_term, claim_due, claim_stored, own_claim, resignation
 from spoolcrank.workflow import RouteName, encode
@@ -102,6 +99,7 @@
         self._regrouping = Regrouping()
         self._preassignments = Preassignments()
         self._claiming = Claiming(leadership, log, follower, telemetry, clock)
+        self._list_probe = ListProbe(leadership, runner_follower, clock)
         self._leaving = False
         debouncer = Debouncer(timers, clock, self._decide_now)
         self._decide_soon, self._decide_at_once = debouncer.schedule_decision, debouncer.decide
@@ -221,10 +219,11 @@
         # Count the claim from when it was sent: successors count from when it was stored, and this
         # instance may read it back much later.
         self._record_confirmed_write(scheduler, self.leadership.claimed_at)
-        self._runner_follower.begin()
+        self._list_probe.take_over()
         copy, time_of_day_ms = self._follower.copy, self._time_of_day() * 1000.0
         restore = partial(restore_state, scheduler, copy, self._telemetry, now, time_of_day_ms)
         self._guard(scheduler, restore)
+        self._reread_runners()
         self._decide_soon()
 
     def _step_down(self, why: str) -> None:
@@ -249,6 +248,7 @@
             if self._claiming.may_take_over():
                 self._take_over(self.leadership.claim.term, now)
             else:
+                self._list_probe.check()
                 self._claiming.claim_or_offer(now)
             return
         if self.leadership.may_extend(now):
@@ -284,6 +284,7 @@
         list_age_s, log_age_s = now - listing.read_at, now - self._follower.copy.read_at
         block = find_placing_block(self._leaving, listing.loaded, list_age_s, log_age_s)
         log_placing_block(self._monitor, scheduler, block, list_age_s, now)
+        self.leadership.lacks_list = is_list_unread(self._monitor, now)
         if block is not PlacingBlock.NONE:
             scheduler.placing = PlacingPass()
         elif not place(scheduler, now, self._time_of_day() * 1000.0):
@@ -304,7 +305,7 @@
                 resigned = resignation(self.leadership, scheduler, self._successor, now)
                 self._write_claim(writer, resigned)
             return
-        stating = claim_due(scheduler, now)
+        stating = claim_due(scheduler, now) or self.leadership.statement_due
         batch = None if stating else take_batch(scheduler)
         if batch is not None:
             self.leadership.wrote_at = now
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -92,6 +92,7 @@
         successor: the incarnation that a resigned leader hands over to; empty for any.
         unreached_ms: the runners with runs that the leader has not reached, each with the time
             from which the leases of earlier leaders there may run, as its age in ms.
+        lacks_list: the leader places nothing because it cannot read the list of runners.
     """
 
     term: int = 0
@@ -101,6 +102,7 @@
     processors: float = 0.0
     successor: Incarnation = NO_SUCCESSOR
     unreached_ms: dict[str, int] = {}
+    lacks_list: bool = False
 
 
 decode_claim = raises_unreadable(msgspec.json.Decoder(Claim).decode)
@@ -144,6 +146,10 @@
         self.claimed_at = -1.0
         self._unread_claims = 0
         self._unreached_since: dict[int, dict[str, float]] = {}
+        self.lacks_list = False
+        self.leader_lacks_list = False
+        self.reads_list = False
+        self._stated_lacks_list = False
 
     @property
     def leads(self) -> bool:
@@ -153,8 +159,8 @@
     def read_claim(self, claim: Claim, now: float) -> bool:
         """Apply a claim read from the log; return whether it differs from the previous one.
 
-        The unreached runners do not count for that. Only the newest claim of a term counts for
-        them: a later one withdraws the runners that it does not state.
+        The unreached runners and the lack of the list do not count for that. Only the newest claim
+        of a term counts for them: a later one withdraws what it does not state.
         """
         if claim.term < self.claim.term:
             return False
@@ -162,11 +168,13 @@
         if claim.term == self._resigned_term and claim.incarnation == self.incarnation:
             claim = msgspec.structs.replace(claim, resigned=True)
         self._read_unreached(claim, now)
-        claim = msgspec.structs.replace(claim, unreached_ms={})
+        self.leader_lacks_list = claim.lacks_list
+        claim = msgspec.structs.replace(claim, unreached_ms={}, lacks_list=False)
         changed = claim != self.claim
         self._largest_processors = max(self._largest_processors, claim.processors)
         if claim.term != self.claim.term:
             self._term_read_at = now
+            self.lacks_list = self._stated_lacks_list = False
         self.claim = claim
         self.last_contact_at = now
         if not self.leads:
@@ -267,7 +275,19 @@
         if self._log_failed:
             return DueActions()
         offer = self._should_offer(now)
-        return DueActions(claim=now - self.last_contact_at >= self._claim_delay_s(), offer=offer)
+        claim = self.leader_lacks_list and self.reads_list
+        claim = claim or now - self.last_contact_at >= self._claim_delay_s()
+        return DueActions(claim=claim, offer=offer)
+
+    @property
+    def is_smaller(self) -> bool:
+        """Return whether this instance is much smaller than one that led or offered to lead."""
+        return self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO
+
+    @property
+    def statement_due(self) -> bool:
+        """Return whether the newest claim states wrongly whether this leader lacks the list."""
+        return self.lacks_list is not self._stated_lacks_list
 
     def _claim_delay_s(self) -> float:
         """Return how long the leader must be silent before this instance claims, in seconds."""
@@ -282,7 +302,7 @@
             delay_s += LEADER_TIMEOUT_S
         if claim.resigned and claim.successor:
             delay_s += SUCCESSOR_HEAD_START_S
-        if self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO:
+        if self.is_smaller:
             delay_s += SMALLER_INSTANCE_DELAY_S
         return delay_s
 
@@ -304,9 +324,13 @@
 
     def own_claim(self, resigned: bool = False, successor: Incarnation = NO_SUCCESSOR) -> Claim:
         """Return the current claim as the leader writes it again."""
-        return Claim(
+        claim = Claim(
             self.claim.term, self.instance, self.incarnation, resigned, self.processors, successor
         )
+        if resigned:
+            return claim
+        self._stated_lacks_list = self.lacks_list
+        return msgspec.structs.replace(claim, lacks_list=self.lacks_list)
 
     def next_claim(self, now: float) -> Claim:
         """Return the claim to write now; the store accepts only the first claim of a term."""
--- /dev/null
+++ b/spoolcrank/list_probe.py
@@ -0,0 +1,104 @@
+"""Read the list of runners on an instance that does not lead, while the leader cannot read it.
+
+A leader that cannot read the list of runners places nothing, but it goes on to extend the leases of
+the runners that it knows. Its claims then state that the list is unread. They do not resign: a
+successor that cannot read the list either would know no runner's address, and all work would be
+lost. Instead, other instances try to read the list. One that has the whole list claims without
+waiting for the leader's silence, and takes over with the copy that it has read. Where no instance
+can read the list, none claims, and the leader goes on.
+"""
+
+import math
+import random
+from collections.abc import Callable
+
+from spoolcrank.leadership import SMALLER_INSTANCE_DELAY_S, Leadership
+from spoolcrank.leadership_monitor import MAX_LIST_AGE_S, LeadershipMonitor, PlacingBlock
+from spoolcrank.log_follower import LogFollower
+
+MAX_OLD_LIST_S = 2.0
+"""Time for which an old list must prevent placing before claims state it, in seconds. A call that
+a silent connection took is answered before, over another one."""
+
+MAX_LOAD_S = 1.0
+"""The same for a list that was not read yet, in seconds. Until then no lease is extended, and the
+leader before ended 1.3 to 2.5 s ago; leases of 6 s have to last until a successor has the list."""
+
+FIRST_PROBES_SHARE = 0.01
+"""Share of the instances that try at once; the others follow at a rate that grows tenfold in half
+of MAX_PROBE_DELAY_S. Each of them reads the whole list, and the first that has it claims."""
+
+MAX_PROBE_DELAY_S = 1.0
+"""Time after which all instances try to read the list, in seconds."""
+
+MAX_FAILING_S = 1.0
+"""Time for which an instance tries without an answer, in seconds; more than a call's limit."""
+
+RETRY_DELAY_S = 1.0
+"""Delay before it tries again, in seconds. 300 instances then send 900 calls a second at most."""
+
+_LIST_BLOCKS = {PlacingBlock.LIST_NOT_READ: MAX_LOAD_S, PlacingBlock.OLD_LIST: MAX_OLD_LIST_S}
+
+
+def is_list_unread(monitor: LeadershipMonitor, now: float) -> bool:
+    """Return whether a leader has placed nothing for some time for want of the list of runners."""
+    return now - monitor.block_since >= _LIST_BLOCKS.get(monitor.block, math.inf)
+
+
+def probe_delay_s(seed: str) -> float:
+    """Return how long after the leader's statement an instance tries to read the list, seconds."""
+    share = max(FIRST_PROBES_SHARE, random.Random(seed).random())
+    return MAX_PROBE_DELAY_S * (1.0 - math.log(share) / math.log(FIRST_PROBES_SHARE))
+
+
+class ListProbe:
+    """The reading of the list of runners by an instance that does not lead."""
+
+    def __init__(
+        self, leadership: Leadership, follower: LogFollower, clock: Callable[[], float]
+    ) -> None:
+        self._leadership = leadership
+        self._follower = follower
+        self._clock = clock
+        self._delay_s = probe_delay_s(leadership.incarnation)
+        self._wanted_since: float | None = None
+        self._began_at: float | None = None
+        self._retry_at = -math.inf
+
+    def check(self) -> None:
+        """Begin, repeat or end the reading as needed; record whether the list could be read."""
+        now, follower = self._clock(), self._follower
+        if self._leadership.leads:
+            # Its claim was read back; it takes over once it has read the log.
+            return
+        if not self._leadership.leader_lacks_list:
+            self._end()
+            self._wanted_since = None
+            return
+        if self._wanted_since is None:
+            self._wanted_since = now
+        if self._began_at is None:
+            if now >= max(self._retry_at, self._wanted_since + self._claim_delay_s()):
+                self._began_at = now
+                follower.begin()
+        elif not follower.contact and now - self._began_at > MAX_FAILING_S:
+            self._end()
+            self._retry_at = now + RETRY_DELAY_S
+        is_read = follower.copy.loaded and follower.is_fresh(MAX_LIST_AGE_S)
+        self._leadership.reads_list = self._began_at is not None and is_read
+
+    def _claim_delay_s(self) -> float:
+        return self._delay_s + SMALLER_INSTANCE_DELAY_S * self._leadership.is_smaller
+
+    def _end(self) -> None:
+        self._leadership.reads_list = False
+        if self._began_at is not None:
+            self._began_at = None
+            self._follower.pause()
+
+    def take_over(self) -> None:
+        """Go on to follow the list as the leader, from the copy that was read if it is complete."""
+        has_list = self._began_at is not None and self._follower.copy.loaded
+        self._began_at = self._wanted_since = None
+        if not has_list:
+            self._follower.begin()
