End a refresh of a copy at what was in the log when it was asked for

Cause: a refresh read on until it met the log's present end, and one that had joined a running read waited until no further read followed at once.

Change: a refresh ends at the end that its first part saw; one that joined ends once the copy contains everything written before it was asked for.

Why it works: a refresh promises what was there when it was asked for, and nothing later.

--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -2,6 +2,7 @@
 
 import traceback
 from collections.abc import Callable
+from typing import NamedTuple
 
 from spoolcrank._timers import Timers
 from spoolcrank.keyed_log import KeyedLog, KeyedRecord
@@ -31,6 +32,13 @@
 RefreshHandler = Callable[[bool], None]
 
 
+class _RefreshRequest(NamedTuple):
+    """A request to read every record that was written before `asked_at`."""
+
+    asked_at: float
+    done: RefreshHandler
+
+
 def reraise(trace: str) -> None:
     """Reraise the error of a records handler, which ends the reading."""
     raise
@@ -74,7 +82,7 @@
         self._refreshing = False
         self._refresh_after_read = False
         self._last_batch_at = -ACTIVE_LOG_S
-        self._refresh_requests: list[RefreshHandler] = []
+        self._refresh_requests: list[_RefreshRequest] = []
 
     @property
     def generation(self) -> int:
@@ -97,11 +105,14 @@
             self._finish_refreshes(False)
 
     def refresh(self, done: RefreshHandler) -> None:
-        """Read the log up to its present end; call `done` with whether that succeeded."""
+        """Read all that is in the log now; call `done` with whether that succeeded.
+
+        A log that grows faster than it is read has no end that could be waited for.
+        """
         if not self.copy.loaded:
             done(False)
             return
-        self._refresh_requests.append(done)
+        self._refresh_requests.append(_RefreshRequest(self._clock(), done))
         if self._refreshing:
             return
         if self._reading and self._clock() - self._last_batch_at <= ACTIVE_LOG_S:
@@ -183,13 +194,20 @@
         self._log.read(from_offset, wait_ms, on_answer)
 
     def _start_joined_refresh(self, outcome: ReadOutcome) -> None:
-        """Start a refresh that waited for a read, once that read has reached the end of the log."""
-        if not self._refresh_after_read or self._reading:
+        """End or start the refreshes that waited for a read that has been answered.
+
+        Those that are not ended by the records read wait on while further reads follow at once.
+        """
+        if not self._refresh_after_read:
             return
-        self._refresh_after_read = False
         if outcome is ReadOutcome.FAILED:
             self._finish_refreshes(False)
         else:
+            self._finish_reached_refreshes()
+        if self._refresh_requests and self._reading:
+            return
+        self._refresh_after_read = False
+        if self._refresh_requests:
             self._start_refresh()
 
     def _on_read(self, answer: Records, from_offset: int, asked_at: float) -> None:
@@ -229,16 +247,25 @@
 
     def _finish_refreshes(self, ok: bool) -> None:
         requests, self._refresh_requests = self._refresh_requests, []
-        for done in requests:
-            done(ok)
+        for request in requests:
+            request.done(ok)
+
+    def _finish_reached_refreshes(self) -> None:
+        requests, read_at = self._refresh_requests, self.copy.read_at
+        self._refresh_requests = [each for each in requests if each.asked_at >= read_at]
+        for request in requests:
+            if request.asked_at < read_at:
+                request.done(True)
 
     def _start_refresh(self) -> None:
         self._refreshing = True
         requests, self._refresh_requests = self._refresh_requests, []
         self._read_to_end(requests, self._clock())
 
-    def _read_to_end(self, requests: list[RefreshHandler], asked_at: float) -> None:
-        """Read, in several parts if needed, up to the end of the log."""
+    def _read_to_end(
+        self, requests: list[_RefreshRequest], asked_at: float, end: int | None = None
+    ) -> None:
+        """Read, in several parts if needed, up to `end`, or up to the end that the read sees."""
         from_offset, generation = self.copy.next_offset, self._generation
 
         def on_answer(answer: Records) -> None:
@@ -246,12 +273,13 @@
             is_current = generation == self._generation and self.copy.loaded
             applied = is_current and self._apply_read(answer, from_offset, asked_at)
             ok = applied and answer.outcome is ReadOutcome.OK
-            if ok and answer.records and answer.end > self.copy.next_offset:
-                self._read_to_end(requests, asked_at)
+            seen_end = answer.end if end is None else end
+            if ok and answer.records and seen_end > self.copy.next_offset:
+                self._read_to_end(requests, asked_at, seen_end)
                 return
             self._refreshing = False
-            for done in requests:
-                done(ok)
+            for request in requests:
+                request.done(ok)
             if self._refresh_requests:
                 self._start_refresh()
 
--- a/tests/test_growing_log.py
+++ b/tests/test_growing_log.py
@@ -83,6 +83,50 @@
         assert find_placing_block(False, True, age_s, 0.0) is PlacingBlock.NONE
 
 
+def _refreshed_after_s(joined: bool) -> float:
+    """Return how long a refresh takes while the log grows faster than it is read, in seconds."""
+    log = _GrowingLog()
+    untyped: Any = log
+    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
+    follower.eager = True
+    follower.begin()
+    if joined:
+        follower._last_batch_at = log.now
+    ends: list[int] = []
+    asked_at, end = log.now, log.end
+    follower.refresh(lambda ok: ends.append(follower.copy.next_offset if ok else -1))
+    while not ends and log.now - asked_at < PLAY_S:
+        log.step()
+    assert ends and ends[0] >= end
+    return log.now - asked_at
+
+
+# Guards against claims and queries that wait for the end of a log which is never met: instances
+# read it before they claim, and nobody led for as long as it grew so fast.
+@pytest.mark.parametrize("joined", [False, True])
+def test_a_refresh_ends_once_it_has_read_what_was_there_when_it_began(joined: bool) -> None:
+    assert _refreshed_after_s(joined) <= 2.0
+
+
+# Guards against a refresh that later ones put off: one is asked for in each read.
+def test_refreshes_that_join_reads_end_in_their_order() -> None:
+    log = _GrowingLog()
+    untyped: Any = log
+    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
+    follower.eager = True
+    follower.begin()
+    follower._last_batch_at = log.now
+    asked: list[float] = []
+    ended: list[float] = []
+    while len(ended) < 20 and log.now - log.began_at < PLAY_S:
+        asked_at = log.now
+        asked.append(asked_at)
+        follower.refresh(lambda ok, asked_at=asked_at: ended.append(asked_at))  # type: ignore[misc]
+        log.step()
+    assert len(ended) >= 20
+    assert ended == asked[: len(ended)]
+
+
 def test_an_end_that_was_seen_and_not_reached_makes_nothing_read() -> None:
     copy = KeyedLog()
     copy.finish_load(0)
