--- a/spoolcrank/job_intake.py
+++ b/spoolcrank/job_intake.py
@@ -193,7 +193,7 @@
     ) -> Callable[[Answer | ErrorKind], None]:
         """Return a callback that calls `done` once; after `READ_TIMEOUT_S` it reports a failure.
 
-        The timeout is needed because a refresh continues for as long as new records arrive.
+        The timeout is needed because reads may be late or have to be repeated.
         """
         reported = False
 
