--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -94,6 +94,7 @@
             from which the leases of earlier leaders there may run, as its age in ms.
         granted_nothing: its writer has granted no lease in this term, and grants none before a
             later claim without this is stored.
+        lacks_copy: the leader places nothing as its copy of the list of runners or the log is old.
     """
 
     term: int = 0
@@ -104,6 +105,7 @@
     successor: Incarnation = NO_SUCCESSOR
     unreached_ms: dict[str, int] = {}
     granted_nothing: bool = False
+    lacks_copy: bool = False
 
 
 decode_claim = raises_unreadable(msgspec.json.Decoder(Claim).decode)
@@ -151,6 +153,10 @@
         self._may_have_granted_at = -1.0
         self._leader_granted_nothing = False
         self._missed_claims = True
+        self.lacks_copy = False
+        self.leader_lacks_copy = False
+        self.has_copies = False
+        self._stated_lacks_copy = False
 
     @property
     def leads(self) -> bool:
@@ -160,8 +166,8 @@
     def read_claim(self, claim: Claim, now: float) -> bool:
         """Apply a claim read from the log; return whether it differs from the previous one.
 
-        What it states about leases does not count for that. Only the newest claim of a term counts
-        for it: a later one withdraws the runners that it does not state.
+        What it states about leases and copies does not count for that. Only the newest claim of a
+        term counts for it: a later one withdraws what it does not state.
 
         A leader that has granted nothing leaves the time unchanged from which leases may run. If
         claims before it were not read, a leader before it may have written until now.
@@ -173,12 +179,16 @@
             claim = msgspec.structs.replace(claim, resigned=True)
         self._read_unreached(claim, now)
         self._leader_granted_nothing = claim.granted_nothing
-        claim = msgspec.structs.replace(claim, unreached_ms={}, granted_nothing=False)
+        self.leader_lacks_copy = claim.lacks_copy
+        claim = msgspec.structs.replace(
+            claim, unreached_ms={}, granted_nothing=False, lacks_copy=False
+        )
         changed = claim != self.claim
         self._largest_processors = max(self._largest_processors, claim.processors)
         if claim.term != self.claim.term:
             self._term_read_at = now
             self.may_grant = not self._leader_granted_nothing
+            self.lacks_copy = self._stated_lacks_copy = False
         self.claim = claim
         self.last_contact_at = now
         if self._missed_claims or not (self.leads or self._leader_granted_nothing):
@@ -289,7 +299,19 @@
         if self._log_failed:
             return DueActions()
         offer = self._should_offer(now)
-        return DueActions(claim=now - self.last_contact_at >= self._claim_delay_s(), offer=offer)
+        claim = self.leader_lacks_copy and self.has_copies
+        claim = claim or now - self.last_contact_at >= self._claim_delay_s()
+        return DueActions(claim=claim, offer=offer)
+
+    @property
+    def is_smaller(self) -> bool:
+        """Return whether this instance is much smaller than one that led or offered to lead."""
+        return self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO
+
+    @property
+    def statement_due(self) -> bool:
+        """Return whether the newest claim states wrongly whether this leader lacks a copy."""
+        return self.lacks_copy is not self._stated_lacks_copy
 
     def _claim_delay_s(self) -> float:
         """Return how long the leader must be silent before this instance claims, in seconds."""
@@ -304,7 +326,7 @@
             delay_s += LEADER_TIMEOUT_S
         if claim.resigned and claim.successor:
             delay_s += SUCCESSOR_HEAD_START_S
-        if self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO:
+        if self.is_smaller:
             delay_s += SMALLER_INSTANCE_DELAY_S
         return delay_s
 
@@ -327,7 +349,7 @@
 
     def own_claim(self, resigned: bool = False, successor: Incarnation = NO_SUCCESSOR) -> Claim:
         """Return the current claim as the leader writes it again."""
-        return Claim(
+        claim = Claim(
             self.claim.term,
             self.instance,
             self.incarnation,
@@ -336,6 +358,10 @@
             successor,
             granted_nothing=not self.may_grant,
         )
+        if resigned:
+            return claim
+        self._stated_lacks_copy = self.lacks_copy
+        return msgspec.structs.replace(claim, lacks_copy=self.lacks_copy)
 
     def next_claim(self, now: float) -> Claim:
         """Return the claim to write now; the store accepts only the first claim of a term."""
