Log that work waits for runners not asked, and that a leader polls fewer

Cause: task-waits said 'capacity' where only an idle runner without a recent answer could take a task, which told neither a lack of room from a choice of polls nor the hypotheses of the incident apart. That a leader is short of processor time stood in no line.

Measured: tests/test_task_hold.py (the reason), test_polls_of_a_busy_leader.py (each line once).

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -32,7 +32,7 @@
     PlacingBlock,
     find_placing_block,
     log_placing_block,
-    log_takeover_done,
+    log_progress,
 )
 from spoolcrank.list_probe import ListProbe, is_copy_old
 from spoolcrank.log_event_groups import LOG_GROUP_INTERVAL_S, LogEventGroups
@@ -255,7 +255,7 @@
         if self.leadership.may_extend(now):
             due = partial(run_periodic_work, scheduler, self._preassignments, self._regrouping, now)
             self._guard(scheduler, due)
-        log_takeover_done(self._monitor, scheduler, now)
+        log_progress(self._monitor, scheduler, now)
         self._decide_at_once()
 
     def _decide_now(self) -> None:
--- a/spoolcrank/hold_words.py
+++ b/spoolcrank/hold_words.py
@@ -19,6 +19,7 @@
     HoldReason.ISOLATION: "a runner of its own, as it may crash runners",
     HoldReason.MOVE: "capacity on the runner to which it moves",
     HoldReason.NO_RUNNER: "a runner that takes work",
+    HoldReason.NOT_ASKED: "an answer of a runner that could take it and was not asked lately",
     HoldReason.LABEL: "a runner with its label",
     HoldReason.SPREAD: "a runner with fewer tasks of its step",
     HoldReason.CAPACITY: "a runner with enough free capacity",
--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -19,6 +19,10 @@
 read of the log waits up to 0.7 s for new records."""
 
 
+FEW_POLLS_SHARE = 0.5
+"""Share of the usual polls of runners without runs from which a leader logs that it sends fewer."""
+
+
 class PlacingBlock(Enum):
     """Reason why a leader places nothing."""
 
@@ -39,6 +43,8 @@
         block: why nothing is placed now.
         block_since: when that reason began to apply, in monotonic seconds.
         block_logged: whether it was logged.
+        short_of_time_since: since when it has sent few polls for want of time, in monotonic
+            seconds; None if it has not.
     """
 
     term_began_at: float
@@ -46,6 +52,7 @@
     block: PlacingBlock = PlacingBlock.NONE
     block_since: float = 0.0
     block_logged: bool = False
+    short_of_time_since: float | None = None
 
 
 def find_placing_block(
@@ -83,7 +90,19 @@
     state.places_nothing = monitor.block_logged
 
 
-def log_takeover_done(monitor: LeadershipMonitor, state: Scheduler, now: float) -> None:
+def log_progress(monitor: LeadershipMonitor, state: Scheduler, now: float) -> None:
+    """Log when all runners are taken over, and while the leader is short of time for polls."""
+    _log_takeover_done(monitor, state, now)
+    share, since = state.polls.share, monitor.short_of_time_since
+    if since is None and share <= FEW_POLLS_SHARE:
+        monitor.short_of_time_since = now
+        state.log_event("polls-fewer", share=round(share, 2), runners=len(state.runners))
+    elif since is not None and share >= 1.0:
+        monitor.short_of_time_since = None
+        state.log_event("polls-as-usual", after_s=round(now - since, 2))
+
+
+def _log_takeover_done(monitor: LeadershipMonitor, state: Scheduler, now: float) -> None:
     """Log once when every listed runner has answered this leader."""
     if monitor.all_runners_answered:
         return
--- a/spoolcrank/log_events.py
+++ b/spoolcrank/log_events.py
@@ -19,6 +19,8 @@
         "run-not-ours",
         "places-nothing",
         "places-again",
+        "polls-fewer",
+        "polls-as-usual",
         "runners-taken-over",
         "rows-unreadable",
         "task-waits",
--- a/spoolcrank/task_hold.py
+++ b/spoolcrank/task_hold.py
@@ -24,12 +24,13 @@
 )
 from spoolcrank.placing_pass import Candidates, PlacingPass
 from spoolcrank.runner_hold import runner_hold
-from spoolcrank.runner_pools import usable_runners
+from spoolcrank.runner_pools import may_take_work, usable_runners
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.runs import Run, RunStage
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.shortages import known_shortage
 from spoolcrank.unknown_runs import unknown_run_at
+from spoolcrank.waiting_needs import Need, could_take
 from spoolcrank.workflow import FINAL, Phase, RunnerId, TaskKey
 
 
@@ -47,6 +48,8 @@
         ISOLATION: it waits for a runner of its own, as it may crash runners.
         MOVE: it waits for capacity on the runner to which it moves.
         NO_RUNNER: no runner of its service takes work.
+        NOT_ASKED: only runners without a recent answer have its room or label; the leader asks some
+            of them at a time.
         LABEL: no runner has its label.
         SPREAD: each runner has as many tasks of its step as are allowed.
         CAPACITY: no runner has its processors, memory or accelerators free.
@@ -77,6 +80,7 @@
     ISOLATION = "isolation"
     MOVE = "move"
     NO_RUNNER = "no-runner-in-pool"
+    NOT_ASKED = "runner-not-asked"
     LABEL = "label"
     SPREAD = "spread"
     CAPACITY = "capacity"
@@ -239,7 +243,19 @@
         return Hold(reason, runners=dict(obstacles))
     by_reason = Counter(_obstacle(state, request, runner, now) for runner in pool)
     obstacles.update({reason.value: count for reason, count in by_reason.items()})
-    return Hold(by_reason.most_common(1)[0][0], runners=dict(obstacles))
+    reason = by_reason.most_common(1)[0][0]
+    if reason in (HoldReason.CAPACITY, HoldReason.LABEL) and _fits_unasked(state, job, step, now):
+        reason = HoldReason.NOT_ASKED
+    return Hold(reason, runners=dict(obstacles))
+
+
+def _fits_unasked(state: Scheduler, job: JobState, step: StepState, now: float) -> bool:
+    """Return whether a runner that has not answered lately could take a task of a step."""
+    need = Need(state.service_of(job), step.spec.demand, step.spec.label)
+    return any(
+        may_take_work(runner, now) and not runner.answers(now) and could_take(runner, need)
+        for runner in state.runners.values()
+    )
 
 
 def _obstacle(
--- a/tests/hold_setups.py
+++ b/tests/hold_setups.py
@@ -124,6 +124,13 @@
     return held_state(Step(count=1, millicores=1000, memory_mb=70_000))
 
 
+def not_asked_hold() -> Scheduler:
+    state = held_state(Step(count=1, millicores=20_000, memory_mb=100), runners=2)
+    put(first_runner(state), GANG, job="ef")
+    list(state.runners.values())[1].answered_at = NOW - 5.0
+    return state
+
+
 def reserve_hold() -> Scheduler:
     state = held_state(LASTING)
     first_runner(state).used_millicores = 28_000
--- a/tests/test_polls_of_a_busy_leader.py
+++ b/tests/test_polls_of_a_busy_leader.py
@@ -2,6 +2,7 @@
 
 from spoolcrank.dispatcher import TICK_S
 from spoolcrank.idle_polls import WAITING_WORK_FACTOR, postponed_polls
+from spoolcrank.leadership_monitor import LeadershipMonitor, log_progress
 from spoolcrank.poll_budget import MIN_SHARE, PollBudget
 from spoolcrank.scheduler import Scheduler
 from tests.packed_runners import NOW, SHORT, leader, runner
@@ -51,3 +52,12 @@
     state = _fleet()
     state.placing_blocked = True
     assert _polled(state) == READY
+
+
+def test_a_leader_logs_that_it_polls_fewer_runners_once_and_when_that_is_over() -> None:
+    state, monitor = _fleet(), LeadershipMonitor(NOW)
+    for late_s in (0.3, 0.3, 0.0):
+        _tick(state, late_s, 20)
+        log_progress(monitor, state, NOW)
+    names = [event.name for event in state.log_events if event.name.startswith("polls")]
+    assert names == ["polls-fewer", "polls-as-usual"]
