--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -10,7 +10,6 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -29,6 +28,7 @@
 from spoolcrank.workflow import Demand, JobRecord, RouteName, Step, TaskKey, Workflow
 from tests.fleet_runners import MAX_LEASE_MS, Runner, RunnerPort
 from tests.fleet_store import Store, StorePort
+from tests.log_recorder import LogRecorder
 
 SERVICE = ServiceName("pricing")
 ROUTE = RouteName("quotes")
@@ -281,19 +281,6 @@
         self.after(period_s, run_and_rearm)
 
 
-@dataclass
-class LogRecorder:
-    """A log that collects lines; an internal error fails the test unless it is `expected`."""
-
-    lines: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
-    expected: bool = False
-
-    def log(self, name: str, important: bool = False, **fields: Any) -> None:
-        self.lines.append((name, fields))
-        if name == "internal-error" and not self.expected:
-            raise AssertionError(fields["trace"])
-
-
 class Instance:
     """One instance of the product, running its real follower, intake and dispatcher."""
 
--- a/tests/queue_clients.py
+++ b/tests/queue_clients.py
@@ -23,7 +23,8 @@
     Records,
 )
 from tests.fleet_store import ANSWER_S, StorePort, Topic
-from tests.fleet_world import Instance, LogRecorder, Timers, World, small_world
+from tests.fleet_world import Instance, Timers, World, small_world
+from tests.log_recorder import LogRecorder
 
 HOST = "a"
 STEP = {"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 600}
--- a/tests/test_claiming.py
+++ b/tests/test_claiming.py
@@ -22,7 +22,8 @@
 from spoolcrank.log_follower import LAZY_READ_DELAY_S
 from spoolcrank.store_port import Append, Appended
 from spoolcrank.workflow import Step, encode
-from tests.fleet_world import LogRecorder, World, small_world
+from tests.fleet_world import World, small_world
+from tests.log_recorder import LogRecorder
 
 NOW = 100.0
 
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -20,7 +20,8 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.unreached_runners import FIRST_POLLS_S, claim_due, claim_stored, own_claim
 from spoolcrank.workflow import Step, TaskKey, encode
-from tests.fleet_world import Instance, LogRecorder, Runner, World
+from tests.fleet_world import Instance, Runner, World, small_world
+from tests.log_recorder import LogRecorder
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 
 SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
@@ -42,14 +43,7 @@
 
 
 def _fleet(seed: int, instances: int = INSTANCES, runners: int = RUNNERS) -> World:
-    world = World(seed, LEASE_MS)
-    for number in range(runners):
-        world.add_runner(f"10.0.0.{number}:80")
-    for number in range(instances):
-        world.add_instance(f"entry-{number}")
-    world.run_until(lambda: world.leader() is not None)
-    world.run(0.2)
-    return world
+    return small_world(instances, runners, seed, LEASE_MS)
 
 
 def _lose_runners_with_work(world: World) -> set[TaskKey]:
