Let no runner wait for the first polls of idle ones that the budget limits

Cause: the runners for a first poll were taken in an order that begins with the zones that answer, and then those without runs that the budget does not let through were left out. With the budget spent, the idle runners of zones that answer, thousands in a large fleet, took all places: a runner with runs in a zone with one more silent runner, and one listed later that may replace a crashed one, were not polled until all of those were (some 23 s for 2,500 runners at 107 a second), longer than leases last.

Change: runners that may wait for the budget come last in that order, and are compared among themselves only.

--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -51,8 +51,8 @@
     Those listed since may replace crashed ones, which only their answer proves. Of runners that are
     equal in the order of first polls, those that could take waiting work come first.
     """
-    hurried = [runner for runner in first if not _may_wait_for_first_poll(state, runner)]
-    unhurried = [runner for runner in first if _may_wait_for_first_poll(state, runner)]
+    hurried = [runner for runner in first if not may_wait_for_first_poll(state, runner)]
+    unhurried = [runner for runner in first if may_wait_for_first_poll(state, runner)]
     if not unhurried:
         return hurried
     waiting = needs_in_turn(state, state.polls.first_turns)
@@ -68,7 +68,8 @@
     return [*hurried, *before, *chosen.values(), *others[: taken - len(before) - len(chosen)]]
 
 
-def _may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
+def may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
+    """Return whether the leader's budget for first polls applies to a runner."""
     return (
         not runner.runs
         and runner.rank == 0
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -4,7 +4,12 @@
 from heapq import nsmallest
 from typing import NamedTuple
 
-from spoolcrank.idle_polls import is_idle, limit_first_polls, postponed_polls
+from spoolcrank.idle_polls import (
+    is_idle,
+    limit_first_polls,
+    may_wait_for_first_poll,
+    postponed_polls,
+)
 from spoolcrank.ids import AvailabilityZone
 from spoolcrank.orders import Poll
 from spoolcrank.poll_budget import IDLE_POLL_INTERVAL_S
@@ -135,14 +140,16 @@
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
-    Runners in zones that answer come first, then those polled longest ago. Of those not polled yet,
-    runners on which something may run come first, then those that could take waiting work.
+    Those that may wait for the leader's budget come last, or the others would wait for it as well.
+    Then runners in zones that answer come first, then those polled longest ago. Of those not polled
+    yet, runners on which something may run come first, then those that could take waiting work.
     """
     polls = _first_polls(state, now)
 
-    def order(runner: RunnerState) -> tuple[int, float, bool]:
-        zone = runner.entry.availability_zone
-        return (polls.unanswered[zone], runner.polled_at, not runner.runs)
+    def order(runner: RunnerState) -> tuple[bool, int, float, bool]:
+        unanswered = polls.unanswered[runner.entry.availability_zone]
+        may_wait = may_wait_for_first_poll(state, runner)
+        return (may_wait, unanswered, runner.polled_at, not runner.runs)
 
     answering = [runner for runner in awaiting_first_answer if runner.silent_since is None]
     silent = [runner for runner in awaiting_first_answer if runner.silent_since is not None]
