Give each need of a job its turn at polls, not only its first few

Cause: a turn took the first 8 needs and went on behind the last job of which any was among them. A job with more than 8 different needs had only its first 8 asked for, always; so had a job whose needs were cut off as those before it filled the turn, where the order of jobs came round the same. What only such a need's runner could take was never asked for. A turn of 64 jobs of which none waits for a runner did not end either while idle runners were selected.

Change: a turn goes on at the step at which it ended; one without any need ends as well.

--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -87,6 +87,8 @@
     if len(state.runners) <= state.polls.max_ready:
         return []
     waiting = needs_in_turn(state, state.polls.idle_turns)
+    if not waiting.needs:
+        end_turns(state.polls.idle_turns, waiting, 0)
     limit = int(state.polls.max_ready * _factor(state, waiting))
     if len(state.runners) <= limit:
         return []
--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -44,9 +44,11 @@
 
     Attributes:
         next_job: number, among the waiting jobs, of the one whose needs come first.
+        next_step: number, among the steps of that job that wait, of the first whose need counts.
     """
 
     next_job: int = 0
+    next_step: int = 0
 
 
 class _RateLimit:
--- a/spoolcrank/waiting_needs.py
+++ b/spoolcrank/waiting_needs.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from spoolcrank.ids import ServiceName
+from spoolcrank.job_state import JobState
 from spoolcrank.poll_budget import Turns
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
@@ -29,18 +30,25 @@
     label: str
 
 
+class Position(NamedTuple):
+    """A waiting step, by its number in its job, and the number of jobs before in the same turn."""
+
+    jobs: int
+    step: int
+
+
 class NeedsInTurn(NamedTuple):
     """Different needs of waiting jobs, first those of the job whose turn it is.
 
     Attributes:
         needs: the needs.
-        first_jobs: for each need, the number of jobs before the first that has it.
-        jobs: number of jobs considered.
+        first_at: for each need, the first step that has it.
+        next_at: the step after those considered.
     """
 
     needs: tuple[Need, ...] = ()
-    first_jobs: tuple[int, ...] = ()
-    jobs: int = 0
+    first_at: tuple[Position, ...] = ()
+    next_at: Position = Position(0, 0)
 
 
 def needs_in_turn(state: Scheduler, turns: Turns) -> NeedsInTurn:
@@ -52,23 +60,33 @@
     waiting = list(state.ready)
     turns.next_job %= max(1, len(waiting))
     in_turn = [*waiting[turns.next_job :], *waiting[: turns.next_job]][:MAX_JOBS]
-    needs: dict[Need, int] = {}
+    first_at: dict[Need, Position] = {}
     for before, job_id in enumerate(in_turn):
-        job = state.jobs[job_id]
-        service = state.service_of(job)
-        for round_state in job.rounds.values():
-            for _, step in round_state.ready():
-                needs.setdefault(Need(service, step.spec.demand, step.spec.label), before)
-        if len(needs) >= MAX_NEEDS:
-            in_turn = in_turn[: before + 1]
-            break
-    return NeedsInTurn(tuple(needs)[:MAX_NEEDS], tuple(needs.values())[:MAX_NEEDS], len(in_turn))
+        first_step = turns.next_step if before == 0 else 0
+        for number, need in enumerate(_needs_of(state, state.jobs[job_id])):
+            if number < first_step or need in first_at:
+                continue
+            position = Position(before, number)
+            if len(first_at) == MAX_NEEDS:
+                return NeedsInTurn(tuple(first_at), tuple(first_at.values()), position)
+            first_at[need] = position
+    next_at = Position(len(in_turn), 0)
+    return NeedsInTurn(tuple(first_at), tuple(first_at.values()), next_at)
+
+
+def _needs_of(state: Scheduler, job: JobState) -> Iterator[Need]:
+    service = state.service_of(job)
+    for round_state in job.rounds.values():
+        for _, step in round_state.ready():
+            yield Need(service, step.spec.demand, step.spec.label)
 
 
 def end_turns(turns: Turns, waiting: NeedsInTurn, polls: int) -> None:
     """Give the next turn to the first need for which no poll was sent, if each got one in turn."""
     all_served = polls >= len(waiting.needs)
-    turns.next_job += waiting.jobs if all_served else waiting.first_jobs[polls]
+    position = waiting.next_at if all_served else waiting.first_at[polls]
+    turns.next_job += position.jobs
+    turns.next_step = position.step
 
 
 def could_take(runner: RunnerState, need: Need) -> bool:
