Let the least share of polls be one poll at a time

Cause: while its ticks come late a leader sends a tenth of its polls of runners without runs, and a tenth of what it may send at once. For a leader with less than 0.04 cores that is less than one poll at once, so that none was ever sent while its ticks came late.

--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -68,12 +68,12 @@
     def take(self, wanted: int, now: float, factor: float = 1.0) -> int:
         """Return how many of the wanted polls to send now, at `factor` times the rate.
 
-        A factor below 1 also reduces the number of polls at once.
+        A factor below 1 also reduces the number of polls at once, but not below one.
         """
         if math.isinf(self._burst):
             return wanted
         since_s = now - max(self._refilled_at, now - 1.0)
-        burst = self._burst * min(1.0, factor)
+        burst = max(1.0, self._burst * min(1.0, factor))
         self._left = min(burst, self._left + since_s * self._per_s * factor)
         self._refilled_at = now
         taken = max(0, min(wanted, int(self._left)))
--- a/tests/test_needs_in_turn.py
+++ b/tests/test_needs_in_turn.py
@@ -4,7 +4,7 @@
 
 from spoolcrank.idle_polls import postponed_polls
 from spoolcrank.ids import JobId
-from spoolcrank.poll_budget import PollBudget
+from spoolcrank.poll_budget import MIN_SHARE, PollBudget
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.waiting_needs import MAX_JOBS, MAX_NEEDS
 from spoolcrank.workflow import JobRecord, RouteName, Step, Workflow
@@ -80,3 +80,14 @@
         state.jobs[JobId(f"{number:x}")].rounds[0].steps[0].waiting.clear()
     _add_job(state, "ab", MAX_JOBS, RARE)
     assert _polled(state).index("rare") < 100
+
+
+@pytest.mark.parametrize("processors", [0.005, PROCESSORS, 0.4])
+def test_the_smallest_share_still_polls_some_runner(processors: float) -> None:
+    """Guards against a small leader that, late once too often, polls no idle runner at all."""
+    state = _fleet()
+    state.polls = PollBudget(processors)
+    state.polls.share = MIN_SHARE
+    _add_job(state, "ab", 1, RARE)
+    state.placing_blocked = True
+    assert "rare" in _polled(state)
