Group what the decisions on one server share in mitigation

The parameters model, service, kind and policy, mostly with monitor, batch and now, stood in the heads of eight functions of `mitigation`, and the call of `InterferenceModel.slowdown` with them stood six times. `_SharedServer` holds all of them but `now`, which stays an argument of each function; it returns and replaces the estimate of a class. `expected_slowdown`, which no other module uses, is private now.

No change of behaviour: the tests are unchanged, and those of tests/test_interference.py pass.

--- a/spoolcrank/mitigation.py
+++ b/spoolcrank/mitigation.py
@@ -3,7 +3,9 @@
 While a service is slow, its server moves to stronger mitigation levels, and back while it is calm.
 """
 
-from spoolcrank.ids import InstanceId, ServiceName
+from typing import NamedTuple
+
+from spoolcrank.ids import InstanceId, ServiceName, TaskClass
 from spoolcrank.interference import (
     Estimate,
     EvictTask,
@@ -51,6 +53,25 @@
 latency then has another cause, perhaps batch work that has started since."""
 
 
+class _SharedServer(NamedTuple):
+    """A server on which batch tasks run beside the monitored runner of a service."""
+
+    model: InterferenceModel
+    monitor: LatencyMonitor
+    service: ServiceName
+    kind: str
+    batch: list[RunningTask]
+    policy: Policy
+
+    def slowdown(self, task_class: TaskClass, now: float) -> float:
+        """Return the learned slowdown that one task of a class causes here."""
+        return self.model.slowdown(self.service, task_class, self.kind, self.policy, now)
+
+    def learn(self, task_class: TaskClass, slowdown: float, now: float) -> None:
+        """Replace the estimate of a class."""
+        self.model.pairs[Pair(self.service, task_class, self.kind)] = Estimate(slowdown, now)
+
+
 def step(
     model: InterferenceModel,
     server: InstanceId,
@@ -78,18 +99,19 @@
     if monitor is None or not policy.interference.enabled:
         return []
     batch = [run for run in report.running if run.job_class is JobClass.BATCH]
+    shared = _SharedServer(model, monitor, service, kind, batch, policy)
     if monitor.ratio > policy.interference.target_ratio:
         monitor.calm_since = None
         if _is_exempt(monitor, now):
             return []
         if now - monitor.attributed_at >= policy.interference.react_s and batch:
             monitor.attributed_at = now
-            _attribute_slowdown(model, monitor, service, kind, batch, policy, now)
+            _attribute_slowdown(shared, now)
         if not _is_persistently_slow(monitor, service_rate, policy, now):
             return []
-        return _escalate(model, server, monitor, service, kind, batch, policy, now)
+        return _escalate(shared, now)
     if monitor.ratio < policy.interference.calm_ratio:
-        return _relax(model, monitor, service, kind, batch, policy, now)
+        return _relax(shared, now)
     monitor.calm_since = None
     return []
 
@@ -116,22 +138,15 @@
     return now - monitor.slow_since >= _MIN_SLOW_S
 
 
-def _escalate(
-    model: InterferenceModel,
-    server: InstanceId,
-    monitor: LatencyMonitor,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> list[Step]:
-    if now - monitor.stepped_at < policy.interference.react_s or not batch:
+def _escalate(shared: _SharedServer, now: float) -> list[Step]:
+    monitor = shared.monitor
+    policy = shared.policy
+    if now - monitor.stepped_at < policy.interference.react_s or not shared.batch:
         return []
     monitor.stepped_at = now
     if monitor.level is Level.OPEN:
         monitor.level = Level.NO_PLACING
-    order = _by_slowdown(model, service, kind, batch, policy, now)
+    order = _by_slowdown(shared, shared.batch, now)
     if not policy.interference.ladder:
         return [EvictTask(order[0].task, order[0].attempt)]
     throttleable = [run for run in order if run.throttle > policy.interference.throttle]
@@ -148,8 +163,8 @@
     if trial is not None and not _is_trial_over(trial, monitor, now):
         return []
     if trial is not None and not _is_relieved(monitor, trial):
-        return _exempt(monitor, batch, now)
-    return _evict_one(model, monitor, order, policy, now)
+        return _exempt(monitor, shared.batch, now)
+    return _evict_one(shared, order[0], now)
 
 
 def _is_trial_over(trial: ThrottleTrial, monitor: LatencyMonitor, now: float) -> bool:
@@ -172,81 +187,45 @@
     return [ThrottleTask(run.task, run.attempt, 1.0) for run in batch if run.throttle < 1.0]
 
 
-def _evict_one(
-    model: InterferenceModel,
-    monitor: LatencyMonitor,
-    order: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> list[Step]:
+def _evict_one(shared: _SharedServer, run: RunningTask, now: float) -> list[Step]:
+    model = shared.model
     model.evicted_at = [at for at in model.evicted_at if now - at < 60.0]
-    if len(model.evicted_at) >= policy.interference.evictions_per_minute:
+    if len(model.evicted_at) >= shared.policy.interference.evictions_per_minute:
         return []
     model.evicted_at.append(now)
-    monitor.level = Level.EVICTING
-    return [EvictTask(order[0].task, order[0].attempt)]
+    shared.monitor.level = Level.EVICTING
+    return [EvictTask(run.task, run.attempt)]
 
 
-def _by_slowdown(
-    model: InterferenceModel,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> list[RunningTask]:
+def _by_slowdown(shared: _SharedServer, runs: list[RunningTask], now: float) -> list[RunningTask]:
     """Sort by learned slowdown, largest first; of equals, the shortest run, which loses least."""
     return sorted(
-        batch,
-        key=lambda run: (
-            -round(model.slowdown(service, run.task_class, kind, policy, now), 2),
-            run.ran_s,
-        ),
+        runs,
+        key=lambda run: (-round(shared.slowdown(run.task_class, now), 2), run.ran_s),
     )
 
 
-def _attribute_slowdown(
-    model: InterferenceModel,
-    monitor: LatencyMonitor,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> None:
+def _attribute_slowdown(shared: _SharedServer, now: float) -> None:
     """Distribute the observed slowdown over the running classes, weighted by their estimates."""
-    observed = monitor.ratio - 1.0
-    weights = {run.task: _weight(model, service, kind, run, policy, now) for run in batch}
+    observed = shared.monitor.ratio - 1.0
+    weights = {run.task: _weight(shared, run, now) for run in shared.batch}
     total_weight = sum(weights.values())
-    for run in batch:
+    for run in shared.batch:
         share = observed * weights[run.task] / total_weight
-        count = sum(other.task_class == run.task_class for other in batch)
-        known = model.slowdown(service, run.task_class, kind, policy, now)
+        count = sum(other.task_class == run.task_class for other in shared.batch)
+        known = shared.slowdown(run.task_class, now)
         updated = known + _ESTIMATE_STEP / count * (share - known)
-        model.pairs[Pair(service, run.task_class, kind)] = Estimate(updated, now)
+        shared.learn(run.task_class, updated, now)
 
 
-def _weight(
-    model: InterferenceModel,
-    service: ServiceName,
-    kind: str,
-    run: RunningTask,
-    policy: Policy,
-    now: float,
-) -> float:
-    known = model.slowdown(service, run.task_class, kind, policy, now)
+def _weight(shared: _SharedServer, run: RunningTask, now: float) -> float:
+    known = shared.slowdown(run.task_class, now)
     return max(_MIN_WEIGHT_SLOWDOWN, known) * max(run.throttle, 0.1)
 
 
-def _relax(
-    model: InterferenceModel,
-    monitor: LatencyMonitor,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> list[Step]:
+def _relax(shared: _SharedServer, now: float) -> list[Step]:
+    monitor = shared.monitor
+    policy = shared.policy
     monitor.trial = monitor.exemption = None
     if monitor.calm_since is None:
         monitor.calm_since = now
@@ -256,55 +235,36 @@
     ):
         monitor.lowered_at = now
         monitor.samples_since_lowering = 0
-        _lower_estimates(model, service, kind, batch, policy, now)
+        _lower_estimates(shared, now)
     if monitor.level is Level.OPEN:
         return []
     if now - max(monitor.calm_since, monitor.stepped_at) < policy.interference.regrow_s:
         return []
     monitor.stepped_at = now
-    throttled = [run for run in batch if run.throttle < 1.0]
+    throttled = [run for run in shared.batch if run.throttle < 1.0]
     if not throttled:
         monitor.level = Level.OPEN
         return []
-    mildest = _by_slowdown(model, service, kind, throttled, policy, now)[-1]
+    mildest = _by_slowdown(shared, throttled, now)[-1]
     share = min(1.0, mildest.throttle * 2)
-    added = (share - mildest.throttle) * model.slowdown(
-        service, mildest.task_class, kind, policy, now
-    )
-    if expected_slowdown(model, service, kind, batch, policy, now) + added > _max_slowdown(policy):
+    added = (share - mildest.throttle) * shared.slowdown(mildest.task_class, now)
+    if _expected_slowdown(shared, now) + added > _max_slowdown(policy):
         return []
     return [ThrottleTask(mildest.task, mildest.attempt, share)]
 
 
-def expected_slowdown(
-    model: InterferenceModel,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> float:
+def _expected_slowdown(shared: _SharedServer, now: float) -> float:
     """Return the slowdown that the running tasks should cause according to the model."""
-    return sum(
-        model.slowdown(service, run.task_class, kind, policy, now) * run.throttle for run in batch
-    )
+    return sum(shared.slowdown(run.task_class, now) * run.throttle for run in shared.batch)
 
 
 def _max_slowdown(policy: Policy) -> float:
     return policy.interference.target_ratio - 1.0
 
 
-def _lower_estimates(
-    model: InterferenceModel,
-    service: ServiceName,
-    kind: str,
-    batch: list[RunningTask],
-    policy: Policy,
-    now: float,
-) -> None:
+def _lower_estimates(shared: _SharedServer, now: float) -> None:
     """Lower the estimates of the classes that run at full speed while the service is calm."""
-    full_speed = [run for run in batch if run.throttle >= 1.0 and run.ran_s > _MIN_RUN_S]
+    full_speed = [run for run in shared.batch if run.throttle >= 1.0 and run.ran_s > _MIN_RUN_S]
     for task_class in {run.task_class for run in full_speed}:
-        pair = Pair(service, task_class, kind)
-        known = model.slowdown(service, task_class, kind, policy, now)
-        model.pairs[pair] = Estimate(known * (1.0 - _ESTIMATE_STEP), now)
+        known = shared.slowdown(task_class, now)
+        shared.learn(task_class, known * (1.0 - _ESTIMATE_STEP), now)
