Read both streams of the log by one function

`LogLink._read` and `_read_config` had the same four lines with other names: the time of the read, the query, the call, and the callback with that time. They are in `_read_from` now.

--- a/spoolcrank/log_link.py
+++ b/spoolcrank/log_link.py
@@ -258,10 +258,7 @@
             self._timers.after(0.0, self._read_config)
 
     def _read(self) -> None:
-        asked_at = time.monotonic()
-        query = f"from={self._next_offset}&max={self._read_records}&wait_s={_READ_WAIT_S}"
-        call = self._read_call(CONTROL_STREAM, query, _READ_TIMEOUT_S)
-        self._http.send(call, lambda result: self._on_read(asked_at, result))
+        self._read_from(CONTROL_STREAM, self._next_offset, self._read_records, self._on_read)
 
     def _on_read(self, asked_at: float, result: HttpResult) -> None:
         page = _parse_page(result)
@@ -289,10 +286,8 @@
         self._timers.after(0.0, self._read)
 
     def _read_config(self) -> None:
-        asked_at = time.monotonic()
-        query = f"from={self._next_config_offset}&max={_MAX_READ_RECORDS}&wait_s={_READ_WAIT_S}"
-        call = self._read_call(CONFIG_STREAM, query, _READ_TIMEOUT_S)
-        self._http.send(call, lambda result: self._on_config(asked_at, result))
+        offset = self._next_config_offset
+        self._read_from(CONFIG_STREAM, offset, _MAX_READ_RECORDS, self._on_config)
 
     def _on_config(self, asked_at: float, result: HttpResult) -> None:
         page = _parse_page(result)
@@ -340,6 +335,15 @@
 
         self._http.send(call, on_result)
 
+    def _read_from(
+        self, stream: str, offset: int, records: int, on_result: Callable[[float, HttpResult], None]
+    ) -> None:
+        """Read records from an offset; `on_result` gets the time of the read and its result."""
+        asked_at = time.monotonic()
+        query = f"from={offset}&max={records}&wait_s={_READ_WAIT_S}"
+        call = self._read_call(stream, query, _READ_TIMEOUT_S)
+        self._http.send(call, lambda result: on_result(asked_at, result))
+
     def _read_call(self, stream: str, query: str, timeout_s: float) -> HttpCall:
         path = f"/streams/{stream}/records?{query}"
         return HttpCall(self._address, "GET", path, {}, b"", timeout_s)
