Move the set-up that plays of ending leaders share to one module of tests

What stood twice or more in test_short_terms, test_silent_runners_handed_on, test_giving_way_plays, test_mixed_leaders, test_list_probe and test_leaders_end_unannounced is in tests/leader_plays.py: the start of a job with lasting tasks (five times), the end of a play (five times), a leader that reaches a runner and ends (twice), the search for a task that runs twice (three times), the claim of the version before, leaderships of term 0 and 4, and the number of seeds. The functions that tests imported from other test modules with a leading underscore (_fleet, _next_leader, _cut_off, _trouble_of_store, _end_of_trouble, _restore_reads) moved there as well, without it.

--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -1,6 +1,5 @@
 """Work on unreached runners waits for one leader only, also if leaders are killed."""
 
-import os
 import random
 from collections.abc import Callable
 from typing import Any
@@ -20,15 +19,24 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.unreached_runners import FIRST_POLLS_S, claim_due, claim_stored, own_claim
 from spoolcrank.workflow import Step, TaskKey, encode
-from tests.fleet_world import Instance, Runner, World, small_world
+from tests.fleet_world import World
+from tests.leader_plays import (
+    INSTANCES,
+    SEEDS,
+    cut_off,
+    end_lead,
+    fleet,
+    leading,
+    next_leader,
+    reach,
+    runs_twice,
+    start_lasting,
+    violations_at_end,
+)
 from tests.log_recorder import LogRecorder
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 
-SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 MUTANT_SEEDS = 100
-INSTANCES = 8
-RUNNERS = 24
-LEASE_MS = 6000
 LEADERS = 5
 DOWN_S = 2.0
 LEASES_S = 7.94
@@ -39,11 +47,6 @@
 """Longest time, in seconds, from a leader's last claim to the load of it by its next process."""
 TASKS = Step(count=24, millicores=1000, memory_mb=100, lasting=True)
 SMALL = Step(count=1, millicores=10, memory_mb=1, estimate_ms=600)
-LASTING = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
-
-
-def _fleet(seed: int, instances: int = INSTANCES, runners: int = RUNNERS) -> World:
-    return small_world(instances, runners, seed, LEASE_MS)
 
 
 def _lose_runners_with_work(world: World) -> set[TaskKey]:
@@ -61,13 +64,6 @@
     return keys
 
 
-def _next_leader(world: World) -> Instance:
-    world.run_until(lambda: world.leader() is not None)
-    current = world.leader()
-    assert current is not None
-    return current
-
-
 def _submit_steadily(world: World) -> None:
     """Submit a small job every tenth of a second, so that leaders write records all the time."""
     if world.instances:
@@ -81,12 +77,12 @@
 
     A leader that restarts leads again at once, with a log that it has just loaded.
     """
-    world = _fleet(seed)
+    world = fleet(seed)
     world.lasting_jobs.add("ab")
     next(iter(world.instances.values())).submit("ab", TASKS)
     world.run_until(lambda: len(world.starts) == TASKS.count)
     lost = _lose_runners_with_work(world)
-    current = _next_leader(world)
+    current = next_leader(world)
     led_at = world.now
     if restarts:
         _submit_steadily(world)
@@ -102,7 +98,7 @@
             break
         current.kill()
         world.add_instance(current.name if restarts else f"next-{number}")
-        current = _next_leader(world)
+        current = next_leader(world)
     world.run_until(runs, LEASES_S + MAX_DELAY_S)
     assert world.violations == []
     return world.now - led_at
@@ -131,32 +127,6 @@
     assert _time_of_lost_work(0, 4.0) > LEASES_S + MAX_DELAY_S
 
 
-def _trouble_of_store(world: World, name: str, chance: random.Random) -> None:
-    """Let the store lose answers of one instance, turn it away, answer late, or do nothing."""
-    kind = chance.choice(["none", "none", "none", "unanswered", "refused", "late", "slow", "lossy"])
-    if kind == "unanswered":
-        world.store.unanswered_instances.add(name)
-    elif kind == "refused":
-        world.store.refused_instances.add(name)
-    elif kind == "late":
-        world.store.late_append_share = 0.7
-    elif kind == "slow":
-        world.store.slow_s = chance.uniform(0.05, 0.5)
-    elif kind == "lossy":
-        world.store.lost_append_answer_share = 0.5
-
-
-def _end_of_trouble(world: World) -> None:
-    world.store.unanswered_instances.clear()
-    world.store.refused_instances.clear()
-    world.store.late_append_share = world.store.lost_append_answer_share = 0.0
-    world.store.slow_s = 0.0
-
-
-def _cut_off(world: World, cut: Runner) -> None:
-    world.unreachable |= {(name, cut.name) for name in world.instances}
-
-
 def _reach_late(seed: int) -> list[str]:
     """Return the violations of a play in which leaders reach a runner late, and then end.
 
@@ -165,49 +135,28 @@
     runner is cut off from all others.
     """
     chance = random.Random(seed)
-    world = _fleet(seed, instances=4, runners=4)
+    world = fleet(seed, instances=4, runners=4)
     world.max_transit_s = chance.choice([0.0, 0.05])
-    world.lasting_jobs.add("ab")
-    next(iter(world.instances.values())).submit("ab", LASTING)
-    world.run_until(lambda: len(world.starts) == LASTING.count)
-    world.run(1.0)
-    cut = chance.choice([one for one in world.runners.values() if one.tasks])
-    _cut_off(world, cut)
-    _next_leader(world).kill()
+    cut = chance.choice(start_lasting(world))
+    cut_off(world, cut)
+    next_leader(world).kill()
     died_at = world.now
     reached_at_once = chance.random() < 0.4
     if reached_at_once:
-        current = _next_leader(world)
+        current = next_leader(world)
         world.run(max(0.0, died_at + chance.uniform(2.8, 3.0) - world.now))
         current.kill()
         world.unreachable.clear()
-        _next_leader(world)
-        _cut_off(world, cut)
+        next_leader(world)
+        cut_off(world, cut)
     for _ in range(1 if reached_at_once else chance.choice([1, 1, 2])):
-        _next_leader(world)
+        next_leader(world)
         if not reached_at_once:
             world.run(max(0.0, died_at + chance.uniform(2.6, 4.8) - world.now))
-        _reach_and_end(world, _next_leader(world), cut, chance)
-    world.run(14.0)
-    world.unreachable.clear()
-    world.run(4.0)
-    return world.violations
-
-
-def _reach_and_end(world: World, current: Instance, cut: Runner, chance: random.Random) -> None:
-    """Let a leader reach a runner beside trouble with the store, and end soon afterwards."""
-    _trouble_of_store(world, current.name, chance)
-    world.run(chance.choice([0.0, 0.0, chance.uniform(0.0, 0.4)]))
-    world.unreachable.discard((current.name, cut.name))
-    world.run(chance.choice([0.02, 0.5, 1.5]) * (1.0 - chance.random() ** 2))
-    if chance.random() < 0.3:
-        current.freeze(chance.uniform(1.0, 5.0))
-    else:
-        current.kill()
-    if chance.random() < 0.2:
-        world.store.jobs.first_retained_offset = len(world.store.jobs.records)
-    world.run(chance.uniform(0.0, 0.5))
-    _end_of_trouble(world)
+        current = next_leader(world)
+        reach(world, current, cut, chance, 0.02)
+        end_lead(world, current, chance)
+    return violations_at_end(world)
 
 
 # Guards against a successor that takes leases for passed which the leader before granted late.
@@ -251,13 +200,7 @@
 def test_breaking_the_promise_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     for owner, attribute, replacement in MUTATIONS[name]:
         monkeypatch.setattr(owner, attribute, replacement)
-    assert any("TWICE" in each for seed in range(MUTANT_SEEDS) for each in _reach_late(seed))
-
-
-def _leadership() -> Leadership:
-    leadership = Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
-    leadership.read_claim(Claim(4, leadership.instance, leadership.incarnation), NOW)
-    return leadership
+    assert runs_twice(_reach_late, MUTANT_SEEDS)
 
 
 def _stated() -> tuple[Scheduler, RunnerState, Claim]:
@@ -270,7 +213,7 @@
     state.began_at = NOW - FIRST_POLLS_S
     state.predecessor_wrote_at = NOW - 5.0
     assert claim_due(state, NOW)
-    return state, silent, own_claim(_leadership(), state, NOW)
+    return state, silent, own_claim(leading(), state, NOW)
 
 
 def _answer(state: Scheduler, answering: RunnerState, now: float) -> None:
@@ -294,7 +237,7 @@
     claim_stored(state, claim)
     _answer(state, silent, NOW + 0.02)
     assert not silent.adopted
-    later = own_claim(_leadership(), state, NOW + 0.03)
+    later = own_claim(leading(), state, NOW + 0.03)
     assert later.unreached_ms == {}
     _answer(state, silent, NOW + 0.04)
     assert not silent.adopted
@@ -310,7 +253,7 @@
     later = state.register(runner("i-1@5").entry, NOW)
     _answer(state, later, NOW + 0.01)
     assert not later.adopted
-    assert claim_stored(state, own_claim(_leadership(), state, NOW + 0.02))
+    assert claim_stored(state, own_claim(leading(), state, NOW + 0.02))
     _answer(state, later, NOW + 0.03)
     assert later.adopted
 
@@ -319,10 +262,10 @@
 def test_no_claim_states_a_runner_that_may_be_about_to_answer() -> None:
     state, silent, _ = _stated()
     silent.silent_since = None
-    assert own_claim(_leadership(), state, NOW + 9.0).unreached_ms == {}
+    assert own_claim(leading(), state, NOW + 9.0).unreached_ms == {}
     silent.silent_since = NOW
     state.began_at = NOW
-    assert own_claim(_leadership(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
+    assert own_claim(leading(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
 
 
 # Guards against a leader that gives way and polls the runners it must not adopt without a pause.
@@ -340,7 +283,7 @@
 
 # Guards against a list of runners that a leader reads as a newer claim and that ends its own term.
 def test_a_claim_that_states_other_runners_is_no_other_claim() -> None:
-    leadership = _leadership()
+    leadership = leading()
     stating = Claim(4, leadership.instance, leadership.incarnation, unreached_ms={"i-1": 9})
     assert not leadership.read_claim(stating, NOW + 1.0)
     assert leadership.leads
--- a/tests/test_list_probe.py
+++ b/tests/test_list_probe.py
@@ -1,6 +1,5 @@
 """A leader whose copy of the list of runners or the log is old is followed by one that has both."""
 
-import os
 import random
 from collections.abc import Callable
 from typing import Any
@@ -16,13 +15,17 @@
 from spoolcrank.store_port import NewestPage, ReadOutcome, Records
 from spoolcrank.workflow import Step, encode
 from tests.fleet_store import StorePort
-from tests.fleet_world import Instance, World, small_world
-from tests.test_leaders_end_unannounced import _end_of_trouble, _trouble_of_store
+from tests.fleet_world import Instance, World
+from tests.leader_plays import (
+    LASTING,
+    SEEDS,
+    ClaimOfBefore,
+    end_of_trouble,
+    fleet,
+    trouble_of_store,
+)
 
-SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 ONE = Step(count=1, millicores=1000, memory_mb=100)
-LASTING = Step(count=4, millicores=1000, memory_mb=100, lasting=True)
-LEASE_MS = 6000
 HEARTBEAT_S = 0.3
 
 MAX_HOLD_S = 6.0
@@ -38,7 +41,7 @@
 
 
 def _world(seed: int = 1, instances: int = 4, runners: int = 4) -> tuple[World, Instance]:
-    world = small_world(instances, runners, seed, LEASE_MS)
+    world = fleet(seed, instances, runners)
     _beat(world)
     world.lasting_jobs = {"ab"}
     leader = world.leader()
@@ -252,21 +255,11 @@
     assert not leadership.leader_lacks_copy
 
 
-class _ClaimOfBefore(msgspec.Struct, frozen=True, array_like=True):
-    term: int = 0
-    instance: str = ""
-    incarnation: str = ""
-    resigned: bool = False
-    processors: float = 0.0
-    successor: str = ""
-    unreached_ms: dict[str, int] = {}
-
-
 # Guards against claims that instances of the version before, or of this one, cannot read.
 def test_claims_of_two_versions_are_read_by_both() -> None:
     stating = encode(Claim(4, InstanceId("e"), Incarnation("e-1"), lacks_copy=True))
-    assert msgspec.json.decode(stating, type=_ClaimOfBefore).term == 4
-    assert not decode_claim(encode(_ClaimOfBefore(4))).lacks_copy
+    assert msgspec.json.decode(stating, type=ClaimOfBefore).term == 4
+    assert not decode_claim(encode(ClaimOfBefore(4))).lacks_copy
 
 
 # Guards against hundreds of instances that read the whole list at once.
@@ -289,12 +282,12 @@
             if chance.random() < (0.7 if port.instance is current else 0.2):
                 chance.choice(list(TROUBLES.values()))(port)
         if chance.random() < 0.3 and current is not None:
-            _trouble_of_store(world, current.name, chance)
+            trouble_of_store(world, current.name, chance)
         cut = chance.choice(list(world.runners.values()))
         if chance.random() < 0.4:
             world.unreachable |= {(name, cut.name) for name in world.instances}
         world.run(chance.uniform(0.0, 6.0))
-        _end_of_trouble(world)
+        end_of_trouble(world)
         kind = chance.choice(["kill", "freeze", "none"])
         if kind == "kill" and current is not None and current.alive:
             current.kill()
--- a/tests/test_mixed_leaders.py
+++ b/tests/test_mixed_leaders.py
@@ -4,7 +4,6 @@
 leader for one that granted some, and never gives way.
 """
 
-import os
 import random
 from typing import Any
 
@@ -15,18 +14,19 @@
 from spoolcrank.giving_way import gives_way
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
-from tests.test_giving_way_plays import _restore_reads
-from tests.test_holds_end import _fail_reads
-from tests.test_leaders_end_unannounced import (
-    LASTING,
-    _cut_off,
-    _end_of_trouble,
-    _fleet,
-    _next_leader,
-    _trouble_of_store,
+from tests.leader_plays import (
+    SEEDS,
+    cut_off,
+    end_of_trouble,
+    fleet,
+    next_leader,
+    restore_reads,
+    start_lasting,
+    trouble_of_store,
+    violations_at_end,
 )
+from tests.test_holds_end import _fail_reads
 
-SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 OLD: set[int] = set()
 
 _begin_term = dispatcher.begin_term
@@ -77,7 +77,7 @@
 
 def _play(seed: int) -> list[str]:
     chance = random.Random(seed)
-    world = _fleet(seed, instances=2, runners=4)
+    world = fleet(seed, instances=2, runners=4)
     world.add_instance("old-1")
     world.add_instance("old-2")
     world.max_transit_s = chance.choice([0.0, 0.05])
@@ -85,41 +85,34 @@
     world.late_orders_outlive_restart = False
     for runner in world.runners.values():
         runner.clock_rate = 0.98
-    world.lasting_jobs.add("ab")
-    next(iter(world.instances.values())).submit("ab", LASTING)
-    world.run_until(lambda: len(world.starts) == LASTING.count)
-    world.run(1.0)
-    cut = chance.choice([one for one in world.runners.values() if one.tasks])
-    _cut_off(world, cut)
+    cut = chance.choice(start_lasting(world))
+    cut_off(world, cut)
     if chance.random() < 0.5:
         world.store.entries.put(cut.id, b"")
-    _next_leader(world).kill()
+    next_leader(world).kill()
     for number in range(chance.choice([2, 3, 4])):
         kind = chance.choice(["old", "new"])
         world.add_instance(f"{kind}-x{number}", chance.choice([1.0, 1.0, 8.0]))
-        current = _next_leader(world)
-        _trouble_of_store(world, current.name, chance)
+        current = next_leader(world)
+        trouble_of_store(world, current.name, chance)
         if chance.random() < 0.4:
             _fail_reads(current)
         world.run(chance.uniform(0.0, 4.5))
         if chance.random() < 0.5:
             world.unreachable.discard((current.name, cut.name))
             world.run(chance.choice([0.02, 0.3, 1.0]))
-        _cut_off(world, cut)
+        cut_off(world, cut)
         end = chance.choice(["kill", "freeze", "none"])
         if end == "kill" and current.alive and current.name in world.instances:
             current.kill()
         elif end == "freeze":
             current.freeze(chance.uniform(1.0, 6.0))
         world.run(chance.uniform(0.0, 0.5))
-        _end_of_trouble(world)
+        end_of_trouble(world)
         if chance.random() < 0.6:
-            _restore_reads(world)
-    _restore_reads(world)
-    world.run(14.0)
-    world.unreachable.clear()
-    world.run(5.0)
-    return world.violations
+            restore_reads(world)
+    restore_reads(world)
+    return violations_at_end(world, 5.0)
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
--- a/tests/test_short_terms.py
+++ b/tests/test_short_terms.py
@@ -1,6 +1,5 @@
 """A leader that ends before it granted a lease changes nothing for its successor."""
 
-import os
 import random
 from collections.abc import Callable
 from typing import Any
@@ -27,16 +26,22 @@
 )
 from spoolcrank.workflow import Step, encode
 from tests.fleet_world import Runner, World
-from tests.packed_runners import NOW, SHORT, put, runner
-from tests.test_leaders_end_unannounced import (
-    _cut_off,
-    _end_of_trouble,
-    _fleet,
-    _next_leader,
-    _trouble_of_store,
+from tests.leader_plays import (
+    SEEDS,
+    ClaimOfBefore,
+    cut_off,
+    end_of_trouble,
+    fleet,
+    new_leadership,
+    next_leader,
+    pass_after_lead,
+    runs_twice,
+    start_lasting,
+    trouble_of_store,
+    violations_at_end,
 )
+from tests.packed_runners import NOW, SHORT, put, runner
 
-SEEDS = int(os.environ.get("SPOOLCRANK_SOAK_SEEDS", "5"))
 MUTANT_SEEDS = 80
 SPREAD = Step(count=4, millicores=1000, memory_mb=100, lasting=True, max_per_instance=1)
 NO_MECHANISMS: frozenset[Mechanism] = frozenset()
@@ -51,30 +56,24 @@
     some after the store turned them away from the time when they had read the list of runners.
     """
     chance = random.Random(seed)
-    world = _fleet(seed, instances=4, runners=7)
+    world = fleet(seed, instances=4, runners=7)
     world.max_transit_s = chance.choice([0.0, 0.02, 0.1])
     for each in world.runners.values():
         each.clock_rate = chance.choice([0.98, 0.98, 1.0])
-    world.lasting_jobs.add("ab")
-    next(iter(world.instances.values())).submit("ab", SPREAD)
-    world.run_until(lambda: len(world.starts) == SPREAD.count)
-    world.run(1.0)
-    cut, lost, *_ = chance.sample([one for one in world.runners.values() if one.tasks], 2)
+    busy = start_lasting(world, SPREAD)
+    cut, lost, *_ = chance.sample(busy, 2)
     if chance.random() < 0.3:
         world.crash(lost, restart_delay_s=1000.0)
-    _cut_off(world, cut)
-    _next_leader(world).kill()
+    cut_off(world, cut)
+    next_leader(world).kill()
     terms = chance.choice([2, 3, 4])
     reaches = chance.randrange(terms)
     for number in range(terms):
         world.add_instance(f"next-{number}", chance.choice([1.0, 1.0, 8.0]))
         _lead_shortly(world, cut, number == reaches or chance.random() < 0.1, chance)
-    _cut_off(world, cut)
-    _end_of_trouble(world)
-    world.run(14.0)
-    world.unreachable.clear()
-    world.run(4.0)
-    return world.violations
+    cut_off(world, cut)
+    end_of_trouble(world)
+    return violations_at_end(world)
 
 
 def _lead_shortly(world: World, cut: Runner, reaches: bool, chance: random.Random) -> None:
@@ -82,17 +81,17 @@
     if reaches:
         world.unreachable.clear()
     else:
-        _cut_off(world, cut)
-    current = _next_leader(world)
+        cut_off(world, cut)
+    current = next_leader(world)
     trouble = chance.choice(["refused", "refused", "any", "none"])
     if trouble == "refused":
         state = current.dispatcher.scheduler
         world.run_until(lambda: state is None or state.stated.listed_at is not None)
         world.store.refused_instances.add(current.name)
     elif trouble == "any":
-        _trouble_of_store(world, current.name, chance)
+        trouble_of_store(world, current.name, chance)
     world.run(chance.choice([0.1, 0.25, 0.4, 1.0]) * chance.uniform(0.5, 1.0))
-    _cut_off(world, cut)
+    cut_off(world, cut)
     end = chance.choice(["kill", "kill", "kill", "freeze", "resign"])
     if end == "freeze":
         current.freeze(chance.uniform(1.0, 4.0))
@@ -100,10 +99,7 @@
         current.dispatcher.leave(lambda: None)
     else:
         current.kill()
-    if chance.random() < 0.2:
-        world.store.jobs.first_retained_offset = len(world.store.jobs.records)
-    world.run(chance.uniform(0.0, 0.3))
-    _end_of_trouble(world)
+    pass_after_lead(world, chance, 0.3)
 
 
 # Guards against a successor that takes leases for passed which a leader of a short term granted.
@@ -146,11 +142,7 @@
 @pytest.mark.parametrize("name", list(MUTATIONS))
 def test_breaking_the_promise_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(*MUTATIONS[name])
-    assert any("TWICE" in each for seed in range(MUTANT_SEEDS) for each in _short_terms(seed))
-
-
-def _follower() -> Leadership:
-    return Leadership(InstanceId("entry-0"), Incarnation("entry-0-1"), NOW)
+    assert runs_twice(_short_terms, MUTANT_SEEDS)
 
 
 def _claim(term: int, granted_nothing: bool, **fields: Any) -> Claim:
@@ -161,7 +153,7 @@
 
 # Guards against a wait for leases that begins anew with a leader that granted none.
 def test_a_leader_that_granted_nothing_leaves_what_its_predecessor_stated() -> None:
-    leadership = _follower()
+    leadership = new_leadership()
     leadership.read_claim(_claim(4, False, unreached_ms={"i-1": 3000}), NOW)
     leadership.read_claim(_claim(5, True), NOW + 2.0)
     leadership.record_leader_write(NOW + 2.5)
@@ -172,7 +164,7 @@
 
 # Guards against a successor that takes a leader for one that granted nothing after it may have.
 def test_a_leader_counts_from_its_first_claim_that_permits_grants() -> None:
-    leadership = _follower()
+    leadership = new_leadership()
     leadership.read_claim(_claim(4, False, unreached_ms={"i-1": 3000}), NOW)
     leadership.read_claim(_claim(5, True), NOW + 2.0)
     leadership.read_claim(_claim(5, False, unreached_ms={"i-2": 100}), NOW + 3.0)
@@ -184,7 +176,7 @@
 
 # Guards against leases of a leader whose claims were not read: after a load, only the newest is.
 def test_leases_may_run_from_now_if_claims_were_missed() -> None:
-    leadership = _follower()
+    leadership = new_leadership()
     leadership.read_claim(_claim(4, False, unreached_ms={"i-1": 3000}), NOW)
     leadership.record_missed_claims()
     leadership.read_claim(_claim(6, True), NOW + 9.0)
@@ -194,7 +186,7 @@
 
 # Guards against a process that forgets what it granted itself in an earlier term.
 def test_own_writes_count_from_the_claim_that_permits_grants() -> None:
-    leadership = _follower()
+    leadership = new_leadership()
     leadership.read_claim(leadership.next_claim(NOW), NOW)
     leadership.record_confirmed_write(NOW + 1.0)
     assert leadership.predecessor_wrote_at == NOW
@@ -206,7 +198,7 @@
 
 def _new_leader() -> tuple[Leadership, Scheduler, RunnerState]:
     """Return a leader that has read the list, and a runner with a run that it has yet to reach."""
-    leadership = _follower()
+    leadership = new_leadership()
     leadership.read_claim(leadership.next_claim(NOW), NOW)
     leadership.record_confirmed_write(NOW)
     state = begin_term(leadership, NOW, 7500, NO_MECHANISMS)
@@ -256,21 +248,9 @@
     assert own_claim(leadership, state, NOW + 9.0).granted_nothing
 
 
-class _OlderClaim(msgspec.Struct, frozen=True, array_like=True):
-    """The claim of the version before, which knows nothing of `granted_nothing`."""
-
-    term: int = 0
-    instance: str = ""
-    incarnation: str = ""
-    resigned: bool = False
-    processors: float = 0.0
-    successor: str = ""
-    unreached_ms: dict[str, int] = {}
-
-
 # Guards against claims that leaders of two versions read differently from how they are meant.
 def test_claims_of_two_versions_are_read_on_the_safe_side() -> None:
-    older = _OlderClaim(4, "entry-1", "entry-1-1", unreached_ms={"i-1": 9})
+    older = ClaimOfBefore(4, "entry-1", "entry-1-1", unreached_ms={"i-1": 9})
     assert not decode_claim(encode(older)).granted_nothing
     newer = _claim(4, True, unreached_ms={"i-1": 9})
-    assert msgspec.json.decode(encode(newer), type=_OlderClaim).unreached_ms == {"i-1": 9}
+    assert msgspec.json.decode(encode(newer), type=ClaimOfBefore).unreached_ms == {"i-1": 9}
--- a/tests/test_waits_begun_anew.py
+++ b/tests/test_waits_begun_anew.py
@@ -7,19 +7,18 @@
 
 from spoolcrank import unreached_runners
 from spoolcrank.leadership import Claim, Leadership
+from tests.leader_plays import fleet, next_leader
 from tests.test_leaders_end_unannounced import (
     LEASES_S,
     MAX_DELAY_S,
     TASKS,
-    _fleet,
-    _next_leader,
     _time_of_lost_work,
 )
 
 
 def _time_of_work_on_a_silent_runner(led_on_s: float) -> float:
     """Return how long work waits whose runner is lost some time before its leader, in seconds."""
-    world = _fleet(0)
+    world = fleet(0)
     world.lasting_jobs.add("ab")
     next(iter(world.instances.values())).submit("ab", TASKS)
     world.run_until(lambda: len(world.starts) == TASKS.count)
@@ -29,8 +28,8 @@
     world.crash(lost, restart_delay_s=1000.0)
     lost_at = world.now
     world.run(led_on_s)
-    _next_leader(world).kill()
-    _next_leader(world)
+    next_leader(world).kill()
+    next_leader(world)
     world.run_until(lambda: all(world.running_on[key] for key in keys))
     return world.now - lost_at
 
