Test that slow leaders do not follow one another without placing work

Among four instances that are all too slow for the polls of 1,200 runners each takeover asks all runners anew, and the next list grows old as well.

--- a/tests/test_starved_leader.py
+++ b/tests/test_starved_leader.py
@@ -20,6 +20,12 @@
 ORDER_COST_S = 0.0036
 """Time that the leader is busy with one order, its connection and its answer, in seconds."""
 
+SLOWER_ORDER_COST_S = 0.006
+"""The same where several instances that are too slow may follow one another, in seconds."""
+
+OBSERVED_S = 6.0
+"""Time after the first start for which takeovers are counted, in seconds."""
+
 HEARTBEAT_S = 1.5
 """Interval at which a runner writes its entry, in seconds."""
 
@@ -65,13 +71,12 @@
     instance.begin()
 
 
-@pytest.fixture(autouse=True)
-def orders_cost_time(monkeypatch: pytest.MonkeyPatch) -> None:
+def _cost_orders(monkeypatch: pytest.MonkeyPatch, order_cost_s: float) -> None:
     send = RunnerPort._send
 
     def busy_send(port: Any, *args: Any) -> None:
         instance = port._instance
-        instance.busy_until = max(instance.busy_until, instance.world.now) + ORDER_COST_S
+        instance.busy_until = max(instance.busy_until, instance.world.now) + order_cost_s
         send(port, *args)
 
     monkeypatch.setattr(RunnerPort, "_send", busy_send)
@@ -95,20 +100,30 @@
     return world
 
 
-def test_waiting_work_does_not_keep_a_slow_leader_from_placing_any() -> None:
-    """Guards against polls for waiting work that keep the leader from reading what it needs."""
+def _fleet_taken_over(instances: int) -> World:
+    """Return a fleet with work, and work that waits for good, whose leader was just followed."""
     world = _fleet()
     leading = world.leader()
     assert leading is not None
     world.lasting_jobs.add("a000")
     leading.submit("a000", LASTING)
     world.run_until(lambda: sum(key.job == "a000" for key in world.starts) == LASTING.count)
-    _add_instance(world, "entry-1")
+    for number in range(1, instances):
+        _add_instance(world, f"entry-{number}")
     world.run(3.0)
     leading.submit("b000", WAITING)
     world.run(1.0)
     leading.kill()
     world.run_until(lambda: world.leader() is not None)
+    return world
+
+
+def test_waiting_work_does_not_keep_a_slow_leader_from_placing_any(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against polls for waiting work that keep the leader from reading what it needs."""
+    _cost_orders(monkeypatch, ORDER_COST_S)
+    world = _fleet_taken_over(instances=2)
     leading = world.leader()
     assert leading is not None
     for number in range(JOBS):
@@ -118,5 +133,22 @@
         _wait_for_start(world, f"c{number:03x}", submitted_at + MAX_WAIT_S - world.now)
 
 
+def test_slow_leaders_do_not_follow_one_another_without_placing_any(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against takeovers for old copies that each make the next one due."""
+    _cost_orders(monkeypatch, SLOWER_ORDER_COST_S)
+    world = _fleet_taken_over(instances=4)
+    leading = world.leader()
+    assert leading is not None
+    term = leading.leadership.claim.term
+    leading.submit("c000", SHORT)
+    _wait_for_start(world, "c000", MAX_WAIT_S)
+    world.run(OBSERVED_S)
+    leading = world.leader()
+    assert leading is not None
+    assert leading.leadership.claim.term <= term + 1
+
+
 def _wait_for_start(world: World, job: str, limit_s: float) -> None:
     world.run_until(lambda: any(key.job == job for key in world.starts), limit_s)
