Add a failing test of first polls of a late leader beside an unconfirmed crash

The share of polls that a leader has time for does not apply to first polls while any crash is unconfirmed, as the budget does not apply then. A runner that never returns leaves its crash unconfirmed, also for later leaders.

--- a/tests/test_order_of_first_polls.py
+++ b/tests/test_order_of_first_polls.py
@@ -2,11 +2,12 @@
 
 import pytest
 
-from spoolcrank.ids import AvailabilityZone
-from spoolcrank.poll_budget import PollBudget
+from spoolcrank.ids import Address, AvailabilityZone
+from spoolcrank.poll_budget import MIN_SHARE, PollBudget
 from spoolcrank.polling import polls_due
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
+from spoolcrank.workflow import RunnerId
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 from tests.test_room_beside_waits import add_job
 
@@ -81,3 +82,16 @@
     add_job(state, "ab", SHORT, 1)
     polled = [poll.target.runner for poll in polls_due(state, NOW, True)]
     assert len(polled) == len(set(polled))
+
+
+@pytest.mark.parametrize("unconfirmed", [False, True])
+def test_a_leader_whose_ticks_come_late_sends_fewer_first_polls(unconfirmed: bool) -> None:
+    """Guards against first polls that take the time to lead, whatever crash is unconfirmed."""
+    sent = []
+    for share in (1.0, MIN_SHARE):
+        state = _new_leader()
+        if unconfirmed:
+            state.crash_history.add_unconfirmed(RunnerId("gone"), Address("gone:80"), ())
+        state.polls.share = share
+        sent.append(len(_polled(state)))
+    assert sent[1] <= sent[0] / 2
