Let the first lease of a new leader wait for no end of a run

Cause: polls that hold for an end last up to a second. One that is sent before leases may be granted carries none, and a runner may count the lease of the next one only as it answers, so that the first lease came up to two seconds after the takeover.

--- a/spoolcrank/runner_state.py
+++ b/spoolcrank/runner_state.py
@@ -128,6 +128,7 @@
         isolated_for: suspect that has the runner to itself for a while; nothing else starts there.
         isolated_since: time at which that isolation began.
         polling: whether a poll is in flight.
+        lease_sent: whether a poll of this leader has extended its lease.
         polled_at: time of the latest poll; -1 makes the next poll due at once.
         entry_removed_at: time at which its entry disappeared while it still answered, as before a
             planned end.
@@ -162,6 +163,7 @@
     isolated_since: float = 0.0
     entry_removed_at: float | None = None
     polling: bool = False
+    lease_sent: bool = False
     polled_at: float = -1.0
     learned_at: float = -1.0
     filler_headroom: FillerHeadroom | None = None
