Send fewer first polls of idle runners while a leader's ticks come late

Cause: while any crash is unconfirmed the budget applies to no first poll, and so neither did the share that follows how late the ticks come. Up to 32 first polls went out in each check, whatever that took from reading the list.

Runners with runs come first in the order and are not limited, so that they do not wait behind the idle ones.

--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -140,20 +140,24 @@
 ) -> list[RunnerState]:
     """Return the runners to poll for the first time.
 
-    Those that may wait for the leader's budget come last, or the others would wait for it as well.
-    Then runners in zones that answer come first, then those polled longest ago. Of those not polled
-    yet, runners on which something may run come first, then those that could take waiting work.
+    Runners on which something may run come first, and those that may wait for the leader's budget
+    last, or the others would wait for it as well. Then runners in zones that answer come first,
+    then those polled longest ago, then those that could take waiting work.
     """
     polls = _first_polls(state, now)
 
-    def order(runner: RunnerState) -> tuple[bool, int, float, bool]:
+    def order(runner: RunnerState) -> tuple[bool, bool, int, float]:
         unanswered = polls.unanswered[runner.entry.availability_zone]
         may_wait = may_wait_for_first_poll(state, runner)
-        return (may_wait, unanswered, runner.polled_at, not runner.runs)
+        return (not runner.runs, may_wait, unanswered, runner.polled_at)
 
     answering = [runner for runner in awaiting_first_answer if runner.silent_since is None]
     silent = [runner for runner in awaiting_first_answer if runner.silent_since is not None]
     first = nsmallest(polls.free, answering, key=order)
+    # Also those that the budget does not apply to must leave a late leader time to lead.
+    busy = [runner for runner in first if runner.runs]
+    idle_limit = max(1, int(MAX_CONCURRENT_FIRST_POLLS * state.polls.share))
+    first = [*busy, *first[len(busy) : len(busy) + idle_limit]]
     silent = nsmallest(polls.free_silent, silent, key=lambda runner: runner.polled_at)
     return limit_first_polls(state, first, answering, order, now) + silent
 
