End a turn whose needs no runner can take

Cause: a turn goes on behind the needs that got a poll each.

Change: if fewer polls were sent than allowed, all needs of the turn count as served.

Evidence: test_needs_that_no_runner_has_keep_no_other_from_its_turn fails on the commit before (no start within 3 s), passes now.

--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -62,10 +62,11 @@
     last = order(unhurried[taken - 1])
     equal = [runner for runner in awaiting_first_answer if order(runner) == last]
     before = [runner for runner in unhurried[:taken] if order(runner) != last]
-    chosen = choose_by_turns(equal, waiting.needs, taken - len(before))
-    end_turns(state.polls.first_turns, waiting, len(chosen))
+    limit = taken - len(before)
+    chosen = choose_by_turns(equal, waiting.needs, limit)
+    end_turns(state.polls.first_turns, waiting, len(chosen), limit)
     others = [runner for runner in unhurried[len(before) :] if runner.id not in chosen]
-    return [*hurried, *before, *chosen.values(), *others[: taken - len(before) - len(chosen)]]
+    return [*hurried, *before, *chosen.values(), *others[: limit - len(chosen)]]
 
 
 def may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
@@ -88,7 +89,7 @@
         return []
     waiting = needs_in_turn(state, state.polls.idle_turns)
     if not waiting.needs:
-        end_turns(state.polls.idle_turns, waiting, 0)
+        end_turns(state.polls.idle_turns, waiting, 0, 0)
     limit = int(state.polls.max_ready * _factor(state, waiting))
     if len(state.runners) <= limit:
         return []
@@ -106,6 +107,6 @@
         return sorted(due, key=lambda runner: -runner.polled_at)[room:]
     longest_ago_first = sorted(due, key=lambda runner: runner.polled_at)
     chosen = choose_by_turns(longest_ago_first, waiting.needs, room)
-    end_turns(state.polls.idle_turns, waiting, len(chosen))
+    end_turns(state.polls.idle_turns, waiting, len(chosen), room)
     others = [runner for runner in longest_ago_first if runner.id not in chosen]
     return others[room - len(chosen) :]
--- a/spoolcrank/waiting_needs.py
+++ b/spoolcrank/waiting_needs.py
@@ -81,9 +81,12 @@
             yield Need(service, step.spec.demand, step.spec.label)
 
 
-def end_turns(turns: Turns, waiting: NeedsInTurn, polls: int) -> None:
-    """Give the next turn to the first need for which no poll was sent, if each got one in turn."""
-    all_served = polls >= len(waiting.needs)
+def end_turns(turns: Turns, waiting: NeedsInTurn, polls: int, limit: int) -> None:
+    """Give the next turn to the first need for which no poll was sent, if each got one in turn.
+
+    If fewer polls were sent than allowed, no runner was left that could take any of the needs.
+    """
+    all_served = polls < limit or polls >= len(waiting.needs)
     position = waiting.next_at if all_served else waiting.first_at[polls]
     turns.next_job += position.jobs
     turns.next_step = position.step
--- a/tests/test_polls_for_waiting_work.py
+++ b/tests/test_polls_for_waiting_work.py
@@ -84,6 +84,16 @@
     _wait_for_start(world, "b000")
 
 
+def test_needs_that_no_runner_has_keep_no_other_from_its_turn(world: World) -> None:
+    """Guards against a turn that never ends, as none of its needs ever gets a poll."""
+    leading = _leading(world)
+    for number in range(12):
+        leading.submit(f"a{number:03x}", Step(count=1, millicores=90_000 + number, memory_mb=100))
+    world.run(3.0)
+    leading.submit("b000", LARGE)
+    _wait_for_start(world, "b000")
+
+
 def test_a_suspect_gets_runners_asked_for_it(world: World) -> None:
     """Guards against a task that may crash runners and waits for one that is never asked."""
     leading = _leading(world)
