Poll a runner again only once a new leader may grant it a lease

Cause: since each runner with runs was polled each 0.2 s until leases may be granted, and once more with its first lease, also where the leases of the leader before had long to run: two and more orders for each busy runner in the first second of a term.

Change: until leases may be granted such a runner is polled each second, and not held; only a first lease later than half a lease after the last leader's write is answered at once.

--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -21,9 +21,10 @@
 """Maximum time for which a runner holds a poll until a run ends, in milliseconds; less than a
 seventh of the lease (LEASE_MS)."""
 
-MAX_FIRST_POLL_WAIT_MS = 200
-"""The same before a new leader may grant leases, in milliseconds. Its first lease follows the end
-of such a poll, and those of the leader before may be about to end."""
+UNGRANTED_POLL_INTERVAL_S = 1.0
+"""Interval between polls at a runner with runs before a new leader may grant leases, in seconds.
+The first lease must not wait for the end of such a poll, as the leases of the leader before may be
+about to end."""
 
 MAX_CONCURRENT_FIRST_POLLS = 32
 """Maximum number of runners whose first answer to a new leader may be in flight at once. More would
@@ -195,7 +196,7 @@
     if not runner.adopted:
         return True
     if runner.runs or runner.id in state.unknown_runs:
-        return True
+        return state.stated.granting or since_poll_s >= UNGRANTED_POLL_INTERVAL_S
     return runner.listed and since_poll_s >= IDLE_POLL_INTERVAL_S
 
 
@@ -205,12 +206,13 @@
     until_ms = None
     first_lease = False
     if runner.adopted and runner.runs and may_extend:
-        # A runner may extend its lease only as it answers, so that the first one must not wait.
-        first_lease, runner.lease_sent = not runner.lease_sent, True
+        # A runner may extend its lease only as it answers, so that a late first one must not wait.
+        late = now - state.leases_run_from(runner.id) > runner.lease_ms / 2000.0
+        first_lease, runner.lease_sent = late and not runner.lease_sent, True
         until_ms = runner.grant(now)
     awaits_end = bool(runner.runs) or runner.id in state.unknown_runs
     may_wait = runner.adopted and runner.silent_since is None and not first_lease
-    wait_ms = MAX_POLL_WAIT_MS if state.stated.granting else MAX_FIRST_POLL_WAIT_MS
+    may_wait_for_end = may_wait and awaits_end and state.stated.granting
     return Poll(
-        state.target(runner), runner.seen, until_ms, wait_ms if may_wait and awaits_end else 0
+        state.target(runner), runner.seen, until_ms, MAX_POLL_WAIT_MS if may_wait_for_end else 0
     )
