Leave out of a leader's silence only the time without an answer

Cause: each failed read cut the silence of the leader to 0.65 s, and nobody claimed at a tick that followed a failed read, whatever reads before and after it had shown.

Change: the follower adds up for how long reads fail, each time less its first 0.25 s, and the silence leaves that out. A claim is due whether or not the newest read failed; as before it follows on a read that reached the log's end. 0.25 s and a heartbeat are the half of the timeout that a leader got before after a failure. Offers still need a read that succeeded.

With a leader that lives no claim for its silence, as before. test_claiming no longer reports a first answer of the log, which nothing waits for now; its checks are the same.

Conclusion: the known fault is mended.

--- a/spoolcrank/claiming.py
+++ b/spoolcrank/claiming.py
@@ -118,7 +118,7 @@
             self._busy = True
             self._follower.eager = True
             self._follower.refresh(self._on_read)
-        elif due_actions.offer:
+        elif due_actions.offer and self._follower.contact:
             self._offer(now)
 
     def _on_read(self, ok: bool) -> None:
--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -242,7 +242,7 @@
 
     def _tick(self) -> None:
         now = self._clock()
-        self.leadership.record_log_contact(self._follower.contact, now)
+        self.leadership.record_unanswered(self._follower.unanswered_s, now)
         scheduler = self.scheduler
         if scheduler is None:
             if self._claiming.may_take_over():
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -143,7 +143,7 @@
         self._offered_at = -1.0
         self._offer_jitter_s = random.Random(incarnation).uniform(0.0, OFFER_JITTER_S)
         self._jitter_s = random.Random(incarnation).uniform(0.0, CLAIM_JITTER_S)
-        self._log_failed = True
+        self._unanswered_s = 0.0
         self._resigned_term = 0
         self._claimed_term = 0
         self.claimed_at = -1.0
@@ -238,25 +238,14 @@
         """Count a claim whose term the store has seen; reading any claim resets the count."""
         self._unread_claims = min(self._unread_claims + 1, MAX_UNREAD_CLAIMS)
 
-    def record_log_contact(self, contact: bool, now: float) -> None:
-        """Record whether the log answers."""
-        if contact:
-            self.record_log_answer(now)
-        else:
-            self.record_log_failure()
+    def record_unanswered(self, total_s: float, now: float) -> None:
+        """Record for how long in all the log has not answered, in seconds.
 
-    def record_log_failure(self) -> None:
-        """Record that the log did not answer; the leader's silence then means nothing."""
-        self._log_failed = True
-
-    def record_log_answer(self, now: float) -> None:
-        """Record that the log answered.
-
-        After a failure, the leader counts as silent for at most half of LEADER_TIMEOUT_S.
+        The leader may have been unable to write meanwhile, so its silence does not include that
+        time. Silence before and after it still counts.
         """
-        if self._log_failed:
-            self._log_failed = False
-            self.last_contact_at = max(self.last_contact_at, now - LEADER_TIMEOUT_S / 2)
+        self.last_contact_at = min(now, self.last_contact_at + total_s - self._unanswered_s)
+        self._unanswered_s = total_s
 
     def record_confirmed_write(self, sent_at: float) -> None:
         """Record that a write of this leader, sent at `sent_at`, was stored."""
@@ -296,8 +285,6 @@
         """Return what to write now; called several times a second."""
         if self.leads:
             return DueActions(heartbeat=now - self.wrote_at >= HEARTBEAT_S)
-        if self._log_failed:
-            return DueActions()
         offer = self._should_offer(now)
         claim = self.leader_lacks_copy and self.has_copies
         claim = claim or now - self.last_contact_at >= self._claim_delay_s()
--- a/spoolcrank/log_follower.py
+++ b/spoolcrank/log_follower.py
@@ -23,6 +23,11 @@
 RETRY_DELAY_S = 0.15
 """The delay before the next read after a failed one, seconds."""
 
+MAX_FAILURE_S = 0.25
+"""The time for which reads may fail before it counts as time without an answer, seconds. A leader
+that could not write either is then silent for a heartbeat (0.4 s) and this at most, half of the
+1.3 s after which others claim; the other half is left for its next record to be read."""
+
 ACTIVE_LOG_S = 1.0
 """The time for which a log counts as active after a read that returned several records, seconds.
 It is shorter than the silence of a leader after which other instances claim the leadership."""
@@ -69,6 +74,9 @@
         self.eager = False
         self.contact = False
         self.reconnected_at = -1.0
+        self._answered_at = -1.0
+        self._failing_since: float | None = None
+        self._past_unanswered_s = 0.0
         self._log = log
         self._timers = timers
         self._clock = clock
@@ -84,6 +92,17 @@
         self._last_batch_at = -ACTIVE_LOG_S
         self._refresh_requests: list[_RefreshRequest] = []
 
+    @property
+    def unanswered_s(self) -> float:
+        """Return for how long in all the log has not answered, seconds.
+
+        Each time for which reads fail counts less its first MAX_FAILURE_S.
+        """
+        if self._failing_since is None:
+            return self._past_unanswered_s
+        failing_s = self._clock() - self._failing_since
+        return self._past_unanswered_s + max(0.0, failing_s - MAX_FAILURE_S)
+
     @property
     def generation(self) -> int:
         """Return a number that rises with each load, which skips records but the newest."""
@@ -158,7 +177,7 @@
         self._log.newest(after_key, loaded)
 
     def _on_page(self, page: NewestPage, after_key: str, asked_at: float) -> None:
-        self._update_contact(page.ok, page.detail)
+        self._update_contact(page.ok, page.detail, asked_at)
         if not page.ok:
             self._schedule(RETRY_DELAY_S, lambda: self._load(after_key))
             return
@@ -232,7 +251,7 @@
         Another read may have overtaken this one, so that the log's end in this answer is before
         `next_offset`. Only an end before `from_offset` shows that the log lost records.
         """
-        self._update_contact(answer.outcome is not ReadOutcome.FAILED, answer.detail)
+        self._update_contact(answer.outcome is not ReadOutcome.FAILED, answer.detail, asked_at)
         if answer.outcome is ReadOutcome.EXPIRED or (
             answer.outcome is ReadOutcome.OK and answer.end < from_offset
         ):
@@ -294,7 +313,12 @@
 
         self._timers.after(delay_s, act)
 
-    def _update_contact(self, contact: bool, detail: str) -> None:
+    def _update_contact(self, contact: bool, detail: str, asked_at: float) -> None:
+        if contact:
+            self._past_unanswered_s = self.unanswered_s
+            self._answered_at, self._failing_since = self._clock(), None
+        elif self._failing_since is None:
+            self._failing_since = max(asked_at, self._answered_at)
         if contact != self.contact:
             self.contact = contact
             if contact:
--- a/tests/test_claiming.py
+++ b/tests/test_claiming.py
@@ -31,16 +31,17 @@
 class _Follower:
     """A follower that reads to the log's end at once, possibly finding a leader heartbeat."""
 
-    def __init__(self, on_read: Callable[[], None]) -> None:
+    def __init__(self, on_read: Callable[[], None], reads: bool = True) -> None:
         self.copy = KeyedLog()
         self.copy.loaded = True
         self.eager = False
         self.generation = 0
         self._on_read = on_read
+        self._reads = reads
 
     def refresh(self, done: Callable[[bool], None]) -> None:
         self._on_read()
-        done(True)
+        done(self._reads)
 
 
 class _Log:
@@ -54,9 +55,7 @@
 
 
 def _silent_leader() -> Leadership:
-    leadership = Leadership(InstanceId("entry-1"), Incarnation("entry-1-1"), NOW - 60.0)
-    leadership.record_log_answer(NOW - 60.0)
-    return leadership
+    return Leadership(InstanceId("entry-1"), Incarnation("entry-1-1"), NOW - 60.0)
 
 
 @pytest.mark.parametrize(("wrote", "claims"), [(False, 1), (True, 0)])
@@ -70,6 +69,16 @@
     assert len(log.appends) == claims
 
 
+# Guards against a claim that follows no read, as the silence alone makes it due while reads fail.
+@pytest.mark.parametrize(("reads", "claims"), [(True, 1), (False, 0)])
+def test_a_claimant_whose_read_fails_does_not_claim(reads: bool, claims: int) -> None:
+    log: Any = _Log()
+    follower: Any = _Follower(lambda: None, reads)
+    logged: Any = LogRecorder()
+    Claiming(_silent_leader(), log, follower, logged, lambda: NOW).claim_or_offer(NOW)
+    assert len(log.appends) == claims
+
+
 def test_a_smaller_instance_waits_longer_than_a_large_one_may_be_delayed() -> None:
     assert SMALLER_INSTANCE_DELAY_S >= CLAIM_JITTER_S + LAZY_READ_DELAY_S + TICK_S
 
