--- a/tests/test_starts_before_grants.py
+++ b/tests/test_starts_before_grants.py
@@ -1,7 +1,9 @@
 """A new leader starts nothing before a claim is stored that shows that it may grant leases."""
 
+from spoolcrank.ids import JobId
 from spoolcrank.workflow import Step
-from tests.fleet_world import Runner, World
+from tests.fleet_runners import Runner
+from tests.fleet_world import World
 from tests.leader_plays import cut_off, fleet, next_leader
 
 FIRST = Step(count=1, millicores=8000, memory_mb=100, estimate_ms=3000)
@@ -42,7 +44,8 @@
     second = next_leader(world)
     state = second.dispatcher.scheduler
     assert state is not None
-    world.run_until(lambda: state.jobs["ab"].rounds[0].steps[1].tasks[0].preassigned_stored, 1.0)
+    task = state.jobs[JobId("ab")].rounds[0].steps[1].tasks[0]
+    world.run_until(lambda: task.preassigned_stored, 1.0)
     world.store.refused_instances.add(second.name)
     for _ in range(30):
         world.run(0.05)
