Start no preassigned task before a new leader may grant leases

Callers would see: a task runs twice.

Cause: since a new leader grants no lease before a claim of its own says that it may, and its successor counts no lease of a leader that never said so. Starts from batches waited for that, starts by preassignment did not: a leader whose second claim was not stored started a task with a lease of 5.96 s, and its successor started it elsewhere.

Change: a preassigned task waits for the claim as any start does.

--- a/spoolcrank/preassignment.py
+++ b/spoolcrank/preassignment.py
@@ -169,6 +169,8 @@
 
 def start_preassigned(state: Scheduler, now: float) -> None:
     """Start tasks with a stored preassignment where capacity is free, without a new record."""
+    if not state.stated.granting:
+        return
     ready = [state.jobs[job_id] for job_id in state.ready]
     ready.sort(key=lambda job: work_order(job, state.times, now))
     for job in ready:
