Count a leader's copies as old whichever of them is old now

Callers would see: nothing starts while the leader goes on to lead.

Change: the time runs on from one reason to the other and ends only when something may be placed. The three calls in the dispatcher are one.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -30,9 +30,8 @@
 from spoolcrank.leadership_monitor import (
     LeadershipMonitor,
     PlacingBlock,
-    find_placing_block,
-    log_placing_block,
     log_progress,
+    update_placing_block,
 )
 from spoolcrank.list_probe import ListProbe, is_copy_old
 from spoolcrank.log_event_groups import LOG_GROUP_INTERVAL_S, LogEventGroups
@@ -282,9 +281,8 @@
         overdue = writer is not None and writer.busy and now - writer.busy_since > LATE_RECORD_S
         if overdue and listing.loaded and not self._leaving:
             self._preassignments.start(scheduler, now)
-        list_age_s, log_age_s = now - listing.read_at, now - self._follower.copy.read_at
-        block = find_placing_block(self._leaving, listing.loaded, list_age_s, log_age_s)
-        log_placing_block(self._monitor, scheduler, block, list_age_s, now)
+        log = self._follower.copy
+        block = update_placing_block(self._monitor, scheduler, self._leaving, listing, log, now)
         self.leadership.lacks_copy = is_copy_old(self._monitor, now)
         if block is not PlacingBlock.NONE:
             scheduler.placing = PlacingPass()
--- a/spoolcrank/leadership_monitor.py
+++ b/spoolcrank/leadership_monitor.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from spoolcrank.keyed_log import KeyedLog
 from spoolcrank.scheduler import Scheduler
 
 BLOCK_LOG_DELAY_S = 0.5
@@ -43,6 +44,8 @@
         block: why nothing is placed now.
         block_since: when that reason began to apply, in monotonic seconds.
         block_logged: whether it was logged.
+        copies_old_since: since when a copy has been too old to place anything, whichever of them,
+            in monotonic seconds; None if none is.
         short_of_time_since: since when it has sent few polls for want of time, in monotonic
             seconds; None if it has not.
     """
@@ -52,6 +55,7 @@
     block: PlacingBlock = PlacingBlock.NONE
     block_since: float = 0.0
     block_logged: bool = False
+    copies_old_since: float | None = None
     short_of_time_since: float | None = None
 
 
@@ -69,6 +73,27 @@
     return PlacingBlock.OLD_LOG if log_age_s > MAX_LOG_AGE_S else PlacingBlock.NONE
 
 
+def update_placing_block(
+    monitor: LeadershipMonitor,
+    state: Scheduler,
+    leaving: bool,
+    runners: KeyedLog,
+    log: KeyedLog,
+    now: float,
+) -> PlacingBlock:
+    """Return why nothing may be placed now, and record it.
+
+    Args:
+        leaving: whether this instance stops.
+        runners: the copy of the list of runners.
+        log: the copy of the scheduler's log.
+    """
+    list_age_s = now - runners.read_at
+    block = find_placing_block(leaving, runners.loaded, list_age_s, now - log.read_at)
+    log_placing_block(monitor, state, block, list_age_s, now)
+    return block
+
+
 def log_placing_block(
     monitor: LeadershipMonitor, state: Scheduler, block: PlacingBlock, list_age_s: float, now: float
 ) -> None:
@@ -86,6 +111,10 @@
     ):
         monitor.block_logged = True
         state.log_event("places-nothing", why=block.value, list_age_s=round(list_age_s, 2))
+    if block in (PlacingBlock.NONE, PlacingBlock.LEAVING):
+        monitor.copies_old_since = None
+    elif monitor.copies_old_since is None:
+        monitor.copies_old_since = now
     state.placing_blocked = block is not PlacingBlock.NONE
     state.places_nothing = monitor.block_logged
 
--- a/spoolcrank/list_probe.py
+++ b/spoolcrank/list_probe.py
@@ -48,7 +48,7 @@
 RETRY_DELAY_S = 1.0
 """Delay before it tries again, in seconds. 300 instances then send 900 calls a second at most."""
 
-_COPY_BLOCKS = {
+_MAX_BLOCKED_S = {
     PlacingBlock.LIST_NOT_READ: MAX_LOAD_S,
     PlacingBlock.OLD_LIST: MAX_OLD_COPY_S,
     PlacingBlock.OLD_LOG: MAX_OLD_COPY_S,
@@ -56,8 +56,12 @@
 
 
 def is_copy_old(monitor: LeadershipMonitor, now: float) -> bool:
-    """Return whether a leader has placed nothing for some time because a copy of it is old."""
-    return now - monitor.block_since >= _COPY_BLOCKS.get(monitor.block, math.inf)
+    """Return whether a leader has placed nothing for some time because a copy of it is old.
+
+    Now one copy may be old and now the other.
+    """
+    since = monitor.copies_old_since
+    return since is not None and now - since >= _MAX_BLOCKED_S[monitor.block]
 
 
 def probe_delay_s(seed: str) -> float:
--- a/tests/test_list_probe.py
+++ b/tests/test_list_probe.py
@@ -11,7 +11,9 @@
 from spoolcrank.ids import Incarnation, InstanceId
 from spoolcrank.keyed_log import LEADER_KEY
 from spoolcrank.leadership import Claim, Leadership, decode_claim
-from spoolcrank.list_probe import MAX_PROBE_DELAY_S, probe_delay_s
+from spoolcrank.leadership_monitor import LeadershipMonitor, PlacingBlock, log_placing_block
+from spoolcrank.list_probe import MAX_OLD_COPY_S, MAX_PROBE_DELAY_S, is_copy_old, probe_delay_s
+from spoolcrank.scheduler import Scheduler
 from spoolcrank.store_port import NewestPage, ReadOutcome, Records
 from spoolcrank.workflow import Step, encode
 from tests.fleet_store import StorePort
@@ -312,6 +314,17 @@
     assert world.violations == []
 
 
+# Guards against a leader that places nothing for good, as now one copy is old and now the other.
+def test_copies_that_are_old_by_turns_count_as_old() -> None:
+    monitor, now = LeadershipMonitor(0.0), 100.0
+    state = Scheduler(1, now, now)
+    blocks = [PlacingBlock.OLD_LIST, PlacingBlock.OLD_LOG]
+    turn_s = 0.8 * MAX_OLD_COPY_S
+    for number, block in enumerate([*blocks, PlacingBlock.NONE, *blocks]):
+        log_placing_block(monitor, state, block, 2.0, now + number * turn_s)
+        assert is_copy_old(monitor, now + (number + 0.9) * turn_s) is (number in (1, 4))
+
+
 # Guards against tests that pass without the statement.
 def test_without_the_statement_work_stands(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("spoolcrank.dispatcher.is_copy_old", lambda monitor, now: False)
