Let a leader grant leases once it reads back the claim that permits it

Callers would see: all running work is lost and starts again while the store's answers to appends are lost.

Cause: since a leader grants leases once its second claim is stored, which only the store's answer told it. Each leader led, as it read its first claim back, and granted nothing until the next one followed it.

Change: the claim that permits grants counts as stored when it is read back, as the first one does. Until when leases are extended still follows from the writes that were answered, or from the sending of the first claim.

Why it is safe: what a successor has to read is on the log then; it reads all up to its own claim.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -358,6 +358,8 @@
         self._decide_at_once()
 
     def _order(self, scheduler: Scheduler, now: float) -> None:
+        # The store's answer to the claim that permits grants may be lost.
+        scheduler.stated.granting |= self.leadership.grants_read
         may_extend = scheduler.stated.granting and self.leadership.may_extend(now)
         order_starts(scheduler, now)
         scheduler.orders += polls_due(scheduler, now, may_extend)
--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -295,6 +295,11 @@
         """Return whether this instance is much smaller than one that led or offered to lead."""
         return self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO
 
+    @property
+    def grants_read(self) -> bool:
+        """Return whether this leader read its own claim after which it may grant leases."""
+        return self.leads and not self._leader_granted_nothing
+
     @property
     def statement_due(self) -> bool:
         """Return whether the newest claim states wrongly whether this leader lacks a copy."""
