Let a batch and a claim that states silent runners take turns

Callers would see: jobs wait beside free runners for as long as a runner with runs is silent, while the store is slow.

Cause: a claim that states a runner goes before any batch and is repeated each 0.4 s.

Change: after a claim a batch goes first, if one waits; only the claim that permits leases goes before all. The choice has a module of its own.

Why it is safe: a later statement or withdrawal only makes a successor, or the leader itself, count from an earlier time or accept an answer later.

test_mixed_leaders replaces the function in the module where it is called now; its checks are the same.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -10,7 +10,7 @@
 from functools import partial
 
 from spoolcrank._timers import Timers
-from spoolcrank.batching import on_batch_stored, order_starts, take_batch
+from spoolcrank.batching import on_batch_stored, order_starts
 from spoolcrank.claiming import Claiming
 from spoolcrank.debounce import Debouncer
 from spoolcrank.decoding import Unreadable
@@ -25,6 +25,7 @@
     job_of_key,
     kind_of,
 )
+from spoolcrank.leader_records import next_record
 from spoolcrank.leader_writer import AppendTiming, LeaderWriter, PendingAppend
 from spoolcrank.leadership import NO_SUCCESSOR, SELF_FENCE_S, Claim, Leadership
 from spoolcrank.leadership_monitor import (
@@ -54,7 +55,7 @@
 from spoolcrank.store_port import Append, LogPort
 from spoolcrank.takeover import log_unreadable_record, read_job, restore_state
 from spoolcrank.telemetry import Telemetry
-from spoolcrank.unreached_runners import begin_term, claim_due, claim_stored, own_claim, resignation
+from spoolcrank.unreached_runners import begin_term, claim_stored, own_claim, resignation
 from spoolcrank.workflow import RouteName, encode
 
 TICK_S = 0.1
@@ -304,8 +305,7 @@
                 resigned = resignation(self.leadership, scheduler, self._successor, now)
                 self._write_claim(writer, resigned)
             return
-        stating = claim_due(scheduler, now) or self.leadership.statement_due
-        batch = None if stating else take_batch(scheduler)
+        batch, claim = next_record(scheduler, self.leadership, now)
         if batch is not None:
             self.leadership.wrote_at = now
             if not batch.records:
@@ -314,7 +314,7 @@
             append = Append(batch.records)
             then = partial(self._on_batch_stored, scheduler, batch)
             writer.write(PendingAppend(append, lambda timing: self._on_append_stored(timing, then)))
-        elif stating or self.leadership.due_actions(now).heartbeat:
+        elif claim:
             self.leadership.wrote_at = now
             self._write_claim(writer, own_claim(self.leadership, scheduler, now))
 
--- a/spoolcrank/stated_runners.py
+++ b/spoolcrank/stated_runners.py
@@ -18,6 +18,7 @@
         inherited_since: the runners that the leader before never reached, each with the time from
             which leases of earlier leaders may run there, monotonic seconds.
         sent_at: time at which the last claim was sent, monotonic seconds.
+        claim_was_last: whether the last record written was a claim.
         names: the names in every claim that may be the newest one stored; no answer of them counts.
         silent_at_first: the names that the first claim after which leases may be granted stated.
         reached: the names that have answered this leader; no further claim states them as never
@@ -31,6 +32,7 @@
     listed_at: float | None = 0.0
     inherited_since: dict[RunnerId, float] = field(default_factory=dict)
     sent_at: float = -1.0
+    claim_was_last: bool = False
     names: frozenset[RunnerName] = frozenset()
     silent_at_first: frozenset[RunnerName] = frozenset()
     reached: set[RunnerName] = field(default_factory=set)
@@ -39,6 +41,7 @@
     def record_sent(self, runners: Iterable[RunnerId], now: float) -> None:
         """Record a claim that states some runners, before it is sent."""
         self.sent_at = now
+        self.claim_was_last = True
         self.names |= {name_of(runner) for runner in runners}
 
     def record_stored(self, runners: Iterable[str]) -> frozenset[RunnerName]:
--- a/spoolcrank/unreached_runners.py
+++ b/spoolcrank/unreached_runners.py
@@ -94,7 +94,7 @@
 def own_claim(leadership: Leadership, state: Scheduler, now: float) -> Claim:
     """Return the claim of a leader that goes on to lead; it adopts no runner that this states."""
     stated = list(_to_state(state, now))
-    if _grants_due(state, now):
+    if grants_due(state, now):
         stated = list(_silent_at_first(state, now))
         state.stated.grants_claimed = True
         state.stated.silent_at_first = frozenset(name_of(runner.id) for runner in stated)
@@ -110,7 +110,7 @@
     A process that loads the log counts the age in a claim from then on, so claims are repeated as
     heartbeats are, also while other records are written.
     """
-    if _grants_due(state, now) or state.stated.answered & state.stated.names:
+    if grants_due(state, now) or state.stated.answered & state.stated.names:
         return True
     return now - state.stated.sent_at >= HEARTBEAT_S and any(_to_state(state, now))
 
@@ -179,7 +179,7 @@
     return now + left_ms / 1000.0 - state.max_inherited_run_s
 
 
-def _grants_due(state: Scheduler, now: float) -> bool:
+def grants_due(state: Scheduler, now: float) -> bool:
     """Return whether to write the first claim of a term after which leases may be granted.
 
     It waits, for a short while, for the first answers of the runners with runs, and states those
--- a/tests/test_mixed_leaders.py
+++ b/tests/test_mixed_leaders.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from spoolcrank import dispatcher, run_control
+from spoolcrank import dispatcher, leader_records, run_control
 from spoolcrank.giving_way import gives_way
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
@@ -123,7 +123,7 @@
     monkeypatch.setattr(Leadership, "next_claim", _next)
     monkeypatch.setattr(dispatcher, "begin_term", _begin)
     monkeypatch.setattr(dispatcher, "own_claim", _own_claim)
-    monkeypatch.setattr(dispatcher, "claim_due", _claim_due)
+    monkeypatch.setattr(leader_records, "claim_due", _claim_due)
     monkeypatch.setattr(dispatcher, "gives_way", _never_gives_way)
     monkeypatch.setattr(run_control, "may_adopt", _may_adopt)
     assert _play(seed) == []
