Let a leader that lacked a copy offer to lead again only after a while

Callers would see: jobs wait up to 2.7 s in each round of 3.5 s, without an end.

Cause: an instance with many more processors than the leader offers to lead. If it cannot read the list of runners, one that can follows it after 3 s, and 0.6 s later the large one offered itself again, as an offer asks for processors only. On it kept the lead and placed nothing, by reading.

Change: an instance that was followed while its claim stated that it lacked a copy makes no offer for 30 s. Weighed: reading the list before each offer, which would cost each takeover by a large instance the load of the list.

--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -7,6 +7,7 @@
 instance can handle the most load.
 """
 
+import math
 import random
 from typing import NamedTuple
 
@@ -51,6 +52,11 @@
 """Minimum time between two offers, whichever instances make them, in seconds. An offer that was
 lost is repeated after it."""
 
+OFFER_PAUSE_S = 30.0
+"""Time for which an instance does not offer to lead after it led without recent copies of the list
+of runners and the log, in seconds. It would still lack them, and be followed again after 3 s in
+which nothing is placed."""
+
 SUCCESSOR_HEAD_START_S = 0.5
 """Extra delay of other instances' claims after a leader named its successor, in seconds."""
 
@@ -157,6 +163,7 @@
         self.leader_lacks_copy = False
         self.has_copies = False
         self._stated_lacks_copy = False
+        self._no_offer_before = -math.inf
 
     @property
     def leads(self) -> bool:
@@ -188,6 +195,8 @@
         if claim.term != self.claim.term:
             self._term_read_at = now
             self.may_grant = not self._leader_granted_nothing
+            if self._stated_lacks_copy:
+                self._no_offer_before = now + OFFER_PAUSE_S
             self.lacks_copy = self._stated_lacks_copy = False
         self.claim = claim
         self.last_contact_at = now
@@ -324,7 +333,7 @@
 
     def _should_offer(self, now: float) -> bool:
         claim = self.claim
-        if claim.term == 0 or claim.resigned:
+        if claim.term == 0 or claim.resigned or now < self._no_offer_before:
             return False
         if self.processors < claim.processors * LARGER_INSTANCE_RATIO:
             return False
