Send a small fleet all its polls although a leader's ticks come late

Callers would see: work waits for the first answers of idle runners after a takeover.

Cause: the share of polls that takes from a leader short of time was taken whatever the size of the fleet. With some hundred runners polls are no load worth sparing, and a late tick has another cause, such as a pass over many tasks or a processor in slices.

Change: the share follows late ticks only where the fleet is larger than what the leader keeps ready. Larger fleets are polled as before.

Evidence: test_a_leader_whose_ticks_come_late_polls_a_small_fleet_at_once fails without the condition (3 of 30 polled) and passes; the tests of leaders of large fleets short of time hold.

--- a/spoolcrank/dispatcher.py
+++ b/spoolcrank/dispatcher.py
@@ -251,7 +251,7 @@
                 self._list_probe.check()
                 self._claiming.claim_or_offer(now)
             return
-        scheduler.polls.record_tick(now, TICK_S)
+        scheduler.polls.record_tick(now, TICK_S, len(scheduler.runners))
         if self.leadership.may_extend(now):
             due = partial(run_periodic_work, scheduler, self._preassignments, self._regrouping, now)
             self._guard(scheduler, due)
--- a/spoolcrank/poll_budget.py
+++ b/spoolcrank/poll_budget.py
@@ -109,15 +109,23 @@
         self._next_check_at = -math.inf
         self._ticked_at = -math.inf
 
-    def record_tick(self, now: float, period_s: float) -> None:
+    def record_tick(self, now: float, period_s: float, runners: int) -> None:
         """Adapt the polls of runners without runs to whether a tick of the leader came late.
 
         Polls that keep the leader from reading the list of runners keep it from placing work, and
-        more polls are then sent for the work that waits.
+        more polls are then sent for the work that waits. The polls of a fleet of which all runners
+        may be ready are too few for that; a late tick then has another cause.
+
+        Args:
+            now: time in monotonic seconds.
+            period_s: usual time between two ticks, in seconds.
+            runners: number of runners.
         """
         late_s = now - self._ticked_at - period_s
         self._ticked_at = now
-        if LATE_TICK_S < late_s < math.inf:
+        if runners <= self.max_ready:
+            self.share = 1.0
+        elif LATE_TICK_S < late_s < math.inf:
             self.share = max(MIN_SHARE, self.share * LESS_SHARE)
         else:
             self.share = min(1.0, self.share + MORE_SHARE)
--- a/tests/test_order_of_first_polls.py
+++ b/tests/test_order_of_first_polls.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from spoolcrank.dispatcher import TICK_S
 from spoolcrank.ids import Address, AvailabilityZone
 from spoolcrank.poll_budget import MIN_SHARE, PollBudget
 from spoolcrank.polling import polls_due
@@ -95,3 +96,15 @@
         state.polls.share = share
         sent.append(len(_polled(state)))
     assert sent[1] <= sent[0] / 2
+
+
+def test_a_leader_whose_ticks_come_late_polls_a_small_fleet_at_once() -> None:
+    """Guards against work that waits for first answers of a fleet that is no load to its leader."""
+    state = leader(*(runner(f"r{number}") for number in range(30)))
+    state.polls = PollBudget(processors=0.43)
+    state.began_at = NOW
+    for each in state.runners.values():
+        each.adopted, each.polled_at, each.first_seen_at = False, -1.0, NOW
+    for number in range(20):
+        state.polls.record_tick(number * 2 * TICK_S, TICK_S, len(state.runners))
+    assert len(_polled(state, checks=1)) == len(state.runners)
--- a/tests/test_polls_of_a_busy_leader.py
+++ b/tests/test_polls_of_a_busy_leader.py
@@ -29,7 +29,7 @@
 
 def _tick(state: Scheduler, late_s: float, count: int) -> None:
     for number in range(count + 1):
-        state.polls.record_tick(number * (TICK_S + late_s), TICK_S)
+        state.polls.record_tick(number * (TICK_S + late_s), TICK_S, len(state.runners))
 
 
 def test_a_leader_in_time_polls_more_runners_while_work_waits() -> None:
