Share the set-ups of plays about leaders, and of four other tests

No bound, seed or assertion changed.

The whole suite was not run.

Conclusion: the tests check what they checked.

--- a/tests/leader_plays.py
+++ b/tests/leader_plays.py
@@ -2,7 +2,8 @@
 
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -43,13 +44,26 @@
     return [one for one in world.runners.values() if one.tasks]
 
 
-def next_leader(world: World) -> Instance:
-    world.run_until(lambda: world.leader() is not None)
+def current_leader(world: World) -> Instance:
     current = world.leader()
     assert current is not None
     return current
 
 
+def next_leader(world: World) -> Instance:
+    world.run_until(lambda: world.leader() is not None)
+    return current_leader(world)
+
+
+def wait_for_starts(world: World, job: str, limit_s: float, starts: int = 1) -> None:
+    """Let time pass until tasks of a job have started so often; fail after a limit."""
+
+    def started() -> bool:
+        return sum(len(at) for key, at in world.starts.items() if key.job == job) >= starts
+
+    world.run_until(started, limit_s)
+
+
 def cut_off(world: World, cut: Runner) -> None:
     world.unreachable |= {(name, cut.name) for name in world.instances}
 
@@ -69,6 +83,27 @@
         world.store.lost_append_answer_share = 0.5
 
 
+def kill_leader_beside_a_cut(
+    world: World,
+    chance: random.Random,
+    late_order_shares: Sequence[float],
+    entry_removed_share: float,
+) -> Runner:
+    """Cut off a runner with lasting tasks, perhaps without its entry, and kill the leader.
+
+    Orders may be late, but not so late that they outlive a restart. Return the runner.
+    """
+    world.max_transit_s = chance.choice([0.0, 0.05])
+    world.late_order_share = chance.choice(late_order_shares)
+    world.late_orders_outlive_restart = False
+    cut = chance.choice(start_lasting(world))
+    cut_off(world, cut)
+    if chance.random() < entry_removed_share:
+        world.store.entries.put(cut.id, b"")
+    next_leader(world).kill()
+    return cut
+
+
 def end_of_trouble(world: World) -> None:
     world.store.unanswered_instances.clear()
     world.store.refused_instances.clear()
@@ -76,6 +111,13 @@
     world.store.slow_s = 0.0
 
 
+def fail_reads(instance: Instance) -> None:
+    """Have all reads of an instance fail, while the store takes its appends."""
+    for follower in (instance.follower, instance.entries):
+        port: Any = follower._log
+        port._is_unreachable = lambda: True
+
+
 def restore_reads(world: World) -> None:
     for instance in world.instances.values():
         for follower in (instance.follower, instance.entries):
--- a/tests/test_growing_log.py
+++ b/tests/test_growing_log.py
@@ -70,13 +70,18 @@
         self.after(READ_S / 2, answer)
 
 
+def _follow(log: _GrowingLog) -> LogFollower:
+    timers: Any = log
+    follower = LogFollower(log, timers, lambda: log.now, lambda *_: None, lambda *_: None)
+    follower.eager = True
+    follower.begin()
+    return follower
+
+
 def test_a_list_that_is_written_all_the_time_is_only_as_old_as_it_is_behind() -> None:
     """Guards against a leader that places nothing, for good, as it never meets the log's end."""
     log = _GrowingLog()
-    untyped: Any = log
-    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
-    follower.eager = True
-    follower.begin()
+    follower = _follow(log)
     while log.now - log.began_at < PLAY_S:
         log.step()
         age_s = log.now - follower.copy.read_at
@@ -86,10 +91,7 @@
 def _refreshed_after_s(joined: bool) -> float:
     """Return how long a refresh takes while the log grows faster than it is read, in seconds."""
     log = _GrowingLog()
-    untyped: Any = log
-    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
-    follower.eager = True
-    follower.begin()
+    follower = _follow(log)
     if joined:
         follower._last_batch_at = log.now
     ends: list[int] = []
@@ -111,10 +113,7 @@
 # Guards against a refresh that later ones put off: one is asked for in each read.
 def test_refreshes_that_join_reads_end_in_their_order() -> None:
     log = _GrowingLog()
-    untyped: Any = log
-    follower = LogFollower(log, untyped, lambda: log.now, lambda *_: None, lambda *_: None)
-    follower.eager = True
-    follower.begin()
+    follower = _follow(log)
     follower._last_batch_at = log.now
     asked: list[float] = []
     ended: list[float] = []
--- a/tests/test_holds_end.py
+++ b/tests/test_holds_end.py
@@ -7,7 +7,8 @@
 from spoolcrank.run_control import poll_failed
 from spoolcrank.workflow import Step
 from tests.fleet_runners import Runner
-from tests.fleet_world import Instance, World, small_world
+from tests.fleet_world import World, small_world
+from tests.leader_plays import fail_reads
 from tests.test_other_writers import entry, hang, with_routes
 
 ONE = Step(count=1, millicores=1000, memory_mb=100)
@@ -128,13 +129,6 @@
     assert leader.dispatcher.scheduler.runners[replaced.incarnation_id].gone
 
 
-def _fail_reads(instance: Instance) -> None:
-    """Have all reads of an instance fail, while the store takes its appends."""
-    for follower in (instance.follower, instance.entries):
-        port: Any = follower._log
-        port._is_unreachable = lambda: True
-
-
 # Guards against a leader that places nothing for as long as its reads of the store fail: its
 # writes were stored, so that no other instance claimed.
 def test_a_leader_that_cannot_read_gives_way() -> None:
@@ -142,7 +136,7 @@
     leader = world.leader()
     assert leader is not None
     other = next(each for each in world.instances.values() if each is not leader)
-    _fail_reads(leader)
+    fail_reads(leader)
     world.run(1.5)
     other.submit("a1", ONE)
     starts_within(world, MAX_HOLD_S, lambda: bool(world.starts))
@@ -160,7 +154,7 @@
     world.run(1.0)
     ports: list[Any] = []
     for instance in world.instances.values():
-        _fail_reads(instance)
+        fail_reads(instance)
         ports += [instance.follower._log, instance.entries._log]
     world.run(8.0)
     for port in ports:
--- a/tests/test_leaders_end_unannounced.py
+++ b/tests/test_leaders_end_unannounced.py
@@ -19,20 +19,8 @@
 from spoolcrank.scheduler import Scheduler
 from spoolcrank.unreached_runners import FIRST_POLLS_S, claim_due, claim_stored, own_claim
 from spoolcrank.workflow import Step, TaskKey, encode
+from tests import leader_plays as plays
 from tests.fleet_world import World
-from tests.leader_plays import (
-    INSTANCES,
-    SEEDS,
-    cut_off,
-    end_lead,
-    fleet,
-    leading,
-    next_leader,
-    reach,
-    runs_twice,
-    start_lasting,
-    violations_at_end,
-)
 from tests.log_recorder import LogRecorder
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 
@@ -59,7 +47,7 @@
     for instance in list(world.instances.values()):
         instance.kill()
     world.run(DOWN_S)
-    for number in range(INSTANCES):
+    for number in range(plays.INSTANCES):
         world.add_instance(f"entry-{number}'")
     return keys
 
@@ -77,12 +65,12 @@
 
     A leader that restarts leads again at once, with a log that it has just loaded.
     """
-    world = fleet(seed)
+    world = plays.fleet(seed)
     world.lasting_jobs.add("ab")
     next(iter(world.instances.values())).submit("ab", TASKS)
     world.run_until(lambda: len(world.starts) == TASKS.count)
     lost = _lose_runners_with_work(world)
-    current = next_leader(world)
+    current = plays.next_leader(world)
     led_at = world.now
     if restarts:
         _submit_steadily(world)
@@ -98,7 +86,7 @@
             break
         current.kill()
         world.add_instance(current.name if restarts else f"next-{number}")
-        current = next_leader(world)
+        current = plays.next_leader(world)
     world.run_until(runs, LEASES_S + MAX_DELAY_S)
     assert world.violations == []
     return world.now - led_at
@@ -135,32 +123,32 @@
     runner is cut off from all others.
     """
     chance = random.Random(seed)
-    world = fleet(seed, instances=4, runners=4)
+    world = plays.fleet(seed, instances=4, runners=4)
     world.max_transit_s = chance.choice([0.0, 0.05])
-    cut = chance.choice(start_lasting(world))
-    cut_off(world, cut)
-    next_leader(world).kill()
+    cut = chance.choice(plays.start_lasting(world))
+    plays.cut_off(world, cut)
+    plays.next_leader(world).kill()
     died_at = world.now
     reached_at_once = chance.random() < 0.4
     if reached_at_once:
-        current = next_leader(world)
+        current = plays.next_leader(world)
         world.run(max(0.0, died_at + chance.uniform(2.8, 3.0) - world.now))
         current.kill()
         world.unreachable.clear()
-        next_leader(world)
-        cut_off(world, cut)
+        plays.next_leader(world)
+        plays.cut_off(world, cut)
     for _ in range(1 if reached_at_once else chance.choice([1, 1, 2])):
-        next_leader(world)
+        plays.next_leader(world)
         if not reached_at_once:
             world.run(max(0.0, died_at + chance.uniform(2.6, 4.8) - world.now))
-        current = next_leader(world)
-        reach(world, current, cut, chance, 0.02)
-        end_lead(world, current, chance)
-    return violations_at_end(world)
+        current = plays.next_leader(world)
+        plays.reach(world, current, cut, chance, 0.02)
+        plays.end_lead(world, current, chance)
+    return plays.violations_at_end(world)
 
 
 # Guards against a successor that takes leases for passed which the leader before granted late.
-@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("seed", range(plays.SEEDS))
 def test_a_runner_that_was_reached_late_runs_nothing_twice(seed: int) -> None:
     assert _reach_late(seed) == []
 
@@ -200,7 +188,7 @@
 def test_breaking_the_promise_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     for owner, attribute, replacement in MUTATIONS[name]:
         monkeypatch.setattr(owner, attribute, replacement)
-    assert runs_twice(_reach_late, MUTANT_SEEDS)
+    assert plays.runs_twice(_reach_late, MUTANT_SEEDS)
 
 
 def _stated() -> tuple[Scheduler, RunnerState, Claim]:
@@ -213,7 +201,7 @@
     state.began_at = NOW - FIRST_POLLS_S
     state.predecessor_wrote_at = NOW - 5.0
     assert claim_due(state, NOW)
-    return state, silent, own_claim(leading(), state, NOW)
+    return state, silent, own_claim(plays.leading(), state, NOW)
 
 
 def _answer(state: Scheduler, answering: RunnerState, now: float) -> None:
@@ -237,7 +225,7 @@
     claim_stored(state, claim)
     _answer(state, silent, NOW + 0.02)
     assert not silent.adopted
-    later = own_claim(leading(), state, NOW + 0.03)
+    later = own_claim(plays.leading(), state, NOW + 0.03)
     assert later.unreached_ms == {}
     _answer(state, silent, NOW + 0.04)
     assert not silent.adopted
@@ -253,7 +241,7 @@
     later = state.register(runner("i-1@5").entry, NOW)
     _answer(state, later, NOW + 0.01)
     assert not later.adopted
-    assert claim_stored(state, own_claim(leading(), state, NOW + 0.02))
+    assert claim_stored(state, own_claim(plays.leading(), state, NOW + 0.02))
     _answer(state, later, NOW + 0.03)
     assert later.adopted
 
@@ -262,10 +250,10 @@
 def test_no_claim_states_a_runner_that_may_be_about_to_answer() -> None:
     state, silent, _ = _stated()
     silent.silent_since = None
-    assert own_claim(leading(), state, NOW + 9.0).unreached_ms == {}
+    assert own_claim(plays.leading(), state, NOW + 9.0).unreached_ms == {}
     silent.silent_since = NOW
     state.began_at = NOW
-    assert own_claim(leading(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
+    assert own_claim(plays.leading(), state, NOW + FIRST_POLLS_S / 2).unreached_ms == {}
 
 
 # Guards against a leader that gives way and polls the runners it must not adopt without a pause.
@@ -283,7 +271,7 @@
 
 # Guards against a list of runners that a leader reads as a newer claim and that ends its own term.
 def test_a_claim_that_states_other_runners_is_no_other_claim() -> None:
-    leadership = leading()
+    leadership = plays.leading()
     stating = Claim(4, leadership.instance, leadership.incarnation, unreached_ms={"i-1": 9})
     assert not leadership.read_claim(stating, NOW + 1.0)
     assert leadership.leads
--- a/tests/test_mixed_leaders.py
+++ b/tests/test_mixed_leaders.py
@@ -14,18 +14,7 @@
 from spoolcrank.giving_way import gives_way
 from spoolcrank.leadership import Claim, Leadership
 from spoolcrank.unreached_runners import claim_due, may_adopt, own_claim
-from tests.leader_plays import (
-    SEEDS,
-    cut_off,
-    end_of_trouble,
-    fleet,
-    next_leader,
-    restore_reads,
-    start_lasting,
-    trouble_of_store,
-    violations_at_end,
-)
-from tests.test_holds_end import _fail_reads
+from tests import leader_plays as plays
 
 OLD: set[int] = set()
 
@@ -77,45 +66,38 @@
 
 def _play(seed: int) -> list[str]:
     chance = random.Random(seed)
-    world = fleet(seed, instances=2, runners=4)
+    world = plays.fleet(seed, instances=2, runners=4)
     world.add_instance("old-1")
     world.add_instance("old-2")
-    world.max_transit_s = chance.choice([0.0, 0.05])
-    world.late_order_share = chance.choice([0.0, 0.1])
-    world.late_orders_outlive_restart = False
     for runner in world.runners.values():
         runner.clock_rate = 0.98
-    cut = chance.choice(start_lasting(world))
-    cut_off(world, cut)
-    if chance.random() < 0.5:
-        world.store.entries.put(cut.id, b"")
-    next_leader(world).kill()
+    cut = plays.kill_leader_beside_a_cut(world, chance, [0.0, 0.1], 0.5)
     for number in range(chance.choice([2, 3, 4])):
         kind = chance.choice(["old", "new"])
         world.add_instance(f"{kind}-x{number}", chance.choice([1.0, 1.0, 8.0]))
-        current = next_leader(world)
-        trouble_of_store(world, current.name, chance)
+        current = plays.next_leader(world)
+        plays.trouble_of_store(world, current.name, chance)
         if chance.random() < 0.4:
-            _fail_reads(current)
+            plays.fail_reads(current)
         world.run(chance.uniform(0.0, 4.5))
         if chance.random() < 0.5:
             world.unreachable.discard((current.name, cut.name))
             world.run(chance.choice([0.02, 0.3, 1.0]))
-        cut_off(world, cut)
+        plays.cut_off(world, cut)
         end = chance.choice(["kill", "freeze", "none"])
         if end == "kill" and current.alive and current.name in world.instances:
             current.kill()
         elif end == "freeze":
             current.freeze(chance.uniform(1.0, 6.0))
         world.run(chance.uniform(0.0, 0.5))
-        end_of_trouble(world)
+        plays.end_of_trouble(world)
         if chance.random() < 0.6:
-            restore_reads(world)
-    restore_reads(world)
-    return violations_at_end(world, 5.0)
+            plays.restore_reads(world)
+    plays.restore_reads(world)
+    return plays.violations_at_end(world, 5.0)
 
 
-@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("seed", range(plays.SEEDS))
 def test_leaders_of_two_versions_run_nothing_twice(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_polls_for_waiting_work.py
+++ b/tests/test_polls_for_waiting_work.py
@@ -4,10 +4,13 @@
 Each kind of work that waits has to get runners asked for it, whatever else waits.
 """
 
+from collections.abc import Iterable
+
 import pytest
 
 from spoolcrank.workflow import Step
-from tests.fleet_world import Instance, World
+from tests.fleet_world import World
+from tests.leader_plays import current_leader, wait_for_starts
 
 RUNNERS = 400
 PROCESSORS = 0.02
@@ -40,74 +43,55 @@
     return _world(large=(100, RUNNERS // 2, RUNNERS - 1))
 
 
-def _leading(world: World) -> Instance:
-    leading = world.leader()
-    assert leading is not None
-    return leading
-
-
-def _wait_for_start(world: World, job: str, starts: int = 1, limit_s: float = MAX_WAIT_S) -> float:
-    def started() -> bool:
-        return sum(len(at) for key, at in world.starts.items() if key.job == job) >= starts
-
-    return world.run_until(started, limit_s=limit_s)
+def _large_starts_behind(world: World, waiting: Iterable[Step]) -> None:
+    """Let steps wait for some time, and have a task start that only a large runner can take."""
+    leading = current_leader(world)
+    for number, step in enumerate(waiting):
+        leading.submit(f"a{number:03x}", step)
+    world.run(3.0)
+    leading.submit("b000", LARGE)
+    wait_for_starts(world, "b000", MAX_WAIT_S)
 
 
 def test_steps_that_can_start_nowhere_keep_no_runner_from_being_asked(world: World) -> None:
     """Guards against steps that wait for good and take the polls of all that wait behind them."""
-    leading = _leading(world)
-    for number in range(12):
-        leading.submit(f"a{number:03x}", UNPLACEABLE_GANG)
-    world.run(3.0)
-    leading.submit("b000", LARGE)
-    _wait_for_start(world, "b000")
+    _large_starts_behind(world, [UNPLACEABLE_GANG] * 12)
 
 
 def test_first_polls_of_a_new_leader_leave_room_for_runners_asked_before() -> None:
     """Guards against a runner that could take work and is not asked until all others were."""
-    world = _world(large=(100, 120))
-    leading = _leading(world)
-    leading.submit("a000", UNPLACEABLE_GANG)
-    world.run(3.0)
-    leading.submit("b000", LARGE)
-    _wait_for_start(world, "b000")
+    _large_starts_behind(_world(large=(100, 120)), [UNPLACEABLE_GANG])
 
 
 def test_many_waiting_steps_of_different_needs_are_all_asked_for(world: World) -> None:
     """Guards against the first few needs of a long queue being the only ones asked for."""
-    leading = _leading(world)
-    for number in range(40):
-        gang = Step(count=RUNNERS + 1, millicores=4100 + number, memory_mb=100, gang=True)
-        leading.submit(f"a{number:03x}", gang)
-    world.run(3.0)
-    leading.submit("b000", LARGE)
-    _wait_for_start(world, "b000")
+    gangs = (
+        Step(count=RUNNERS + 1, millicores=4100 + number, memory_mb=100, gang=True)
+        for number in range(40)
+    )
+    _large_starts_behind(world, gangs)
 
 
 def test_needs_that_no_runner_has_keep_no_other_from_its_turn(world: World) -> None:
     """Guards against a turn that never ends, as none of its needs ever gets a poll."""
-    leading = _leading(world)
-    for number in range(12):
-        leading.submit(f"a{number:03x}", Step(count=1, millicores=90_000 + number, memory_mb=100))
-    world.run(3.0)
-    leading.submit("b000", LARGE)
-    _wait_for_start(world, "b000")
+    unplaceable = (Step(count=1, millicores=90_000 + number, memory_mb=100) for number in range(12))
+    _large_starts_behind(world, unplaceable)
 
 
 def test_a_suspect_gets_runners_asked_for_it(world: World) -> None:
     """Guards against a task that may crash runners and waits for one that is never asked."""
-    leading = _leading(world)
+    leading = current_leader(world)
     world.crashing["b000"] = 0.3
     world.restart_delay_s = (1000.0, 1000.0)
     leading.submit("b000", LARGE)
-    _wait_for_start(world, "b000")
-    _wait_for_start(world, "b000", starts=2, limit_s=MAX_RESTART_S)
+    wait_for_starts(world, "b000", MAX_WAIT_S)
+    wait_for_starts(world, "b000", MAX_RESTART_S, starts=2)
     world.crashing.clear()
-    _wait_for_start(world, "b000", starts=3, limit_s=MAX_RESTART_S)
+    wait_for_starts(world, "b000", MAX_RESTART_S, starts=3)
 
 
 def test_a_gang_wider_than_what_is_kept_ready_starts(world: World) -> None:
     """Guards against a gang that never finds all its runners ready at one time."""
-    leading = _leading(world)
+    leading = current_leader(world)
     leading.submit("b000", Step(count=200, millicores=8000, memory_mb=100, gang=True))
-    _wait_for_start(world, "b000", starts=200)
+    wait_for_starts(world, "b000", MAX_WAIT_S, starts=200)
--- a/tests/test_silent_runners_handed_on.py
+++ b/tests/test_silent_runners_handed_on.py
@@ -16,19 +16,8 @@
 from spoolcrank.stated_runners import StatedRunners
 from spoolcrank.unreached_runners import SILENT_AFTER_S, claim_due, claim_stored, own_claim
 from spoolcrank.workflow import RunnerId
+from tests import leader_plays as plays
 from tests.fleet_world import Runner, World
-from tests.leader_plays import (
-    SEEDS,
-    cut_off,
-    end_lead,
-    fleet,
-    leading,
-    next_leader,
-    reach,
-    runs_twice,
-    start_lasting,
-    violations_at_end,
-)
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 
 MUTANT_SEEDS = 40
@@ -42,28 +31,28 @@
     is cut off again.
     """
     chance = random.Random(seed)
-    world = fleet(seed, instances=4, runners=4)
+    world = plays.fleet(seed, instances=4, runners=4)
     world.max_transit_s = chance.choice([0.0, 0.05])
     for each in world.runners.values():
         each.clock_rate = chance.choice([0.98, 1.0, 1.02])
-    cut = chance.choice(start_lasting(world))
+    cut = chance.choice(plays.start_lasting(world))
     for _ in range(chance.choice([1, 1, 2])):
-        cut_off(world, cut)
+        plays.cut_off(world, cut)
         world.run(chance.uniform(3.0, 6.2))
         _reach_and_end(world, cut, chance)
-    return violations_at_end(world)
+    return plays.violations_at_end(world)
 
 
 def _reach_and_end(world: World, cut: Runner, chance: random.Random) -> None:
     """Let the leader reach a runner again beside trouble with the store, and end soon after."""
-    current = next_leader(world)
-    reach(world, current, cut, chance, 0.05)
-    cut_off(world, cut)
-    end_lead(world, current, chance)
+    current = plays.next_leader(world)
+    plays.reach(world, current, cut, chance, 0.05)
+    plays.cut_off(world, cut)
+    plays.end_lead(world, current, chance)
 
 
 # Guards against a successor that takes leases for passed which were granted after an answer.
-@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("seed", range(plays.SEEDS))
 def test_a_silent_runner_that_answers_again_runs_nothing_twice(seed: int) -> None:
     assert _reach_again(seed) == []
 
@@ -95,7 +84,7 @@
 @pytest.mark.parametrize("name", list(MUTATIONS))
 def test_breaking_the_promise_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(*MUTATIONS[name])
-    assert runs_twice(_reach_again, MUTANT_SEEDS)
+    assert plays.runs_twice(_reach_again, MUTANT_SEEDS)
 
 
 def _fallen_silent() -> tuple[Scheduler, RunnerState]:
@@ -123,7 +112,7 @@
 def test_a_claim_states_when_every_lease_of_a_silent_runner_has_passed() -> None:
     state, silent = _fallen_silent()
     now = NOW + 1.0 + SILENT_AFTER_S
-    claim = own_claim(leading(), state, now)
+    claim = own_claim(plays.leading(), state, now)
     released_at = now - claim.unreached_ms["i-1"] / 1000.0 + state.max_inherited_run_s
     assert not silent.surely_ended(released_at - 0.3)
     assert silent.surely_ended(released_at + 0.01)
@@ -133,7 +122,7 @@
 # Guards against claims of each leader that grow at once, and answers that wait for the store.
 def test_no_claim_states_a_runner_that_has_only_just_fallen_silent() -> None:
     state, _ = _fallen_silent()
-    assert own_claim(leading(), state, NOW + 0.9 + SILENT_AFTER_S).unreached_ms == {}
+    assert own_claim(plays.leading(), state, NOW + 0.9 + SILENT_AFTER_S).unreached_ms == {}
     assert not claim_due(state, NOW + 0.9 + SILENT_AFTER_S)
 
 
@@ -142,14 +131,14 @@
     state, silent = _fallen_silent()
     now = NOW + 1.0 + SILENT_AFTER_S
     granted_ms = silent.granted_ms
-    stating = own_claim(leading(), state, now)
+    stating = own_claim(plays.leading(), state, now)
     _answer(state, silent, now + 0.1)
     assert claim_due(state, now + 0.1)
     assert silent.grant(now + 0.1) == granted_ms
     claim_stored(state, stating)
     _answer(state, silent, now + 0.2)
     assert silent.grant(now + 0.2) == granted_ms
-    later = own_claim(leading(), state, now + 0.3)
+    later = own_claim(plays.leading(), state, now + 0.3)
     assert later.unreached_ms == {}
     _answer(state, silent, now + 0.4)
     assert silent.grant(now + 0.4) == granted_ms
@@ -163,13 +152,13 @@
 def test_a_runner_that_falls_silent_again_is_stated_again() -> None:
     state, silent = _fallen_silent()
     now = NOW + 1.0 + SILENT_AFTER_S
-    claim_stored(state, own_claim(leading(), state, now))
+    claim_stored(state, own_claim(plays.leading(), state, now))
     _answer(state, silent, now + 0.1)
-    claim_stored(state, own_claim(leading(), state, now + 0.2))
+    claim_stored(state, own_claim(plays.leading(), state, now + 0.2))
     _answer(state, silent, now + 0.3)
     assert silent.silent_since is None
     poll_failed(state, Poll(state.target(silent), 0, None, 0), OrderResult.UNKNOWN, now + 1.0)
-    claim = own_claim(leading(), state, now + 1.0 + SILENT_AFTER_S)
+    claim = own_claim(plays.leading(), state, now + 1.0 + SILENT_AFTER_S)
     assert list(claim.unreached_ms) == ["i-1"]
 
 
@@ -177,4 +166,4 @@
 def test_a_runner_of_which_another_incarnation_may_live_is_not_stated() -> None:
     state, _ = _fallen_silent()
     state.register(runner("i-1@5").entry, NOW + 1.0)
-    assert own_claim(leading(), state, NOW + 9.0).unreached_ms == {}
+    assert own_claim(plays.leading(), state, NOW + 9.0).unreached_ms == {}
--- a/tests/test_starved_leader.py
+++ b/tests/test_starved_leader.py
@@ -14,6 +14,7 @@
 from spoolcrank.workflow import Step
 from tests.fleet_runners import RunnerPort
 from tests.fleet_world import Instance, World
+from tests.leader_plays import current_leader, wait_for_starts
 
 RUNNERS = 1200
 PROCESSORS = 0.2
@@ -103,8 +104,7 @@
 def _fleet_taken_over(instances: int) -> World:
     """Return a fleet with work, and work that waits for good, whose leader was just followed."""
     world = _fleet()
-    leading = world.leader()
-    assert leading is not None
+    leading = current_leader(world)
     world.lasting_jobs.add("a000")
     leading.submit("a000", LASTING)
     world.run_until(lambda: sum(key.job == "a000" for key in world.starts) == LASTING.count)
@@ -124,13 +124,12 @@
     """Guards against polls for waiting work that keep the leader from reading what it needs."""
     _cost_orders(monkeypatch, ORDER_COST_S)
     world = _fleet_taken_over(instances=2)
-    leading = world.leader()
-    assert leading is not None
+    leading = current_leader(world)
     for number in range(JOBS):
         leading.submit(f"c{number:03x}", SHORT)
         submitted_at = world.now
         world.run(1.0)
-        _wait_for_start(world, f"c{number:03x}", submitted_at + MAX_WAIT_S - world.now)
+        wait_for_starts(world, f"c{number:03x}", submitted_at + MAX_WAIT_S - world.now)
 
 
 def test_slow_leaders_do_not_follow_one_another_without_placing_any(
@@ -139,16 +138,10 @@
     """Guards against takeovers for old copies that each make the next one due."""
     _cost_orders(monkeypatch, SLOWER_ORDER_COST_S)
     world = _fleet_taken_over(instances=4)
-    leading = world.leader()
-    assert leading is not None
+    leading = current_leader(world)
     term = leading.leadership.claim.term
     leading.submit("c000", SHORT)
-    _wait_for_start(world, "c000", MAX_WAIT_S)
+    wait_for_starts(world, "c000", MAX_WAIT_S)
     world.run(OBSERVED_S)
-    leading = world.leader()
-    assert leading is not None
+    leading = current_leader(world)
     assert leading.leadership.claim.term <= term + 1
-
-
-def _wait_for_start(world: World, job: str, limit_s: float) -> None:
-    world.run_until(lambda: any(key.job == job for key in world.starts), limit_s)
