Say once what runs are unlisted, which peers are reachable, how pending tasks end

What stood: four pieces of logic twice or three times. run_control: the runs that an answer does not list, and the stages of an unconfirmed order. routing and route_choice: which peers have lately reported runners of a service, whether one is owned here. ledger_records: ending the pending tasks of a cancelled and of a refused job. held_fillers: the pace of a slow start.

Change: a function for each.

Not changed, as only a shape or a list of parameters stands twice: task_hold, placing, gangs, policy, records, _dialer, the constructors.

Conclusion: no behaviour changed.

--- a/spoolcrank/held_fillers.py
+++ b/spoolcrank/held_fillers.py
@@ -163,10 +163,15 @@
     if runner is None:
         return False
     bind(state, job, key, task.run + 1, runner, now)
+    _slow_down(runner, key, now)
+    return True
+
+
+def _slow_down(runner: RunnerState, key: TaskKey, now: float) -> None:
+    """Give a run that was just bound to a runner the pace of a slow start."""
     run = runner.runs[key]
     run.starts_slowly = True
     runner.set_pace(run, STARTING_PACE_PERCENT, now)
-    return True
 
 
 def _start_gang(
@@ -179,10 +184,7 @@
     if not place_gang(state, job, key.round, key.step, step, runners, now, _choose_refusing):
         return False
     for number, task in enumerate(step.tasks):
-        runner = state.runners[task.runner]
-        run = runner.runs[key._replace(number=number)]
-        run.starts_slowly = True
-        runner.set_pace(run, STARTING_PACE_PERCENT, now)
+        _slow_down(state.runners[task.runner], key._replace(number=number), now)
     return True
 
 
--- a/spoolcrank/ledger_records.py
+++ b/spoolcrank/ledger_records.py
@@ -232,30 +232,29 @@
 def _cancel_job(ledger: Ledger, job: Job, rec: JobsCancelled, at: float) -> None:
     job.cancelled_by = rec.command
     job.reason = f"cancelled by {rec.by or rec.command}"
-    for task_key in job.tasks:
-        task = ledger.tasks[task_key]
-        if task.state is TaskState.PENDING:
-            ledger._remove_from_indexes(task)
-            task.state = TaskState.CANCELLED
-            task.reason = job.reason
-            task.since = at
-            job.open -= 1
+    _end_pending(ledger, job, TaskState.CANCELLED, job.reason, at)
+
+
+def _end_pending(ledger: Ledger, job: Job, state: TaskState, reason: str, at: float) -> int:
+    """End the pending tasks of a job in the given state; return how many there were."""
+    pending = [ledger.tasks[key] for key in job.tasks]
+    pending = [task for task in pending if task.state is TaskState.PENDING]
+    for task in pending:
+        ledger._remove_from_indexes(task)
+        task.state = state
+        task.reason = reason
+        task.since = at
+        job.open -= 1
+    return len(pending)
 
 
 def _refuse(ledger: Ledger, rec: JobRefused, at: float) -> bool:
     job = ledger.jobs.get(rec.job)
     if job is None or job.open == 0:
         return False
-    refused = [ledger.tasks[task_key] for task_key in job.tasks]
-    refused = [task for task in refused if task.state is TaskState.PENDING]
-    for task in refused:
-        ledger._remove_from_indexes(task)
-        task.state = TaskState.REFUSED
-        task.reason = rec.reason
-        task.since = at
-        job.open -= 1
+    refused = _end_pending(ledger, job, TaskState.REFUSED, rec.reason, at)
     job.reason = rec.reason
-    return bool(refused)
+    return refused > 0
 
 
 def _take_key(ledger: Ledger, rec: KeyTaken, at: float) -> bool:
--- a/spoolcrank/route_choice.py
+++ b/spoolcrank/route_choice.py
@@ -1,5 +1,6 @@
 """Choose the runner or the peer to which a request is sent."""
 
+from spoolcrank.ids import InstanceId, ServiceName
 from spoolcrank.policy import Policy
 from spoolcrank.route_state import INITIAL_LATENCY_S, InFlightRequest, PeerRunners, Router, Runner
 
@@ -47,6 +48,31 @@
     return best
 
 
+def owns_runner(router: Router, service: ServiceName) -> bool:
+    """Return whether this instance owns a runner of a service."""
+    return any(runner.service == service for runner in router.runners.values())
+
+
+def reachable_peers(
+    router: Router, service: ServiceName, policy: Policy, now: float
+) -> list[PeerRunners]:
+    """Return the runners of a service at the peers that have reported theirs lately."""
+    return [
+        known
+        for known in router.peers.get(service, {}).values()
+        if now - known.reported_at <= policy.membership.dead_after_s
+    ]
+
+
+def least_loaded_peer(
+    router: Router, call: InFlightRequest, policy: Policy, now: float
+) -> InstanceId | None:
+    """Return the peer with the fewest requests forwarded to it that are not answered, or None."""
+    peers = reachable_peers(router, call.req.service, policy, now)
+    usable = [known.peer for known in peers if known.peer not in call.avoid]
+    return min(usable, key=lambda peer: len(router.forwarded.get(peer, {})), default=None)
+
+
 def runner_cost(runner: Runner) -> float:
     """Return the expected latency of a request at a runner, in seconds."""
     return runner.latency_s * (1.0 + _LOAD_PENALTY * runner.busy / max(1, runner.slots))
@@ -63,11 +89,9 @@
     """Return the cheapest peer whose runners have a free slot, or None."""
     best: PeerRunners | None = None
     best_cost = float("inf")
-    for peer in router.peers.get(call.req.service, {}).values():
+    for peer in reachable_peers(router, call.req.service, policy, now):
         if peer.peer in call.avoid:
             continue
-        if now - peer.reported_at > policy.membership.dead_after_s:
-            continue
         sent_times = router.forwarded.get(peer.peer, {}).values()
         sent_since = sum(1 for sent in sent_times if sent > peer.reported_at)
         cost = peer_cost(router, peer) * (
--- a/spoolcrank/routing.py
+++ b/spoolcrank/routing.py
@@ -9,7 +9,16 @@
 from spoolcrank.ids import InstanceId, RequestId, ServiceName
 from spoolcrank.known_runners import record_latency
 from spoolcrank.policy import Policy
-from spoolcrank.route_choice import best_peer, best_runner, peer_cost, runner_cost, slot_limit
+from spoolcrank.route_choice import (
+    best_peer,
+    best_runner,
+    least_loaded_peer,
+    owns_runner,
+    peer_cost,
+    reachable_peers,
+    runner_cost,
+    slot_limit,
+)
 from spoolcrank.route_state import (
     INITIAL_LATENCY_S,
     MAX_RETRY_TOKENS,
@@ -155,20 +164,12 @@
     Owners serve their own queues first, so a request queued here would get a slot only after
     those queues are empty.
     """
-    service = call.req.service
     if call.req.origin is not None or call.tries >= _MAX_TRIES_BEFORE_QUEUE:
         return None
-    if any(runner.service == service for runner in router.runners.values()):
-        return None
-    reachable = [
-        info.peer
-        for info in router.peers.get(service, {}).values()
-        if now - info.reported_at <= policy.membership.dead_after_s and info.peer not in call.avoid
-    ]
-    if not reachable:
+    if owns_runner(router, call.req.service):
         return None
-    least_loaded = min(reachable, key=lambda peer: len(router.forwarded.get(peer, {})))
-    return _send_to_peer(router, call, least_loaded, now)
+    owner = least_loaded_peer(router, call, policy, now)
+    return _send_to_peer(router, call, owner, now) if owner is not None else None
 
 
 def _reachable(router: Router, call: InFlightRequest, policy: Policy, now: float) -> bool:
@@ -178,11 +179,10 @@
     at once, so that its origin can send it to another owner.
     """
     service = call.req.service
-    own = any(runner.service == service for runner in router.runners.values())
+    own = owns_runner(router, service)
     if call.req.origin is not None:
         return own
-    peers = router.peers.get(service, {}).values()
-    return own or any(now - peer.reported_at <= policy.membership.dead_after_s for peer in peers)
+    return own or bool(reachable_peers(router, service, policy, now))
 
 
 def _refuse(
--- a/spoolcrank/run_control.py
+++ b/spoolcrank/run_control.py
@@ -43,6 +43,9 @@
 it, in seconds. A takeover without any fault takes about that time, and a tail latency over its
 target counts as harm after four seconds."""
 
+_UNSETTLED = (RunStage.UNCONFIRMED, RunStage.STOPPING)
+"""Stages of a run whose start or stop was ordered and is not confirmed."""
+
 # Polls
 
 
@@ -193,12 +196,18 @@
     state.log_event(
         "runner-adopted", runner=runner.id, running=len(present), bound=len(runner.runs)
     )
-    for key, run in list(runner.runs.items()):
-        start_unconfirmed = run.stage in (RunStage.UNCONFIRMED, RunStage.STOPPING)
-        if start_unconfirmed and (key, run.number) not in present:
+    for key, run in _unlisted_runs(runner, present):
+        if run.stage in _UNSETTLED:
             state.release(key, runner, "never started there", now)
 
 
+def _unlisted_runs(
+    runner: RunnerState, present: set[tuple[TaskKey, int]]
+) -> list[tuple[TaskKey, Run]]:
+    """Return the runs bound to a runner that its answer does not list."""
+    return [(key, run) for key, run in runner.runs.items() if (key, run.number) not in present]
+
+
 def _check_absent(
     state: Scheduler,
     runner: RunnerState,
@@ -206,8 +215,8 @@
     asked_at: float,
     now: float,
 ) -> None:
-    for key, run in list(runner.runs.items()):
-        if (key, run.number) in present or run.in_flight:
+    for key, run in _unlisted_runs(runner, present):
+        if run.in_flight:
             continue
         if run.stage is RunStage.RUNNING and asked_at - run.since >= ABSENT_RUN_LOST_AFTER_S:
             _release_absent_run(state, runner, key, run, now)
@@ -224,9 +233,8 @@
 ) -> None:
     """Release the runs that a runner does not list and whose starts its fence has made void."""
     # A link that lets polls through and no orders leaves both unanswered while leases go on.
-    for key, run in list(runner.runs.items()):
-        unsettled = run.stage in (RunStage.UNCONFIRMED, RunStage.STOPPING)
-        if unsettled and (key, run.number) not in present and run.start_fence < fence:
+    for key, run in _unlisted_runs(runner, present):
+        if run.stage in _UNSETTLED and run.start_fence < fence:
             task = find_task(state.jobs, key)
             if task is not None:
                 task.refused_by = runner.id
