--- a/spoolcrank/entry.py
+++ b/spoolcrank/entry.py
@@ -9,6 +9,7 @@
 from spoolcrank._runtime import Runtime, address_of_url, print_ready, split_address
 from spoolcrank._web import HttpRequest, Reply, json_reply, refusal_reply
 from spoolcrank.callers import Callers
+from spoolcrank.config_api import ConfigApi
 from spoolcrank.controller import Controller
 from spoolcrank.errors import ErrorKind, Refusal
 from spoolcrank.ids import Incarnation, unique
@@ -27,7 +28,8 @@
 _METRICS_FLUSH_INTERVAL_S = 1.0
 _DRAIN_CHECK_INTERVAL_S = 0.05
 _MIN_SENDING_CHECKS = 6
-"""Checks in time that follow the end of reading before a forced end: 0.3 s for sending answers."""
+"""Minimum number of timely checks between the end of reading and a forced end; they leave 0.3 s
+for sending answers."""
 
 
 class DrainTimes(NamedTuple):
@@ -83,8 +85,9 @@
             self.controller.recorder = Recorder(settings.trace_file, members)
         self.callers = Callers(self.controller, http, timers, self.metrics).register(runtime)
         self.jobs = JobsApi(self.controller, timers, self.metrics)
+        self.config = ConfigApi(self.controller, self.jobs, timers)
         self.operators = Operators(
-            self.controller, self.jobs, self.callers.decisions, timers, self.metrics
+            self.controller, self.jobs, self.config, self.callers.decisions, timers, self.metrics
         )
         instance_poller = InstancePoller(
             http, timers, address_of_url(settings.instances), self.metrics
@@ -105,7 +108,7 @@
         elif req.path == "/commands" and req.method == "POST":
             self.operators.serve(req, reply)
         elif req.path in ("/config", "/config/check"):
-            self.operators.serve_config(req, reply)
+            self.config.serve(req, reply)
         elif req.path == "/health/live":
             reply(json_reply(200, {"live": True}))
         elif req.path == "/health/ready":
