Add a failing test of an owner that wakes after its interim owner is unlisted

A repeatable task runs on two servers at once, for 2.25 to 2.5 s here; a once-only one is not played.

While the log is down and an owner pauses, a peer commands its server in interim, renews the leases there and is killed; the platform takes it off the list, and no new instance is on it yet. The owner wakes and cannot reach the server. _surely_sole_owner (core.py) asks only membership.possible_owners, which leaves out unlisted instances while the list is fresh, so the owner counts from before its pause, although the interim owner's leases have not lapsed.

--- a/tests/test_unseen_interim_owners.py
+++ b/tests/test_unseen_interim_owners.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from spoolcrank import membership
+from tests import world as worlds
 from tests.world import OWNERS, World
 
 PAUSE_S = 5.0
@@ -43,3 +45,15 @@
     world.owners[owner].paused = False
     world.advance(20.0)
     assert world.breaches() == []
+
+
+# Guards against leases that count as lapsed because their owner is off the platform's list.
+@pytest.mark.parametrize("listed_s", [0.5, 2.0])
+def test_an_unlisted_interim_owner_does_not_shorten_the_wait_for_leases(listed_s: float) -> None:
+    world, _, interim = _after_interim_ownership()
+    world.advance(listed_s)
+    instances = [instance for instance in worlds._instances() if instance.id != interim]
+    for entry in world.owners.values():
+        membership.on_list(entry.core.members, instances, world.now + entry.skew_s)
+    world.advance(20.0)
+    assert world.breaches() == []
