Stop the clock of the test of a configuration's age

test_the_age_of_a_configuration_is_that_of_its_stream failed once beside load. It set an age of 3.5 s by the real clock and compared the one shown, rounded to 0.1 s, which a pause between the two changes.

Shown: with a pause of 0.06 s before each request all four cases failed with 3.6 in place of 3.5. By reading, one of 1.25 s would also make the young age an old one.

The test now stops the clock and compares the same values, so it is as strict and does not depend on the machine. With pauses of 0.06 and 2 s all four cases pass; with the ledger's age shown in place of the configuration's all four fail.

--- a/tests/test_old_config_stream.py
+++ b/tests/test_old_config_stream.py
@@ -170,8 +170,12 @@
 
 
 @pytest.mark.parametrize("request_text", ["show config", "config history", "config diff", "GET"])
-def test_the_age_of_a_configuration_is_that_of_its_stream(request_text: str) -> None:
+def test_the_age_of_a_configuration_is_that_of_its_stream(
+    request_text: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against the age of the records beside a configuration, which is read apart."""
+    stopped_at = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: stopped_at)
     old_s, young_s = MAX_CONFIG_AGE_S + 1.0, MAX_CONFIG_AGE_S / 2
     assert _shown_age(EntryApi(young_s, old_s), request_text) == old_s
     assert _shown_age(EntryApi(old_s, young_s), request_text) is None
