Count leases anew after a pause of their owner, as before

Callers would have seen: a task in two places.

Cause: an owner that wakes counted on from before the pause if all peers that it heard before were heard again as the same processes. The second pause took the interim owner's new process for the one known before; one off the list was not asked after. An instance that came and went during the pause would escape any such list, by reading, so no narrower condition was taken.

--- a/spoolcrank/core.py
+++ b/spoolcrank/core.py
@@ -26,15 +26,12 @@
 from spoolcrank.resources import Resources
 from spoolcrank.server_commands import evict, throttle
 from spoolcrank.slot_use import assume_all_busy, record_busy
-from spoolcrank.state import Core, CoreAction, LogEvent, Relinquished, Resumption, can_act
+from spoolcrank.state import Core, CoreAction, LogEvent, Relinquished, can_act
 from spoolcrank.worker import Refused, Report
 
 # A longer time between two ticks means that the process was paused.
 _MAX_TICK_GAP_S = 1.0
 _MAX_DRAIN_EVICTIONS_PER_REPORT = 4
-# Time after we began to act again within which peers report servers that they have meanwhile
-# handed to one another.
-_REPORTED_WITHIN_S = 1.0
 
 
 def on_heartbeat(core: Core, heartbeat: Heartbeat, now: float) -> bool:
@@ -179,12 +176,8 @@
     if not paused and witnessed and membership.settled(core.members, core.policy, now):
         if not core.acting:
             core.acting = True
-            core.resumption = Resumption(now, core.known_incarnations)
             _readopt_all(core, now)
             return [LogEvent("acting.begun", {})]
-        core.known_incarnations = {
-            name: peer.heartbeat.incarnation for name, peer in core.members.peers.items()
-        }
         return []
     was_acting = core.acting
     core.acting = False
@@ -216,30 +209,12 @@
         return []
     contacted = owned.contacted_at is not None
     elsewhere_at = core.owned_elsewhere_at.get(owned.server, float("-inf"))
-    last_renewed_at = max(owned.last_renew_at, owned.owned_since, elsewhere_at)
-    if not _surely_sole_owner(core, now):
-        last_renewed_at = max(last_renewed_at, core.resumption.at)
+    last_renewed_at = max(owned.last_renew_at, owned.claimed_at, elsewhere_at)
     if ownership.may_declare_lost(core.members, contacted, last_renewed_at, core.policy, now):
         actions += servers.record_all_lost(owned, core.ledger, now)
     return actions
 
 
-def _surely_sole_owner(core: Core, now: float) -> bool:
-    """Return whether no peer can have commanded our servers unseen while we did not act.
-
-    A peer that did so would still report them, unless its process ended since.
-    """
-    resumed_at, incarnations = core.resumption
-    if core.log_ok_at <= resumed_at:
-        return False
-    for other in membership.possible_owners(core.members, now):
-        if ownership.incarnation_of(core.members, other) != incarnations.get(other):
-            return False
-        if membership.echoed_at(core.members, other) <= resumed_at + _REPORTED_WITHIN_S:
-            return False
-    return True
-
-
 def _apply_mitigation(core: Core, owned: OwnedServer, now: float) -> list[CoreAction]:
     """Return the commands for the next interference mitigation step of one server."""
     instance = core.members.listed.get(owned.server)
--- a/spoolcrank/membership.py
+++ b/spoolcrank/membership.py
@@ -153,17 +153,6 @@
     )
 
 
-def echoed_at(members: Members, peer: InstanceId) -> float:
-    """Return when we sent the heartbeat that a peer had received before its own last one."""
-    known = members.peers.get(peer)
-    echo_times = (
-        echo.sent_at
-        for echo in (known.heartbeat.echoes if known else ())
-        if echo.instance == members.me and echo.incarnation == members.incarnation
-    )
-    return max(echo_times, default=float("-inf"))
-
-
 def is_alive(members: Members, instance: InstanceId, policy: Policy, now: float) -> bool:
     """Return whether an entry instance is sending heartbeats; we ourselves always are."""
     if instance == members.me:
--- a/spoolcrank/owned_server.py
+++ b/spoolcrank/owned_server.py
@@ -46,8 +46,6 @@
     Times are of the owner's monotonic clock, in seconds.
 
     Attributes:
-        claimed_at: When we last became its owner, or began to act again.
-        owned_since: When we became its owner, with none other in between.
         adopted_at: When the server last became ready or was found restarted; infinite while it is
             not ready.
         next_poll_at: When the next adopt or renew command is due.
@@ -70,7 +68,6 @@
     adopted_at: float = float("inf")
     contacted_at: float | None = None
     previous_contact_at: float | None = None
-    owned_since: float = float("inf")
     last_renew_at: float = float("-inf")
     next_poll_at: float = float("-inf")
     seq: int = 0
--- a/spoolcrank/ownership_transfer.py
+++ b/spoolcrank/ownership_transfer.py
@@ -62,11 +62,9 @@
     core: Core, server: InstanceId, epoch: Epoch, now: float, previous: OwnedServer | None
 ) -> None:
     owned = OwnedServer(server, core.members.incarnation, epoch, now)
-    owned.owned_since = now
     owned.inherited_until = now + core.policy.routing.deadline_ms / 1000
     owned.inherited_slots = _ALL_SLOTS_BUSY
     if previous is not None:
-        owned.owned_since = previous.owned_since
         owned.contacted_at = previous.contacted_at
         owned.last_renew_at = previous.last_renew_at
         owned.report = previous.report
--- a/spoolcrank/state.py
+++ b/spoolcrank/state.py
@@ -10,7 +10,6 @@
     NO_CONFIG,
     ConfigVersion,
     Epoch,
-    Incarnation,
     InstanceId,
     ServiceName,
     TaskId,
@@ -64,18 +63,6 @@
     at: float
 
 
-class Resumption(NamedTuple):
-    """When we began to act again, and the incarnation of each peer that we knew before.
-
-    Attributes:
-        at: The time, in seconds.
-        incarnations: The incarnations as known at the last tick at which we acted.
-    """
-
-    at: float
-    incarnations: dict[InstanceId, Incarnation]
-
-
 CoreAction = Action | Handover | LogEvent
 
 
@@ -90,8 +77,6 @@
         config_read_at: When the last request was sent that read the stream of configurations to its
             end.
         acting: Whether we may command our servers, as found at the last tick.
-        known_incarnations: The incarnation of each peer at the last tick at which we acted.
-        resumption: When we last began to act.
         first_seen: When we first saw each waiting task.
         claims_sent: When we last appended a claim of each server.
         refusals_sent: When we appended the refusal of each job.
@@ -114,8 +99,6 @@
     config_read_at: float = float("-inf")
     ticked_at: float = float("-inf")
     acting: bool = False
-    known_incarnations: dict[InstanceId, Incarnation] = field(default_factory=dict)
-    resumption: Resumption = field(default_factory=lambda: Resumption(float("-inf"), {}))
     first_seen: dict[TaskId, float] = field(default_factory=dict)
     claims_sent: dict[InstanceId, float] = field(default_factory=dict)
     refusals_sent: dict[str, float] = field(default_factory=dict)
