Add a failing test of work for one of many replaced runners

Callers would see: where hundreds of runners were replaced and the leader is short of processor time, work that only one of the new ones can take waits for the first polls of all others.

Cause: a late leader polls MAX_CONCURRENT_FIRST_POLLS times its share at a check, 3 at the least share (_select_first_polls), also of runners listed after the takeover, to which the budget does not apply. Waiting work decides only between those that the budget applies to (limit_first_polls).

--- a/tests/test_order_of_first_polls.py
+++ b/tests/test_order_of_first_polls.py
@@ -8,7 +8,7 @@
 from spoolcrank.polling import polls_due
 from spoolcrank.runner_state import RunnerState
 from spoolcrank.scheduler import Scheduler
-from spoolcrank.workflow import RunnerId
+from spoolcrank.workflow import RunnerId, Step
 from tests.packed_runners import NOW, SHORT, leader, put, runner
 from tests.test_room_beside_waits import add_job
 
@@ -18,6 +18,12 @@
 
 CHECK_S = 0.2
 CHECKS = 10
+REPLACED = 400
+
+MAX_WAIT_S = 3.0
+"""Time with nothing running after which an accepted job counts as lost, in seconds."""
+
+LARGE = Step(count=1, millicores=30_000, memory_mb=100)
 
 
 def _new_leader(*further: RunnerState) -> Scheduler:
@@ -31,11 +37,11 @@
     return state
 
 
-def _polled(state: Scheduler, checks: int = CHECKS) -> list[str]:
+def _polled(state: Scheduler, checks: int = CHECKS, check_s: float = CHECK_S) -> list[str]:
     """Return the runners polled in some checks; those not silent answer before the next check."""
     polled = []
     for number in range(checks):
-        now = NOW + number * CHECK_S
+        now = NOW + number * check_s
         for poll in polls_due(state, now, True):
             found = state.runners[poll.target.runner]
             polled.append(str(found.id))
@@ -108,3 +114,19 @@
     for number in range(20):
         state.polls.record_tick(number * 2 * TICK_S, TICK_S, len(state.runners))
     assert len(_polled(state, checks=1)) == len(state.runners)
+
+
+@pytest.mark.parametrize("share", [1.0, MIN_SHARE])
+def test_work_for_one_of_many_replaced_runners_does_not_wait_for_all_others(share: float) -> None:
+    """Guards against work whose only runner was replaced and is asked last, by a late leader."""
+    late = [runner(f"late{number}", millicores=8000) for number in range(REPLACED)]
+    late.append(runner("large"))
+    idle = (runner(f"r{number}", millicores=8000) for number in range(RUNNERS))
+    state = leader(*idle, *late)
+    state.polls = PollBudget(processors=0.43)
+    state.polls.share = share
+    state.began_at = NOW - 5.0
+    for each in late:
+        each.adopted, each.polled_at, each.first_seen_at = False, -1.0, NOW
+    add_job(state, "ab", LARGE, 1)
+    assert "large" in _polled(state, int(MAX_WAIT_S / TICK_S), TICK_S)
