Read the list of runners before an offer to lead again, in place of a pause

Callers would see: work that only a large instance can place in time waits 26.5 to 29.6 s after that one reads everything again; and with six large instances that cannot read the list the lead still goes round (15 terms in 40 s).

Cause: let an instance that was followed for want of a copy pause its offers for 30 s, whatever it could read meanwhile, and said nothing to the next large instance.

Change: an instance that lacked a copy as it led, or while the leader stated that it did, reads the list before it offers. While it is larger than the leader it tries again each second, as it does while a leader states it.

--- a/spoolcrank/leadership.py
+++ b/spoolcrank/leadership.py
@@ -7,7 +7,6 @@
 instance can handle the most load.
 """
 
-import math
 import random
 from typing import NamedTuple
 
@@ -52,11 +51,6 @@
 """Minimum time between two offers, whichever instances make them, in seconds. An offer that was
 lost is repeated after it."""
 
-OFFER_PAUSE_S = 30.0
-"""Time for which an instance does not offer to lead after it led without recent copies of the list
-of runners and the log, in seconds. It would still lack them, and be followed again after 3 s in
-which nothing is placed."""
-
 SUCCESSOR_HEAD_START_S = 0.5
 """Extra delay of other instances' claims after a leader named its successor, in seconds."""
 
@@ -161,7 +155,7 @@
         self.leader_lacks_copy = False
         self.has_copies = False
         self._stated_lacks_copy = False
-        self._no_offer_before = -math.inf
+        self.may_offer = True
 
     @property
     def leads(self) -> bool:
@@ -194,7 +188,7 @@
             self._term_read_at = now
             self.may_grant = not self._leader_granted_nothing
             if self._stated_lacks_copy:
-                self._no_offer_before = now + OFFER_PAUSE_S
+                self.may_offer = False
             self.lacks_copy = self._stated_lacks_copy = False
         self.claim = claim
         self.last_contact_at = now
@@ -302,6 +296,11 @@
         """Return whether this instance is much smaller than one that led or offered to lead."""
         return self._largest_processors >= self.processors * LARGER_INSTANCE_RATIO
 
+    @property
+    def is_larger(self) -> bool:
+        """Return whether this instance has many more processors than the leader."""
+        return self.processors >= self.claim.processors * LARGER_INSTANCE_RATIO
+
     @property
     def grants_read(self) -> bool:
         """Return whether this leader read its own claim after which it may grant leases."""
@@ -331,9 +330,7 @@
 
     def _should_offer(self, now: float) -> bool:
         claim = self.claim
-        if claim.term == 0 or claim.resigned or now < self._no_offer_before:
-            return False
-        if self.processors < claim.processors * LARGER_INSTANCE_RATIO:
+        if claim.term == 0 or claim.resigned or not (self.is_larger and self.may_offer):
             return False
         led_s = now - self._term_read_at
         due = led_s >= MIN_TERM_BEFORE_OFFER_S + self._offer_jitter_s
--- a/spoolcrank/list_probe.py
+++ b/spoolcrank/list_probe.py
@@ -94,11 +94,11 @@
 
     def check(self) -> None:
         """Begin, repeat or end the reading as needed; record whether this instance has copies."""
-        now, follower = self._clock(), self._follower
-        if self._leadership.leads:
+        now, follower, leadership = self._clock(), self._follower, self._leadership
+        if leadership.leads:
             # Its claim was read back; it takes over once it has read the log.
             return
-        if not self._leadership.leader_lacks_copy:
+        if not (leadership.leader_lacks_copy or self._reads_to_offer()):
             self._end()
             self._wanted_since = None
             return
@@ -118,7 +118,15 @@
         elif self._copies_since is None:
             self._copies_since = now
         since = self._copies_since
-        self._leadership.has_copies = since is not None and now - since >= MIN_HELD_S
+        held = since is not None and now - since >= MIN_HELD_S
+        leadership.has_copies = leadership.may_offer = held
+
+    def _reads_to_offer(self) -> bool:
+        """Return whether to read the list before this instance offers to lead again.
+
+        It lacked a copy as it led, or while the leader did, and may still lack it.
+        """
+        return self._leadership.is_larger and not self._leadership.may_offer
 
     def _claim_delay_s(self) -> float:
         return self._delay_s + SMALLER_INSTANCE_DELAY_S * self._leadership.is_smaller
