Let replaced runners wait for no share of a late leader's first polls

Callers would see: work that only a replaced runner can take waits.

Cause: limited all first polls but those of runners with runs by that share, as the budget applies to none while any crash is unconfirmed. Replaced runners, of which the budget never applied to any, were limited with them.

Change: the share limits the runners without runs that the new leader found in its list, also while a crash is unconfirmed, and no others.

Fleets no larger than what their leader keeps ready are polled as before, as their share is always whole.

--- a/spoolcrank/idle_polls.py
+++ b/spoolcrank/idle_polls.py
@@ -69,16 +69,20 @@
     return [*hurried, *before, *chosen.values(), *others[: limit - len(chosen)]]
 
 
-def may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
-    """Return whether the leader's budget for first polls applies to a runner."""
+def is_idle_from_takeover(state: Scheduler, runner: RunnerState) -> bool:
+    """Return whether a new leader found a runner in the list on which nothing is known to run."""
     return (
         not runner.runs
         and runner.rank == 0
         and runner.first_seen_at - state.began_at <= FIRST_LISTING_S
-        and not state.crash_history.unconfirmed
     )
 
 
+def may_wait_for_first_poll(state: Scheduler, runner: RunnerState) -> bool:
+    """Return whether the leader's budget for first polls applies to a runner."""
+    return is_idle_from_takeover(state, runner) and not state.crash_history.unconfirmed
+
+
 def postponed_polls(state: Scheduler, due: list[RunnerState], now: float) -> list[RunnerState]:
     """Return which of the idle runners that are due are not polled, as enough others are ready.
 
--- a/spoolcrank/polling.py
+++ b/spoolcrank/polling.py
@@ -6,6 +6,7 @@
 
 from spoolcrank.idle_polls import (
     is_idle,
+    is_idle_from_takeover,
     limit_first_polls,
     may_wait_for_first_poll,
     postponed_polls,
@@ -159,10 +160,11 @@
     answering = [runner for runner in awaiting_first_answer if runner.silent_since is None]
     silent = [runner for runner in awaiting_first_answer if runner.silent_since is not None]
     first = nsmallest(polls.free, answering, key=order)
-    # Also those that the budget does not apply to must leave a late leader time to lead.
-    busy = [runner for runner in first if runner.runs]
+    # Also if the budget does not apply, idle ones must leave a late leader time to lead.
+    idle = [runner for runner in first if is_idle_from_takeover(state, runner)]
     idle_limit = max(1, int(MAX_CONCURRENT_FIRST_POLLS * state.polls.share))
-    first = [*busy, *first[len(busy) : len(busy) + idle_limit]]
+    postponed = {runner.id for runner in idle[idle_limit:]}
+    first = [runner for runner in first if runner.id not in postponed]
     silent = nsmallest(polls.free_silent, silent, key=lambda runner: runner.polled_at)
     return limit_first_polls(state, first, answering, order, now) + silent
 
