--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
-"""One of eight runners crashes for good; does the count of waiting submissions stay right?
+"""A submission is cancelled whose record reaches the store late; does it run all the same?
 
-The rule (MIXED): of the submissions without times that were accepted over visible_ms + 2 s before
-and haven't begun, a machine in touch gives under half as `waiting`.
+The rule (UNASKED): a machine in touch starts a task more than cancel_ms after ack of the
+submission's cancelling.
 """
 
 import asyncio
@@ -15,51 +15,73 @@
 from platform_standins import run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUNNERS = 8
-VISIBLE_S = 3.0
-STEP = [{"count": 1, "cpu": 4000, "memMb": 256, "estimateMs": 640}]
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+LOST_FOR_S = 1.5
+LATE_S = 5.5
+MAX_LOST_SHARE = 0.35
+STEP = {"count": 1, "cpu": 4000, "memMb": 256, "estimateMs": 3000}
+WORK_S = 3.0
+NAME = f"{0xCA11:016x}"
 
 
-async def ask(world, daemon, accepted, broken):
-    """Ask one daemon for the count, and compare it with the submissions that haven't begun."""
-    asked_at = world.record.now()
-    count = await world.waiting(daemon)
-    known = [
-        name
-        for name, at in accepted.items()
-        if at < asked_at - VISIBLE_S - 2.0 and name not in world.begun
-    ]
-    world.record.write("count", daemon=daemon, waiting=count, not_begun=known)
-    if known and count is not None and count < len(known) / 2:
-        broken.append((round(asked_at, 2), daemon, count, known))
+async def others(world, fronts):
+    """Hand in other submissions all the time, at the other daemons."""
+    number = 0
+    while True:
+        await world.submit(fronts[1 + number % 2], f"{0xB000 + number:016x}", [STEP], 0.3)
+        number += 1
+        await asyncio.sleep(0.05)
+
+
+async def lose_answers(world):
+    """Lose the answers of the writes that hold this submission; they are done late."""
+    store = world.store
+    writes_before = store.writes
+    store.late = lambda records: LATE_S if any(NAME in key for key, _ in records) else None
+    world.record.write("answers are lost")
+    await asyncio.sleep(LOST_FOR_S)
+    store.late = None
+    writes = store.writes - writes_before
+    world.record.write("answers are lost no more", writes=writes, lost=store.lost_writes)
+    world.calm_from = world.record.now()
+    if store.lost_writes > MAX_LOST_SHARE * writes:
+        raise RuntimeError(f"{store.lost_writes} of {writes} writes were lost")
+
+
+async def cancel(world, front):
+    """Cancel the submission; return when that was acknowledged."""
+    while True:
+        status, _ = await world.call(front, "DELETE", world.PREFIX + NAME)
+        world.record.write("cancelled", id=NAME, status=status)
+        if status in (200, 410):
+            return world.record.now()
+        await asyncio.sleep(0.2)
 
 
 async def play(world, temporary):
     """Play the case; return what broke the rule."""
-    await world.start(temporary, runners=RUNNERS)
-    daemons = list(world.fronts)
+    await world.start(temporary)
     fronts = list(world.fronts.values())
-    for number in range(8):
-        await world.submit(fronts[number % 3], f"{0xA000 + number:016x}", STEP, 0.3)
-    await asyncio.sleep(5.0)
-    if TROUBLE:
-        victim = world.runners[3]
-        world.keep(world.lose(victim))
-    accepted = {}
-    for number in range(16):
-        name = f"{0xB000 + number:016x}"
-        if await world.submit(fronts[number % 3], name, STEP, 0.6) == 200:
-            accepted[name] = world.record.now()
-    broken = []
-    while world.record.now() < max(accepted.values()) + 14.0:
-        for daemon in daemons:
-            await ask(world, daemon, accepted, broken)
-        await asyncio.sleep(0.25)
-    for name in accepted:
-        await world.state(fronts[0], name)
-    if not broken:
-        return ""
-    return f"{len(broken)} counts were wrong, the first at {broken[0]}"
+    world.keep(others(world, fronts))
+    await asyncio.sleep(4.0)
+    world.calm_from = 0.0
+    trouble = asyncio.ensure_future(lose_answers(world)) if TROUBLE else None
+    # The consumer gives up when it gets no success, and cancels at another daemon.
+    await world.submit(fronts[0], NAME, [STEP], WORK_S)
+    await asyncio.sleep(0.1)
+    acknowledged_at = await cancel(world, fronts[1])
+    if trouble is not None:
+        await trouble
+    await asyncio.sleep(10.0)
+    state = await world.state(fronts[2], NAME)
+    starts = [at for at, task in world.starts if task.startswith(NAME)]
+    for at in starts:
+        in_touch = at - world.calm_from > CONTACT_S
+        if at > acknowledged_at + CANCEL_S and in_touch:
+            after_s = round(at - acknowledged_at, 2)
+            return f"a task began {after_s} s after the ack of the cancelling; it is {state}"
+    return ""
 
 
 run_case(HERE, play)
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -112,10 +112,17 @@
 
 
 class Store(Server):
-    """The platform's metadata store, form `log`."""
+    """The platform's metadata store, form `log`.
+
+    `late` may be set to a function of the records of a writing call. If it gives seconds, the call
+    gets no answer and is done that much later, as a channel that says nothing more.
+    """
 
     def __init__(self):
         self.topics = defaultdict(Topic)
+        self.late = None
+        self.writes = 0
+        self.lost_writes = 0
 
     async def add(self, name, key, value):
         """Write a record as the operator or a runner does."""
@@ -158,6 +165,18 @@
             if length > 262144:
                 return 400, b""
             records.append((frame[1 : 1 + frame[0]].decode(), frame[1 + frame[0] :]))
+        self.writes += 1
+        late_s = self.late(records) if self.late is not None else None
+        if late_s is not None:
+            self.lost_writes += 1
+            await asyncio.sleep(late_s)
+            await self.do_append(topic, query, body, records)
+            # The channel that has lost an answer says nothing more.
+            await asyncio.Event().wait()
+        return await self.do_append(topic, query, body, records)
+
+    async def do_append(self, topic, query, body, records):
+        """Carry out a writing call."""
         if len(body) > 2097152:
             return 400, b""
         if "producer" in query:
@@ -383,6 +402,7 @@
         work_s = float(order["spec"].partition("work=")[2])
         self.running[task] = [run, time.monotonic(), work_s, step["cpu"]]
         self.world.begun.setdefault(task.split(".")[0], self.world.record.now())
+        self.world.starts.append((self.world.record.now(), task))
         self.world.record.write("began", runner=self.name, task=task, run=run)
         if step.get("gang"):
             self.world.gangs.arrive(self, task, run, step["count"])
@@ -436,6 +456,7 @@
         self.readies = {}
         self.steps = {}  # id -> steps
         self.begun = {}  # id -> time of the first start
+        self.starts = []  # time and task of each start
         self.tasks = set()
 
     def step_of(self, task):
