--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -657,11 +657,16 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
             return None, type(exc).__name__
 
-    async def submit(self, front, name, steps, work_s):
-        """Hand in a submission; return the status."""
+    def leader(self):
+        """Return the name of the daemon whose claim to lead is the newest in the store."""
+        _, claim = self.store.topics["keyed.jobs"].newest["leader"]
+        return json.loads(claim)[1]
+
+    async def submit(self, front, name, steps, work_s, wait_s=3.0):
+        """Hand in a submission; return the status, None if the consumer left without one."""
         self.steps[name] = steps
         body = json.dumps({"spec": f"work={work_s}", "steps": steps}).encode()
-        status, _ = await self.call(front, "POST", self.PREFIX + name, body)
+        status, _ = await self.call(front, "POST", self.PREFIX + name, body, wait_s)
         self.record.write("submitted", id=name, status=status)
         return status
 
@@ -699,6 +704,9 @@
             world = World(folder)
             try:
                 broken = await play(world, temporary)
+            except Exception as exc:
+                print("could not run:", repr(exc))
+                broken = None
             finally:
                 world.end()
                 if os.environ.get("KEEP_LOGS"):
@@ -706,17 +714,14 @@
                     text = "".join(log.read_text() for log in logs)
                     Path(os.environ["KEEP_LOGS"]).write_text(text)
             world.record.write("result", broken=broken)
-            print("broken:" if broken else "held", broken or "")
-            code = 1 if broken else 0
-        leave(code)
+        if broken is None:
+            leave(2)
+        print("broken:" if broken else "held", broken)
+        leave(1 if broken else 0)
 
     def leave(code):
         sys.stdout.flush()
         # The stand-ins' open channels need no orderly end.
         os._exit(code)
 
-    try:
-        asyncio.run(main())
-    except Exception as exc:
-        print("could not run:", repr(exc))
-        leave(2)
+    asyncio.run(main())
