--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -195,7 +195,7 @@
             left_s = until - time.monotonic()
             if left_s <= 0:
                 break
-            with contextlib.suppress(asyncio.TimeoutError):
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.changed.wait(), left_s)
         parts, size = [struct.pack(">QQ", len(topic.records), 0)], 0
         for frame in topic.records[begin:]:
@@ -417,6 +417,11 @@
             return await self._hold(body)
         return 404, b""
 
+    def _has_room(self, work: dict[str, Any]) -> bool:
+        if self._used("memMb") + work["memMb"] > self.memory_mb:
+            return False
+        return bool(work.get("fills") or self._used("cpu") + work["cpu"] <= self.cpu)
+
     def _start(self, body: dict[str, Any]) -> Reply:
         name, run = body["task"], body["run"]
         work = self.world.work_of(name)
@@ -428,9 +433,7 @@
             reason = "late"
         elif present is not None or run <= self.highest.get(name, 0):
             reason = "old"
-        elif not work.get("fills") and self._used("cpu") + work["cpu"] > self.cpu:
-            reason = "room"
-        elif self._used("memMb") + work["memMb"] > self.memory_mb:
+        elif not self._has_room(work):
             reason = "room"
         if reason:
             self.world.record.write(f"runner {self.number} rejects {name} run {run}: {reason}")
@@ -462,7 +465,7 @@
             left_s = until - time.monotonic()
             if left_s <= 0:
                 break
-            with contextlib.suppress(asyncio.TimeoutError):
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left_s)
         now = time.monotonic()
         running = [
@@ -564,7 +567,7 @@
 
     try:
         return await asyncio.wait_for(exchange(), 3.0)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return 0, None
 
 
