--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -32,6 +32,7 @@
     "leaseMs": 3000, "thawMs": 300, "pace_ms": 100, "harm_ms": 4000,
 }
 SILENT = object()
+RECORD_BYTES, CALL_BYTES = 262144, 2097152
 
 
 # HTTP
@@ -193,6 +194,9 @@
             (length,) = struct.unpack_from(">I", body, at)
             records.append(body[at + 4 : at + 4 + length])
             at += 4 + length
+        if len(body) > CALL_BYTES or any(len(raw) > RECORD_BYTES for raw in records):
+            self.world.note("too-large", largest=max(len(raw) for raw in records), call=len(body))
+            return 400, {"error": "too large"}
         state = None
         if "producer" in query:
             state = part.producers.setdefault(query["producer"], {"epoch": -1, "seq": 0, "answers": {}})
@@ -451,7 +455,7 @@
             if run.step.get("savesProgress"):
                 whole = int(run.done_ms // 500) * 500
                 if whole:
-                    run.saved = f"{whole:08x}{task[:8]}"
+                    run.saved = f"{whole:08x}{task[:8]}" + self.world.checkpoint_rest(task, whole)
             fails = self.world.fails(task, run)
             if fails is not None and run.done_ms >= fails:
                 self.end(task, "failed")
@@ -489,7 +493,7 @@
             "orders": "invoke", "advice": "127.0.0.1:9",
             "platform": {"address": self.store_address, "form": "log", "writes_per_s": 800,
                          "reads_per_s": 2000, "parts": 24, "append_ms": 1.0, "part_mb_per_s": 20.0,
-                         "read_mb_per_s": 80.0, "record_bytes": 262144, "call_bytes": 2097152,
+                         "read_mb_per_s": 80.0, "record_bytes": RECORD_BYTES, "call_bytes": CALL_BYTES,
                          "keep_s": 300, "part_mb": 200, "ttl_min_ms": 1000},
             "cloud": {"address": "127.0.0.1:9", "ratePerS": 60.0, "duties": [], "dutyPerS": 60.0},
         }
@@ -530,6 +534,8 @@
         self.failing = {}
         self.tails = {}
         self.harm = {}
+        self.uneven = {}
+        self.checkpoint_length = {}
         self.whole = set()
         self.runners, self.daemons = [], []
         self.store = Store(self, f"127.{self.net}.0.1")
@@ -547,7 +553,9 @@
 
     def work_ms(self, task, run):
         job, _, step, _ = task.rsplit(".", 3)
-        return self.work.get((job, int(step)), run.step.get("estimateMs", 500))
+        work_ms = self.work.get((job, int(step)), run.step.get("estimateMs", 500))
+        uneven = self.uneven.get(job, 0.0)
+        return work_ms * (1.0 + random.Random(task).uniform(-uneven, uneven)) if uneven else work_ms
 
     def tail_ms(self, run, runner):
         """Return a serving task's tail: its own, times what the fillers beside it do to its image."""
@@ -558,6 +566,11 @@
         ) / runner.room["cpu"]
         return max(1, round(self.tails.get(image, 1) * math.exp(harm)))
 
+    def checkpoint_rest(self, task, whole):
+        """Return what a checkpoint holds behind its first 16 signs; a case may set its length."""
+        length = self.checkpoint_length.get(task.split(".")[0], 16) - 16
+        return random.Random(f"{task} {whole}").randbytes(length // 2 + 1).hex()[:length] if length > 0 else ""
+
     def fails(self, task, run):
         return self.failing.get(task)
 
