--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -255,7 +255,7 @@
     def __init__(self, number, step, saved, now):
         self.number, self.step = number, step
         self.done_ms = float(int(saved[:8], 16)) if saved else 0.0
-        self.saved = saved
+        self.saved, self.saved_ms = saved, int(self.done_ms)
         self.percent = 100
         self.since = now
         self.ready_at = now + (0.25 if saved else 0.0)
@@ -454,7 +454,8 @@
             run.done_ms += dt * 1000.0 * run.percent / 100.0
             if run.step.get("savesProgress"):
                 whole = int(run.done_ms // 500) * 500
-                if whole:
+                if whole > run.saved_ms:
+                    run.saved_ms = whole
                     run.saved = f"{whole:08x}{task[:8]}" + self.world.checkpoint_rest(task, whole)
             fails = self.world.fails(task, run)
             if fails is not None and run.done_ms >= fails:
